--- /dev/null
+++ b/ospreyrouter/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire: framing, ids to indices, units. It decides nothing."""
--- /dev/null
+++ b/ospreyrouter/policy.py
@@ -0,0 +1,465 @@
+"""Every decision of a manager.
+
+Called once a round: `manager.round(now, intake, orders)`. `intake` is a list of tuples, each the name of one
+of the methods under "What a manager hears" and its arguments; decisions go straight into `orders`. Types
+and the writer are in `interface.py`. Times are whole microseconds. The order of reading: the constants,
+pack and match (the mechanism), what is heard, what is made of it (judge), the layout, the sends.
+"""
+
+import hashlib
+import heapq
+from random import Random
+
+from scipy.optimize import linear_sum_assignment
+
+from .interface import ALL_TABLES, Deployment, Orders, Outcome, Repeat, Retry, State
+
+WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
+WINDOWS = 8  # windows that count, each half the one after it
+MARGIN = 0.10  # what a new layout must cut off the largest load, and the room bins keep so that slices fit whole
+FIRST_BIN = 0.25  # of a full bin, for a server that has just started
+LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
+SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
+BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
+BUCKETS = 8  # this many
+FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
+RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
+PROBE_US = 1_000_000  # each worker is probed this often
+USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
+SLOWEST = 8  # a channel is taken to be at most this many times slower than told
+
+# By what repeating does: how proxies try again.
+RETRIES = {Repeat.SAFE: Retry.ONCE, Repeat.KEYED: Retry.PROVEN, Repeat.NEVER: Retry.PROVEN}
+
+
+class Ring:
+    """Sums in fixed buckets of time, used again in a ring."""
+
+    def __init__(self, span_us, count, width):
+        self.span, self.width, self.at = span_us, width, 0
+        self.rows = [[0.0] * width for _ in range(count)]
+
+    def turn(self, now):
+        """Bring the ring to `now`; buckets that were skipped are empty."""
+        at = now // self.span
+        for step in range(max(self.at + 1, at - len(self.rows) + 1), at + 1):
+            self.rows[step % len(self.rows)] = [0.0] * self.width
+        self.at = max(self.at, at)
+
+    def add(self, now, *values):
+        self.turn(now)
+        row = self.rows[self.at % len(self.rows)]
+        for place, value in enumerate(values):
+            row[place] += value
+
+    def row(self, back):
+        return self.rows[(self.at - back) % len(self.rows)]
+
+
+def pack(popularity, bins, held, firm=False):
+    """ModifiedBestFit on bins that may already hold parts of slices; returns {slice: {server: part}}.
+
+    What a bin holds stays while it has room, most popular slice first (all of it where `firm`); the rest goes
+    the paper's way: off a max-heap to the bin with the fewest slots left after taking it, and where none can
+    take it the roomiest is filled and the remainder requeued.
+    """
+    room, placed, heap = dict(bins), {}, []
+    for item in sorted(popularity, key=lambda s: (-popularity[s], s)):
+        total, kept = popularity[item], {}
+        for server, part in sorted(held.get(item, {}).items(), key=lambda line: (-line[1], line[0])):
+            if server not in room:
+                continue
+            want = part * total
+            # A part that does not fit leaves whole, unless it is more than the bin could ever hold.
+            stays = want if firm or want <= room[server] + 1e-9 else room[server] if want > bins[server] else 0.0
+            if stays > 0:
+                kept[server] = stays
+                room[server] -= stays
+        placed[item] = kept
+        left = total - sum(kept.values())
+        if left > 1e-9 * total:
+            heapq.heappush(heap, (-left, item))
+    while heap and room:
+        left, item = heapq.heappop(heap)
+        left = -left
+        fits = [(space - left, server) for server, space in room.items() if space >= left]
+        server = min(fits)[1] if fits else min(room, key=lambda s: (-room[s], s))
+        part = left if fits else room[server]
+        if part <= 1e-6 * bins[server]:  # all are full: to the one least overfull by it, never a small bin first
+            part, server = left, max(room, key=lambda s: ((room[s] - left) / bins[s], -s))
+        placed[item][server] = placed[item].get(server, 0.0) + part
+        room[server] -= part
+        if left - part > 1e-9 * popularity[item]:
+            heapq.heappush(heap, (part - left, item))
+    return placed
+
+
+def match(placed, bins, held):
+    """Deal bins of equal size out among their servers so that the fewest replicas are to be loaded."""
+    groups, goes = {}, {}
+    for server in bins:
+        groups.setdefault(bins[server], []).append(server)
+    content = {server: [] for server in bins}
+    for item, parts in placed.items():
+        for server in parts:
+            content[server].append(item)
+    for group in groups.values():
+        loads = [[sum(target not in held.get(item, {}) for item in content[source]) - (source == target) * 0.5
+                  for target in group] for source in group]
+        rows, columns = linear_sum_assignment(loads)
+        goes.update((group[row], group[column]) for row, column in zip(rows, columns))
+    return {item: {goes[server]: part for server, part in parts.items()} for item, parts in placed.items()}
+
+
+def hashed(item, servers):
+    """The server of a slice by rendezvous hashing: the same at every call, spread evenly."""
+    return min(servers, key=lambda s: hashlib.blake2b(f"{item}/{s}".encode(), digest_size=8).digest())
+
+
+class Worker:
+    """One worker as far as this manager knows it."""
+
+    def __init__(self):
+        self.kind, self.weight, self.started = -1, 1.0, None
+        self.state = State.READY  # also of one met only in a store's table, until a list tells otherwise
+        self.met = Ring(BUCKET_US, BUCKETS, 2)
+        self.busy = self.rate = self.service = None  # smoothed load reports
+        self.health, self.misses, self.probe_at = 1.0, 0, 0
+
+
+class Manager:
+    """Assigns slices to workers for the proxies of one deployment."""
+
+    def __init__(self, setup: Deployment, seed: int):
+        self.setup, self.chance = setup, Random(seed)
+        self.slices = range(setup.slices or 1)
+        self.workers = {}
+        self.proxies = set()
+        self.own = set() if setup.slices else {0}
+        self.tables = {item: {} for item in self.slices}  # as ordered, or as the store gave them
+        self.parts = {item: {} for item in self.slices}  # the layout: shares by server
+        self.linger = {}
+        self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
+        self.since = {}
+        self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
+        self.sent, self.number, self.spoken = [], 0, False
+        self.messages = []
+
+    # What a manager hears.
+
+    def round(self, now: int, intake: list, orders: Orders):
+        self.now, self.orders = now, orders
+        if not self.spoken:
+            self.begin()
+        for name, *values in intake:
+            getattr(self, name)(*values)
+        if self.urgent or now >= self.tick_at:
+            self.decide()
+
+    def begin(self):
+        self.spoken = True
+        for place, row in enumerate(self.setup.classes):
+            self.orders.level(ALL_TABLES, 1 << place, 1.0, RETRIES[row.repeat])
+        if self.setup.lists_on_request:
+            self.orders.follow_list(True)
+
+    def woke(self, token):
+        pass  # the round itself is what the alarm was for
+
+    def listed(self, whole, entries):
+        if whole:
+            for worker in self.workers.values():
+                worker.state = State.GONE
+        for entry in entries:
+            worker = self.workers.setdefault(entry.worker, Worker())
+            if entry.started_us is not None and entry.started_us != worker.started:
+                worker.health, worker.misses = 1.0, 0
+                worker.met = Ring(BUCKET_US, BUCKETS, 2)
+                worker.busy = worker.rate = worker.service = None
+            worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
+            worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
+        self.urgent = True
+
+    def list_failed(self):
+        self.orders.follow_list(True)
+
+    def joined(self, proxy, zone, rate, fresh):
+        self.proxies.add(proxy)
+        if not self.setup.slices:
+            self.orders.bind(proxy, 0, 0)
+
+    def left(self, proxy):
+        self.proxies.discard(proxy)
+
+    def charged(self, item, given):
+        if item not in self.tables:
+            return
+        self.tables[item], self.parts[item] = {}, {}
+        self.linger.pop(item, None)
+        (self.own.add if given else self.own.discard)(item)
+        self.since[item] = self.now
+        self.demand[item] = Ring(WINDOW_US, WINDOWS + 1, 1)
+        self.urgent = True
+
+    def stored(self, item, worker, weight):
+        self.workers.setdefault(worker, Worker())
+        if item in self.own and weight > 0:
+            self.tables[item][worker] = weight
+
+    def demanded(self, item, kind, count, lost, span):
+        if item in self.own and count > 0:
+            self.demand[item].add(self.now, count)
+
+    def used(self, proxy, kind, count, lost, span):
+        self.demanded(0, kind, count, lost, span)
+
+    def met(self, zone, worker, tries, lost, delay, span, report):
+        if worker in self.workers and tries > 0:
+            self.workers[worker].met.add(self.now, tries, min(max(lost, 0), tries))
+            self.reported(worker, report)
+
+    def probed(self, worker, outcome, delay, report):
+        if worker not in self.workers:
+            return
+        row = self.workers[worker]
+        if outcome is Outcome.PASSED:
+            row.misses = 0
+            self.reported(worker, report)
+        elif outcome is not Outcome.FULL:
+            row.misses += 1
+            row.probe_at = self.now
+
+    def reported(self, worker, report):
+        row = self.workers[worker]
+
+        def smooth(old, new):
+            return new if old is None else old + 0.15 * (new - old)
+        if "utilization" in report and "throughput" in report:
+            row.busy = smooth(row.busy, max(report["utilization"], 0.0))
+            row.rate = smooth(row.rate, max(report["throughput"], 0.0))
+        if report.get("recent_ms", 0) > 0:
+            row.service = smooth(row.service, report["recent_ms"])
+
+    def told(self, manager, text):
+        pass
+
+    def applied(self, proxy, number, delay):
+        # Messages leave in order: whatever was sent before an answered mark has left the channel.
+        place = next((k for k, row in enumerate(self.sent) if row[0] == number), None)
+        if place is not None:
+            self.sent = self.sent[place:]
+            self.sent[0][1] -= self.sent[0][2]
+
+    # What is made of it.
+
+    def ready(self):
+        return [w for w, row in sorted(self.workers.items()) if row.state is State.READY]
+
+    def judge(self):
+        """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
+        ready = self.ready()
+        losses = {}
+        for w in ready:
+            ring = self.workers[w].met
+            ring.turn(self.now)
+            tries, lost = (sum(row[k] for row in ring.rows) for k in (0, 1))
+            losses[w] = lost / (tries + 2.0)
+        usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
+        silent = sum(self.workers[w].misses > 1 for w in ready)
+        span = self.now - (self.judged_at if self.judged_at is not None else self.now)
+        self.judged_at = self.now
+        for w in ready:
+            row = self.workers[w]
+            # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
+            excess = max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)
+            target = (1.0 - excess) ** 4
+            if silent * 2 <= len(ready):
+                target *= 0.25 ** max(0, row.misses - 1) if row.misses else 1.0
+            target = max(FLOOR, target)
+            if target < 0.5 * row.health:
+                self.urgent = True
+            row.health = min(target, row.health + span / RETURN_US)
+
+    def speeds(self, ready):
+        """Learned speed of each worker against its like: those of its kind where weights are listed."""
+        raw = {}
+        for w in ready:
+            row = self.workers[w]
+            if row.busy is not None and row.busy > 0.1 and row.rate > 0:
+                raw[w] = row.rate / row.busy
+            elif row.service:
+                raw[w] = 1.0 / row.service
+        like = {}
+        for w in raw:
+            like.setdefault(self.workers[w].kind if self.setup.weights_listed else 0, []).append(raw[w])
+        mean = {kind: sum(values) / len(values) for kind, values in like.items()}
+        return {w: min(2.0, max(0.5, raw[w] / mean[self.workers[w].kind if self.setup.weights_listed else 0]))
+                if w in raw else 1.0 for w in ready}
+
+    def capacities(self):
+        """Listed weight x learned speed x cold ramp x health, by ready worker."""
+        ready = self.ready()
+        speed = self.speeds(ready)
+        sizes = {}
+        for w in ready:
+            row = self.workers[w]
+            warm = 1.0
+            if row.started is not None and self.setup.cold_us > 0:
+                age = min(1.0, max(0.0, (self.now - row.started) / self.setup.cold_us))
+                warm = FIRST_BIN + (1.0 - FIRST_BIN) * age
+            sizes[w] = row.weight * speed[w] * warm * row.health
+        return sizes
+
+    def popularity(self):
+        """Aged demand by slice in charge; one not heard of yet counts as the mean of the others."""
+        heard, unheard = {}, []
+        for item in sorted(self.own):
+            ring, total, weights = self.demand[item], 0.0, 0.0
+            ring.turn(self.now)
+            for back in range(1, WINDOWS + 1):
+                if (ring.at - back + 1) * WINDOW_US <= self.since.get(item, 0):
+                    break
+                total += ring.row(back)[0] * 0.5 ** (back - 1)
+                weights += 0.5 ** (back - 1)
+            if weights and total:
+                heard[item] = total / weights
+            else:
+                unheard.append(item)
+        mean = sum(heard.values()) / len(heard) if heard else 1.0
+        return heard | dict.fromkeys(unheard, mean), set(unheard)
+
+    # The layout.
+
+    def decide(self):
+        orders, tick = self.orders, self.setup.report_period_us or BUCKET_US
+        if self.now >= self.tick_at:
+            self.tick_at = self.now + tick
+            orders.wake(tick, 0)
+            self.judge()
+            self.probe()
+        sizes = self.capacities()
+        window = self.now >= self.window_at
+        if sizes and self.own and (self.urgent or window):
+            if window:
+                self.window_at = self.now + WINDOW_US
+            self.lay(sizes)
+        self.urgent = False
+        self.send(sizes)
+
+    def lay(self, sizes):
+        popularity, unheard = self.popularity()
+        total, scale = sum(popularity.values()), sum(sizes.values())
+        slot = total / len(sizes) / SLOTS
+        bins = {w: slot * -(-total * (1 + MARGIN) * size / scale // slot) for w, size in sizes.items()}
+        held = {}
+        for item in popularity:
+            lines = self.parts[item] or self.tables[item]
+            lines = {w: weight for w, weight in lines.items() if w in sizes}
+            whole = sum(lines.values())
+            if not whole:
+                back = self.linger.get(item)
+                lines = {back if back in sizes else hashed(item, sizes): 1.0} if (
+                    back in sizes or item in unheard) else {}
+                whole = 1.0
+            held[item] = {w: weight / whole for w, weight in lines.items()}
+        standing = pack(popularity, bins, held, firm=True)
+        fresh = match(pack(popularity, bins, held), bins, held)
+
+        def largest(placed):
+            loads = dict.fromkeys(sizes, 0.0)
+            for parts in placed.values():
+                for w, part in parts.items():
+                    loads[w] += part
+            return max(loads[w] / sizes[w] for w in sizes)
+        chosen = standing
+        if not self.setup.single_owner and largest(fresh) < (1 - MARGIN) * largest(standing):
+            chosen = fresh
+        for item, parts in chosen.items():
+            if self.setup.single_owner:
+                parts = {max(parts, key=lambda w: (parts[w], -w)): 1.0}
+            whole = sum(parts.values())
+            shares = {w: round(part / whole, 2) for w, part in parts.items() if part >= 0.02 * whole}
+            dropped = [w for w in self.parts[item] if w not in shares and w in sizes]
+            if dropped:
+                self.linger[item] = max(dropped, key=lambda w: (self.parts[item][w], -w))
+            self.parts[item] = shares or {max(parts, key=parts.get): 1.0}
+        self.mind_lingering(sizes)
+
+    def mind_lingering(self, sizes):
+        """Each slice has one lingering replica: the last one dropped while that is well, else a hashed one.
+
+        It is where a try goes that the slice's server refused or lost, and all that is left to pick when a
+        proxy avoids that server, so it must be warm and well itself.
+        """
+        if self.setup.single_owner:
+            return
+        well = [w for w in sizes if self.workers[w].health > 0.5 and not self.cold(w)]
+        for item in sorted(self.own):
+            if self.linger.get(item) in self.parts[item] or self.linger.get(item) not in well:
+                others = [w for w in well if w not in self.parts[item]]
+                self.linger[item] = hashed(item, others) if others else None
+
+    def cold(self, w):
+        started = self.workers[w].started
+        return started is not None and self.now - started < self.setup.cold_us
+
+    def probe(self):
+        if not self.setup.probes_allowed:
+            return
+        for w in self.ready():
+            row = self.workers[w]
+            if self.now >= row.probe_at:
+                row.probe_at = self.now + PROBE_US
+                self.orders.probe(w)
+
+    # The sends.
+
+    def wanted(self, item):
+        lines = dict(self.parts[item])
+        if self.linger.get(item) is not None:
+            lines.setdefault(self.linger[item], LINGER)
+        return lines
+
+    def send(self, sizes):
+        """What changed, as far as the channel drains it: removals of lost servers, then the largest changes."""
+        if not sizes:
+            return
+        changes = []
+        for item in sorted(self.own):
+            table, lines = self.tables[item], self.wanted(item)
+            if not lines:
+                continue
+            gone = any(w not in sizes for w in table)
+            both = sorted(table.keys() | lines.keys())
+            change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in both)
+            if change > 1e-6:
+                changes.append((not gone, -change, item))
+        if not changes:
+            return
+        slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
+        self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
+        waiting, count = sum(row[1] for row in self.sent), max(1, len(self.proxies))
+        each, head = 0, self.setup.message_head + 1 + len(self.setup.classes)
+        if self.setup.messages_most:
+            self.messages = [at for at in self.messages if self.now - at < self.setup.messages_over_us]
+            if len(self.messages) + 2 > self.setup.messages_most * (0.5 if changes[0][0] else 1.0):
+                return
+        for later, _, item in sorted(changes):
+            table, lines = self.tables[item], self.wanted(item)
+            new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
+            old = [w for w in sorted(table) if w not in lines]
+            cost = (head + each + len(new) + len(old)) * count
+            if waiting + cost > self.setup.queue_lines * (USUAL_FILL if later else URGENT_FILL):
+                break
+            each += len(new) + len(old)
+            for w in new:
+                self.orders.line(item, w, lines[w])
+            if not self.setup.single_owner:
+                for w in old:
+                    self.orders.line(item, w, 0)
+            self.tables[item] = lines
+        if each:
+            self.number = (self.number + 1) % 65536
+            self.orders.mark(self.number, False)
+            self.sent.append([self.number, (head + each) * count, head + each, self.now])
+            self.messages.append(self.now)
--- /dev/null
+++ b/tests/test_packing.py
@@ -0,0 +1,47 @@
+"""The mechanism without time or a wire: packing, splitting, staying put, matching."""
+
+import unittest
+
+from ospreyrouter.policy import match, pack
+
+# popularity, bins, replicas of the least-replica layout: the paper's running example and its kind
+WORKED = [
+    ({1: 6, 2: 3, 3: 2, 4: 1}, {0: 4, 1: 4, 2: 4}, 5),
+    ({1: 6, 2: 3, 3: 3, 4: 2, 5: 2, 6: 2}, {0: 6, 1: 6, 2: 6}, 6),
+    ({1: 9}, {0: 3, 1: 3, 2: 3}, 3),
+    ({1: 2, 2: 2}, {0: 2, 1: 2}, 2),
+]
+
+
+class Packing(unittest.TestCase):
+    def test_worked_examples_reach_the_fewest_replicas(self):
+        for popularity, bins, replicas in WORKED:
+            with self.subTest(popularity=popularity):
+                placed = pack(popularity, bins, {})
+                self.assertEqual(sum(map(len, placed.values())), replicas)
+                for server, size in bins.items():
+                    self.assertLessEqual(sum(parts.get(server, 0) for parts in placed.values()), size)
+                for item, total in popularity.items():
+                    self.assertAlmostEqual(sum(placed[item].values()), total)
+
+    def test_what_fits_stays_and_the_least_popular_leaves(self):
+        held = {1: {0: 1.0}, 2: {0: 1.0}, 3: {0: 1.0}}
+        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, {0: 5, 1: 5}, held), {1: {0: 3}, 2: {0: 2}, 3: {1: 2}})
+        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, {0: 5, 1: 5}, held, firm=True),
+                         {1: {0: 3}, 2: {0: 2}, 3: {0: 2}})
+
+    def test_a_full_fleet_never_tips_the_rest_onto_a_small_bin(self):
+        held = {1: {0: 1.0}, 2: {1: 1.0}}
+        placed = pack({1: 10, 2: 10, 3: 6}, {0: 9, 1: 9, 2: 1}, held, firm=True)
+        self.assertLessEqual(placed[3].get(2, 0), 1)
+
+
+class Matching(unittest.TestCase):
+    def test_equal_bins_swap_to_where_the_replicas_are(self):
+        placed, held = {1: {0: 4}, 2: {1: 4}}, {1: {1: 1.0}, 2: {0: 1.0}}
+        self.assertEqual(match(placed, {0: 4, 1: 4}, held), {1: {1: 4}, 2: {0: 4}})
+        self.assertEqual(match(placed, {0: 4, 1: 5}, held), placed)
+
+
+if __name__ == "__main__":
+    unittest.main()
