--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -19,6 +19,7 @@
 MARGIN = 0.10  # what a new layout must cut off the largest load, and the room bins keep so that slices fit whole
 FIRST_BIN = 0.25  # of a full bin, for a server that has just started
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
+EVIDENCE = 3.0  # windows' worth of counts that an aged sum with halving weights stands for: (sum w)^2 / sum w^2
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
 BUCKETS = 8  # this many
@@ -142,7 +143,7 @@
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
-        self.sent, self.number, self.spoken = [], 0, False
+        self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
         self.messages = []
 
     # What a manager hears.
@@ -258,12 +259,14 @@
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
-        losses = {}
+        losses, asked, good = {}, 1.0, 1.0
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
             tries, lost = (sum(row[k] for row in ring.rows) for k in (0, 1))
             losses[w] = lost / (tries + 2.0)
+            asked, good = asked + tries, good + tries - lost
+        self.answered = good / asked
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
@@ -303,11 +306,7 @@
         sizes = {}
         for w in ready:
             row = self.workers[w]
-            warm = 1.0
-            if row.started is not None and self.setup.cold_us > 0:
-                age = min(1.0, max(0.0, (self.now - row.started) / self.setup.cold_us))
-                warm = FIRST_BIN + (1.0 - FIRST_BIN) * age
-            sizes[w] = row.weight * speed[w] * warm * row.health
+            sizes[w] = row.weight * speed[w] * self.warmth(w) * row.health
         return sizes
 
     def popularity(self):
@@ -349,8 +348,16 @@
     def lay(self, sizes):
         popularity, unheard = self.popularity()
         total, scale = sum(popularity.values()), sum(sizes.values())
+        # Counts are few: what chance alone makes of a server's load (twice over) is no reason to move anything.
+        margin = MARGIN + 2.0 / max(1.0, EVIDENCE * total / len(sizes)) ** 0.5
         slot = total / len(sizes) / SLOTS
-        bins = {w: slot * -(-total * (1 + MARGIN) * size / scale // slot) for w, size in sizes.items()}
+        bins = {w: slot * -(-total * (1 + margin) * size / scale // slot) for w, size in sizes.items()}
+        nominal = sum(self.workers[w].weight for w in sizes)
+        for w in bins:
+            if self.cold(w):
+                # Faded others and repeats swell what is asked of each; a cold server's part must not swell too.
+                part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
+                bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
         held = {}
         for item in popularity:
             lines = self.parts[item] or self.tables[item]
@@ -372,7 +379,7 @@
                     loads[w] += part
             return max(loads[w] / sizes[w] for w in sizes)
         chosen = standing
-        if not self.setup.single_owner and largest(fresh) < (1 - MARGIN) * largest(standing):
+        if not self.setup.single_owner and largest(fresh) < (1 - margin) * largest(standing):
             chosen = fresh
         for item, parts in chosen.items():
             if self.setup.single_owner:
@@ -399,9 +406,14 @@
                 others = [w for w in well if w not in self.parts[item]]
                 self.linger[item] = hashed(item, others) if others else None
 
-    def cold(self, w):
+    def warmth(self, w):
         started = self.workers[w].started
-        return started is not None and self.now - started < self.setup.cold_us
+        if started is None or not self.setup.cold_us:
+            return 1.0
+        return FIRST_BIN + (1.0 - FIRST_BIN) * min(1.0, max(0.0, (self.now - started) / self.setup.cold_us))
+
+    def cold(self, w):
+        return self.warmth(w) < 1.0
 
     def probe(self):
         if not self.setup.probes_allowed:
