--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -25,6 +25,7 @@
 BUCKETS = 8  # this many
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
+STRAIN = 0.4  # a server whose good answers take longer than this part of the shortest quoted time is too full
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
@@ -123,9 +124,9 @@
     def __init__(self):
         self.kind, self.weight, self.started = -1, 1.0, None
         self.state = State.READY  # also of one met only in a store's table, until a list tells otherwise
-        self.met = Ring(BUCKET_US, BUCKETS, 2)
+        self.met = Ring(BUCKET_US, BUCKETS, 3)
         self.busy = self.rate = self.service = None  # smoothed load reports
-        self.health, self.misses, self.probe_at = 1.0, 0, 0
+        self.health, self.misses, self.probe_at, self.strained = 1.0, 0, 0, False
 
 
 class Manager:
@@ -175,7 +176,7 @@
             worker = self.workers.setdefault(entry.worker, Worker())
             if entry.started_us is not None and entry.started_us != worker.started:
                 worker.health, worker.misses = 1.0, 0
-                worker.met = Ring(BUCKET_US, BUCKETS, 2)
+                worker.met = Ring(BUCKET_US, BUCKETS, 3)
                 worker.busy = worker.rate = worker.service = None
             worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
             worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
@@ -216,7 +217,8 @@
 
     def met(self, zone, worker, tries, lost, delay, span, report):
         if worker in self.workers and tries > 0:
-            self.workers[worker].met.add(self.now, tries, min(max(lost, 0), tries))
+            lost = min(max(lost, 0), tries)
+            self.workers[worker].met.add(self.now, tries, lost, (tries - lost) * max(delay, 0))
             self.reported(worker, report)
 
     def probed(self, worker, outcome, delay, report):
@@ -260,10 +262,13 @@
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
         losses, asked, good = {}, 1.0, 1.0
+        comfort = STRAIN * min(row.quoted_us for row in self.setup.classes)
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
-            tries, lost = (sum(row[k] for row in ring.rows) for k in (0, 1))
+            tries, lost, delay = (sum(row[k] for row in ring.rows) for k in (0, 1, 2))
+            # Slow good answers are overload, not failure: what it then loses goes away with its load.
+            self.workers[w].strained = delay > comfort * (tries - lost)
             losses[w] = lost / (tries + 2.0)
             asked, good = asked + tries, good + tries - lost
         self.answered = good / asked
@@ -275,7 +280,7 @@
             row = self.workers[w]
             # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
             excess = max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)
-            target = (1.0 - excess) ** 4
+            target = (1.0 - excess) ** (1 if row.strained else 4)
             if silent * 2 <= len(ready):
                 target *= 0.25 ** max(0, row.misses - 1) if row.misses else 1.0
             target = max(FLOOR, target)
@@ -369,15 +374,22 @@
                     back in sizes or item in unheard) else {}
                 whole = 1.0
             held[item] = {w: weight / whole for w, weight in lines.items()}
+        def loads(placed):
+            sums = dict.fromkeys(sizes, 0.0)
+            for parts in placed.values():
+                for w, part in parts.items():
+                    sums[w] += part
+            return sums
+
         standing = pack(popularity, bins, held, firm=True)
+        for w, load in loads(standing).items():
+            # A server that answers well within the quoted time is not too full, whatever the counts say.
+            if not self.workers[w].strained and self.workers[w].health > 0.9 and not self.cold(w):
+                bins[w] = max(bins[w], load)
         fresh = match(pack(popularity, bins, held), bins, held)
 
         def largest(placed):
-            loads = dict.fromkeys(sizes, 0.0)
-            for parts in placed.values():
-                for w, part in parts.items():
-                    loads[w] += part
-            return max(loads[w] / sizes[w] for w in sizes)
+            return max(load / bins[w] for w, load in loads(placed).items())
         chosen = standing
         if not self.setup.single_owner and largest(fresh) < (1 - margin) * largest(standing):
             chosen = fresh
