Second tries of safe classes only after proof that the first never ran

Cause: a try that waits and is then repeated elsewhere runs twice where cancelled work goes on; in a jam that doubles the load.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -31,7 +31,7 @@
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
 # By what repeating does: how proxies try again.
-RETRIES = {Repeat.SAFE: Retry.ONCE, Repeat.KEYED: Retry.PROVEN, Repeat.NEVER: Retry.PROVEN}
+RETRIES = {Repeat.SAFE: Retry.PROVEN, Repeat.KEYED: Retry.PROVEN, Repeat.NEVER: Retry.PROVEN}
 
 
 class Ring:
