Levels: refuse early by utility while most of the fleet is too full

Cause: repeats and time-outs keep a jam alive after its trouble has gone. It could refuse too much where delays look long for another reason than load.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -12,7 +12,7 @@
 
 from scipy.optimize import linear_sum_assignment
 
-from .interface import ALL_TABLES, Deployment, Orders, Outcome, Repeat, Retry, State
+from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Repeat, Retry, State
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
 WINDOWS = 8  # windows that count, each half the one after it
@@ -26,6 +26,9 @@
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the shortest quoted time is too full
+CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
+LEVEL_US = 1_000_000  # a cut must show before the next one
+RELEASE = 0.05  # what a level regains in such a time
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
@@ -145,6 +148,8 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
+        self.admitted, self.level_at, self.levels = 1.0, 0, {}
+        self.asked = Ring(WINDOW_US, 4, len(setup.classes))
         self.messages = []
 
     # What a manager hears.
@@ -160,8 +165,7 @@
 
     def begin(self):
         self.spoken = True
-        for place, row in enumerate(self.setup.classes):
-            self.orders.level(ALL_TABLES, 1 << place, 1.0, RETRIES[row.repeat])
+        self.set_levels([1.0] * len(self.setup.classes))
         if self.setup.lists_on_request:
             self.orders.follow_list(True)
 
@@ -211,6 +215,7 @@
     def demanded(self, item, kind, count, lost, span):
         if item in self.own and count > 0:
             self.demand[item].add(self.now, count)
+            self.asked.add(self.now, *(count * (place == kind) for place in range(len(self.setup.classes))))
 
     def used(self, proxy, kind, count, lost, span):
         self.demanded(0, kind, count, lost, span)
@@ -340,6 +345,7 @@
             self.tick_at = self.now + tick
             orders.wake(tick, 0)
             self.judge()
+            self.admit()
             self.probe()
         sizes = self.capacities()
         window = self.now >= self.window_at
@@ -424,6 +430,37 @@
             return 1.0
         return FIRST_BIN + (1.0 - FIRST_BIN) * min(1.0, max(0.0, (self.now - started) / self.setup.cold_us))
 
+    def admit(self):
+        """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
+
+        Cut by the share that was answered at all, so that a jam of repeats ends; least utility first.
+        """
+        ready = self.ready()
+        if not ready or self.now < self.level_at:
+            return
+        weight = sum(self.workers[w].weight for w in ready)
+        full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
+        if full > CROWDED:
+            self.admitted = max(0.1, self.admitted * min(0.95, max(0.6, self.answered)))
+        elif full < EASY:
+            self.admitted = min(1.0, self.admitted + RELEASE)
+        self.level_at = self.now + LEVEL_US
+        self.asked.turn(self.now)
+        counts = [sum(row[k] for row in self.asked.rows) + 1e-9 for k in range(len(self.setup.classes))]
+        left, levels = self.admitted * sum(counts), [1.0] * len(counts)
+        for k in sorted(range(len(counts)), key=lambda k: -self.setup.classes[k].utility):
+            levels[k] = round(min(1.0, max(0.0, left / counts[k])), 2) if self.admitted < 1.0 else 1.0
+            left -= counts[k]
+        self.set_levels(levels)
+
+    def set_levels(self, levels):
+        if self.setup.level_kind is LevelKind.RATE:
+            levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
+        for k, row in enumerate(self.setup.classes):
+            if abs(levels[k] - self.levels.get(k, -1.0)) > 0.01:
+                self.levels[k] = levels[k]
+                self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRIES[row.repeat])
+
     def cold(self, w):
         return self.warmth(w) < 1.0
 
