--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -25,7 +25,7 @@
 BUCKETS = 8  # this many
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
-STRAIN = 0.4  # a server whose good answers take longer than this part of the shortest quoted time is too full
+STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
 LEVEL_US = 1_000_000  # a cut must show before the next one
 RELEASE = 0.05  # what a level regains in such a time
@@ -267,7 +267,11 @@
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
         losses, asked, good = {}, 1.0, 1.0
-        comfort = STRAIN * min(row.quoted_us for row in self.setup.classes)
+        self.asked.turn(self.now)
+        let_in = [self.levels.get(k, 1.0) * sum(row[k] for row in self.asked.rows) + 1e-9
+                  for k in range(len(self.setup.classes))]
+        quoted = sum(part * row.quoted_us for part, row in zip(let_in, self.setup.classes)) / sum(let_in)
+        comfort = STRAIN * quoted  # of the classes as they are let in: where only slow ones are, slow is well
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
