Fill bins only to their fair size; let well servers keep more; best-fit what lost its server

Cause: slack in the bins let best fit fill some servers to 1.3 of their share while others idled, and orphans went to a hashed server whatever its load.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -16,10 +16,9 @@
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
 WINDOWS = 8  # windows that count, each half the one after it
-MARGIN = 0.10  # what a new layout must cut off the largest load, and the room bins keep so that slices fit whole
+MARGIN = 0.10  # what a new layout must cut off the largest load
 FIRST_BIN = 0.25  # of a full bin, for a server that has just started
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
-EVIDENCE = 3.0  # windows' worth of counts that an aged sum with halving weights stands for: (sum w)^2 / sum w^2
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
 BUCKETS = 8  # this many
@@ -61,14 +60,15 @@
         return self.rows[(self.at - back) % len(self.rows)]
 
 
-def pack(popularity, bins, held, firm=False):
+def pack(popularity, bins, held, limits=None):
     """ModifiedBestFit on bins that may already hold parts of slices; returns {slice: {server: part}}.
 
-    What a bin holds stays while it has room, most popular slice first (all of it where `firm`); the rest goes
-    the paper's way: off a max-heap to the bin with the fewest slots left after taking it, and where none can
-    take it the roomiest is filled and the remainder requeued.
+    What a server holds stays up to its limit, most popular slice first (all of it without limits); the rest
+    goes the paper's way: off a max-heap to the bin with the fewest slots left after taking it, and where none
+    can take it the roomiest is filled and the remainder requeued.
     """
     room, placed, heap = dict(bins), {}, []
+    limits = {s: float("inf") for s in bins} if limits is None else limits
     for item in sorted(popularity, key=lambda s: (-popularity[s], s)):
         total, kept = popularity[item], {}
         for server, part in sorted(held.get(item, {}).items(), key=lambda line: (-line[1], line[0])):
@@ -76,7 +76,8 @@
                 continue
             want = part * total
             # A part that does not fit leaves whole, unless it is more than the bin could ever hold.
-            stays = want if firm or want <= room[server] + 1e-9 else room[server] if want > bins[server] else 0.0
+            space = room[server] + limits[server] - bins[server] + 1e-9
+            stays = want if want <= space else space if want > limits[server] else 0.0
             if stays > 0:
                 kept[server] = stays
                 room[server] -= stays
@@ -363,10 +364,8 @@
     def lay(self, sizes):
         popularity, unheard = self.popularity()
         total, scale = sum(popularity.values()), sum(sizes.values())
-        # Counts are few: what chance alone makes of a server's load (twice over) is no reason to move anything.
-        margin = MARGIN + 2.0 / max(1.0, EVIDENCE * total / len(sizes)) ** 0.5
         slot = total / len(sizes) / SLOTS
-        bins = {w: slot * -(-total * (1 + margin) * size / scale // slot) for w, size in sizes.items()}
+        bins = {w: slot * -(-total * size / scale // slot) for w, size in sizes.items()}
         nominal = sum(self.workers[w].weight for w in sizes)
         for w in bins:
             if self.cold(w):
@@ -376,14 +375,11 @@
         held = {}
         for item in popularity:
             lines = self.parts[item] or self.tables[item]
-            lines = {w: weight for w, weight in lines.items() if w in sizes}
             whole = sum(lines.values())
-            if not whole:
-                back = self.linger.get(item)
-                lines = {back if back in sizes else hashed(item, sizes): 1.0} if (
-                    back in sizes or item in unheard) else {}
-                whole = 1.0
-            held[item] = {w: weight / whole for w, weight in lines.items()}
+            held[item] = {w: weight / whole for w, weight in lines.items() if w in sizes}
+            if not held[item] and item in unheard:
+                held[item] = {hashed(item, sizes): 1.0}
+
         def loads(placed):
             sums = dict.fromkeys(sizes, 0.0)
             for parts in placed.values():
@@ -391,17 +387,16 @@
                     sums[w] += part
             return sums
 
-        standing = pack(popularity, bins, held, firm=True)
+        def fullest(placed):
+            return max(load / limits[w] for w, load in loads(placed).items())
+        standing, limits = pack(popularity, bins, held), dict(bins)
         for w, load in loads(standing).items():
             # A server that answers well within the quoted time is not too full, whatever the counts say.
             if not self.workers[w].strained and self.workers[w].health > 0.9 and not self.cold(w):
-                bins[w] = max(bins[w], load)
-        fresh = match(pack(popularity, bins, held), bins, held)
-
-        def largest(placed):
-            return max(load / bins[w] for w, load in loads(placed).items())
+                limits[w] = max(bins[w], load)
+        fresh = match(pack(popularity, bins, held, limits), bins, held)
         chosen = standing
-        if not self.setup.single_owner and largest(fresh) < (1 - margin) * largest(standing):
+        if not self.setup.single_owner and fullest(fresh) < (1 - MARGIN) * fullest(standing):
             chosen = fresh
         for item, parts in chosen.items():
             if self.setup.single_owner:
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -26,13 +26,13 @@
 
     def test_what_fits_stays_and_the_least_popular_leaves(self):
         held = {1: {0: 1.0}, 2: {0: 1.0}, 3: {0: 1.0}}
-        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, {0: 5, 1: 5}, held), {1: {0: 3}, 2: {0: 2}, 3: {1: 2}})
-        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, {0: 5, 1: 5}, held, firm=True),
-                         {1: {0: 3}, 2: {0: 2}, 3: {0: 2}})
+        bins = {0: 5, 1: 5}
+        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, bins, held, bins), {1: {0: 3}, 2: {0: 2}, 3: {1: 2}})
+        self.assertEqual(pack({1: 3, 2: 2, 3: 2}, bins, held), {1: {0: 3}, 2: {0: 2}, 3: {0: 2}})
 
     def test_a_full_fleet_never_tips_the_rest_onto_a_small_bin(self):
         held = {1: {0: 1.0}, 2: {1: 1.0}}
-        placed = pack({1: 10, 2: 10, 3: 6}, {0: 9, 1: 9, 2: 1}, held, firm=True)
+        placed = pack({1: 10, 2: 10, 3: 6}, {0: 9, 1: 9, 2: 1}, held)
         self.assertLessEqual(placed[3].get(2, 0), 1)
 
 
