--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -26,8 +26,9 @@
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
-LEVEL_US = 1_000_000  # a cut must show before the next one
-RELEASE = 0.05  # what a level regains in such a time
+LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
+YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet is able to do falls at most, and regains, this much
+HEADROOM = 0.9  # of that estimate is let in
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
@@ -149,8 +150,8 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
-        self.admitted, self.level_at, self.levels = 1.0, 0, {}
-        self.asked = Ring(WINDOW_US, 4, len(setup.classes))
+        self.admitted, self.able, self.good, self.level_at, self.levels = 1.0, None, 0.0, 0, {}
+        self.asked = Ring(BUCKET_US, BUCKETS, len(setup.classes))
         self.messages = []
 
     # What a manager hears.
@@ -281,7 +282,7 @@
             self.workers[w].strained = delay > comfort * (tries - lost)
             losses[w] = lost / (tries + 2.0)
             asked, good = asked + tries, good + tries - lost
-        self.answered = good / asked
+        self.answered, self.good = good / asked, good
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
@@ -432,20 +433,24 @@
     def admit(self):
         """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
 
-        Cut by the share that was answered at all, so that a jam of repeats ends; least utility first.
+        What the fleet answered while too full is what it is able to do; a little less is let in, so that a jam
+        drains, the least utility refused first. The estimate grows again as soon as the fleet is at ease.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at:
             return
+        self.level_at = self.now + LEVEL_US
         weight = sum(self.workers[w].weight for w in ready)
         full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
-        if full > CROWDED:
-            self.admitted = max(0.1, self.admitted * min(0.95, max(0.6, self.answered)))
-        elif full < EASY:
-            self.admitted = min(1.0, self.admitted + RELEASE)
-        self.level_at = self.now + LEVEL_US
-        self.asked.turn(self.now)
         counts = [sum(row[k] for row in self.asked.rows) + 1e-9 for k in range(len(self.setup.classes))]
+        if full > CROWDED:
+            # Sight is late: what was answered falls with the level too, so the estimate gives way only slowly.
+            self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
+        elif full < EASY and self.able is not None:
+            self.able *= 1.0 + RELEASE
+        self.admitted = 1.0 if self.able is None else min(1.0, HEADROOM * self.able / sum(counts))
+        if self.admitted >= 1.0:
+            self.able = None
         left, levels = self.admitted * sum(counts), [1.0] * len(counts)
         for k in sorted(range(len(counts)), key=lambda k: -self.setup.classes[k].utility):
             levels[k] = round(min(1.0, max(0.0, left / counts[k])), 2) if self.admitted < 1.0 else 1.0
