--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -247,7 +247,7 @@
         if "utilization" in report and "throughput" in report:
             row.busy = smooth(row.busy, max(report["utilization"], 0.0))
             row.rate = smooth(row.rate, max(report["throughput"], 0.0))
-        if report.get("recent_ms", 0) > 0:
+        if report.get("recent_ms", 0) > 0 and not row.strained:  # crowding lengthens it and is no lack of speed
             row.service = smooth(row.service, report["recent_ms"])
 
     def told(self, manager, text):
@@ -268,7 +268,7 @@
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
-        losses, asked, good = {}, 1.0, 1.0
+        losses, answers, asked, good = {}, {}, 1.0, 1.0
         self.asked.turn(self.now)
         let_in = [self.levels.get(k, 1.0) * sum(row[k] for row in self.asked.rows) + 1e-9
                   for k in range(len(self.setup.classes))]
@@ -278,23 +278,27 @@
             ring = self.workers[w].met
             ring.turn(self.now)
             tries, lost, delay = (sum(row[k] for row in ring.rows) for k in (0, 1, 2))
-            # Slow good answers are overload, not failure: what it then loses goes away with its load.
-            self.workers[w].strained = delay > comfort * (tries - lost)
+            answers[w] = tries - lost
+            self.workers[w].strained = delay > comfort * answers[w]
             losses[w] = lost / (tries + 2.0)
-            asked, good = asked + tries, good + tries - lost
+            asked, good = asked + tries, good + answers[w]
         self.answered, self.good = good / asked, good
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
         self.judged_at = self.now
+        fair = good / max(1e-9, sum(self.workers[w].weight * self.warmth(w) for w in ready))
         for w in ready:
             row = self.workers[w]
-            # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
-            excess = max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)
-            target = (1.0 - excess) ** (1 if row.strained else 4)
-            if silent * 2 <= len(ready):
-                target *= 0.25 ** max(0, row.misses - 1) if row.misses else 1.0
-            target = max(FLOOR, target)
+            if row.strained:
+                # Slow good answers are overload, not failure: it is as well as its fair part of all answers says.
+                target = answers[w] / (fair * row.weight * self.warmth(w))
+            else:
+                # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
+                target = (1.0 - max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)) ** 4
+                if silent * 2 <= len(ready):
+                    target *= 0.25 ** max(0, row.misses - 1)
+            target = min(1.0, max(FLOOR, target))
             if target < 0.5 * row.health:
                 self.urgent = True
             row.health = min(target, row.health + span / RETURN_US)
