A worker sent little is judged by the part of it that it answered

Cause: with two managers a worker that holds little of one manager's load looked slow to it for answering little.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -291,8 +291,9 @@
         for w in ready:
             row = self.workers[w]
             if row.strained:
-                # Slow good answers are overload, not failure: it is as well as its fair part of all answers says.
-                target = answers[w] / (fair * row.weight * self.warmth(w))
+                # Slow good answers are overload, not failure: it is as well as its fair part of all answers says,
+                # or, where little was sent to it, as the part of that which it answered.
+                target = max(answers[w] / (fair * row.weight * self.warmth(w)), 1.0 - losses[w])
             else:
                 # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
                 target = (1.0 - max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)) ** 4
