--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -28,7 +28,9 @@
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet is able to do falls at most, and regains, this much
+CREEP = 0.03  # the same beyond the last jam
 HEADROOM = 0.9  # of that estimate is let in
+FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
@@ -150,8 +152,8 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
-        self.admitted, self.able, self.good, self.level_at, self.levels = 1.0, None, 0.0, 0, {}
-        self.asked = Ring(BUCKET_US, BUCKETS, len(setup.classes))
+        self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
+        self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages = []
 
     # What a manager hears.
@@ -217,7 +219,8 @@
     def demanded(self, item, kind, count, lost, span):
         if item in self.own and count > 0:
             self.demand[item].add(self.now, count)
-            self.asked.add(self.now, *(count * (place == kind) for place in range(len(self.setup.classes))))
+            came = [count * (place == kind) for place in range(len(self.setup.classes))]
+            self.asked.add(self.now, *came, *(self.levels.get(k, 1.0) * part for k, part in enumerate(came)))
 
     def used(self, proxy, kind, count, lost, span):
         self.demanded(0, kind, count, lost, span)
@@ -270,8 +273,8 @@
         ready = self.ready()
         losses, answers, asked, good = {}, {}, 1.0, 1.0
         self.asked.turn(self.now)
-        let_in = [self.levels.get(k, 1.0) * sum(row[k] for row in self.asked.rows) + 1e-9
-                  for k in range(len(self.setup.classes))]
+        classes = len(self.setup.classes)
+        let_in = [sum(row[classes + k] for row in self.asked.rows) + 1e-9 for k in range(classes)]
         quoted = sum(part * row.quoted_us for part, row in zip(let_in, self.setup.classes)) / sum(let_in)
         comfort = STRAIN * quoted  # of the classes as they are let in: where only slow ones are, slow is well
         for w in ready:
@@ -282,7 +285,7 @@
             self.workers[w].strained = delay > comfort * answers[w]
             losses[w] = lost / (tries + 2.0)
             asked, good = asked + tries, good + answers[w]
-        self.answered, self.good = good / asked, good
+        self.answered, self.good = good / asked, good * quoted
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
@@ -439,7 +442,8 @@
         """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
 
         What the fleet answered while too full is what it is able to do; a little less is let in, so that a jam
-        drains, the least utility refused first. The estimate grows again as soon as the fleet is at ease.
+        drains, the least utility for its work refused first; a class's work is taken to be in proportion to its
+        quoted time. The estimate grows again once the fleet is at ease: soon up to the last jam, then by inches.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at:
@@ -447,19 +451,20 @@
         self.level_at = self.now + LEVEL_US
         weight = sum(self.workers[w].weight for w in ready)
         full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
-        counts = [sum(row[k] for row in self.asked.rows) + 1e-9 for k in range(len(self.setup.classes))]
+        work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
+                for k, kind in enumerate(self.setup.classes)]
         if full > CROWDED:
             # Sight is late: what was answered falls with the level too, so the estimate gives way only slowly.
             self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
+            self.jam = self.able
         elif full < EASY and self.able is not None:
-            self.able *= 1.0 + RELEASE
-        self.admitted = 1.0 if self.able is None else min(1.0, HEADROOM * self.able / sum(counts))
-        if self.admitted >= 1.0:
+            self.able *= 1.0 + (RELEASE if self.able < self.jam else CREEP)
+        left, levels = sum(work) if self.able is None else HEADROOM * self.able, [1.0] * len(work)
+        if left > FORGET * sum(work):
             self.able = None
-        left, levels = self.admitted * sum(counts), [1.0] * len(counts)
-        for k in sorted(range(len(counts)), key=lambda k: -self.setup.classes[k].utility):
-            levels[k] = round(min(1.0, max(0.0, left / counts[k])), 2) if self.admitted < 1.0 else 1.0
-            left -= counts[k]
+        for k in sorted(range(len(work)), key=lambda k: -self.setup.classes[k].utility / self.setup.classes[k].quoted_us):
+            levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
+            left -= work[k]
         self.set_levels(levels)
 
     def set_levels(self, levels):
