--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -22,6 +22,7 @@
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
 BUCKETS = 8  # this many
+HEARD = 3  # buckets without a good answer make a worker silent
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
@@ -135,6 +136,11 @@
         self.busy = self.rate = self.service = None  # smoothed load reports
         self.health, self.misses, self.probe_at, self.strained = 1.0, 0, 0, False
 
+    def heard(self, now):
+        """Whether good answers of it were reported of late."""
+        self.met.turn(now)
+        return any(self.met.row(back)[0] > self.met.row(back)[1] for back in range(HEARD))
+
 
 class Manager:
     """Assigns slices to workers for the proxies of one deployment."""
@@ -238,8 +244,8 @@
         if outcome is Outcome.PASSED:
             row.misses = 0
             self.reported(worker, report)
-        elif outcome is not Outcome.FULL:
-            row.misses += 1
+        elif outcome is not Outcome.FULL and (outcome is not Outcome.TIMED_OUT or not row.heard(self.now)):
+            row.misses += 1  # a probe may wait in the same queue as all else: no sign while answers come
             row.probe_at = self.now
 
     def reported(self, worker, report):
