--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -30,8 +30,7 @@
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet is able to do falls at most, and regains, this much
 CREEP = 0.03  # the same beyond the last jam
-HEADROOM, LEAST = 0.95, 0.3  # of that estimate is let in, and at least, while a jam
-DRAIN_US = 4_000_000  # is worked off in this time
+HEADROOM = 0.9  # of that estimate is let in
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
@@ -159,7 +158,7 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
-        self.able, self.jam, self.good, self.excess, self.level_at, self.levels = None, 0.0, 0.0, 0.0, 0, {}
+        self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages = []
 
@@ -278,7 +277,7 @@
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
-        losses, answers, asked, good, waited = {}, {}, 1.0, 1.0, 0.0
+        losses, answers, asked, good = {}, {}, 1.0, 1.0
         self.asked.turn(self.now)
         classes = len(self.setup.classes)
         let_in = [sum(row[classes + k] for row in self.asked.rows) + 1e-9 for k in range(classes)]
@@ -291,9 +290,8 @@
             answers[w] = tries - lost
             self.workers[w].strained = delay > comfort * answers[w]
             losses[w] = lost / (tries + 2.0)
-            asked, good, waited = asked + tries, good + answers[w], waited + delay
+            asked, good = asked + tries, good + answers[w]
         self.answered, self.good = good / asked, good * quoted
-        self.excess = max(0.0, waited / good - comfort)
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
@@ -467,9 +465,7 @@
             self.jam = self.able
         elif full < EASY and self.able is not None:
             self.able *= 1.0 + (RELEASE if self.able < self.jam else CREEP)
-        # A wait of so long is as long a time's work of the whole fleet: to be worked off within DRAIN_US.
-        room = max(LEAST, HEADROOM - self.excess / DRAIN_US)
-        left, levels = sum(work) if self.able is None else room * self.able, [1.0] * len(work)
+        left, levels = sum(work) if self.able is None else HEADROOM * self.able, [1.0] * len(work)
         if left > FORGET * sum(work):
             self.able = None
         for k in sorted(range(len(work)), key=lambda k: -self.setup.classes[k].utility / self.setup.classes[k].quoted_us):
