--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -22,6 +22,7 @@
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
 BUCKETS = 8  # this many
+LEARN = 0.02  # weight of a new load report in a worker's learned speed: more, and noise moves slices
 HEARD = 3  # buckets without a good answer make a worker silent
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
@@ -133,7 +134,7 @@
         self.kind, self.weight, self.started = -1, 1.0, None
         self.state = State.READY  # also of one met only in a store's table, until a list tells otherwise
         self.met = Ring(BUCKET_US, BUCKETS, 3)
-        self.busy = self.rate = self.service = None  # smoothed load reports
+        self.learned = {}  # of its load reports, by name: running mean and how many
         self.health, self.misses, self.probe_at, self.strained = 1.0, 0, 0, False
 
     def heard(self, now):
@@ -191,7 +192,7 @@
             if entry.started_us is not None and entry.started_us != worker.started:
                 worker.health, worker.misses = 1.0, 0
                 worker.met = Ring(BUCKET_US, BUCKETS, 3)
-                worker.busy = worker.rate = worker.service = None
+                worker.learned = {}
             worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
             worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
         self.urgent = True
@@ -251,13 +252,15 @@
     def reported(self, worker, report):
         row = self.workers[worker]
 
-        def smooth(old, new):
-            return new if old is None else old + 0.15 * (new - old)
+        def learn(name, value):
+            old, count = row.learned.get(name, (0.0, 0))
+            row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (value - old), count + 1)
         if "utilization" in report and "throughput" in report:
-            row.busy = smooth(row.busy, max(report["utilization"], 0.0))
-            row.rate = smooth(row.rate, max(report["throughput"], 0.0))
-        if report.get("recent_ms", 0) > 0 and not row.strained:  # crowding lengthens it and is no lack of speed
-            row.service = smooth(row.service, report["recent_ms"])
+            learn("busy", max(report["utilization"], 0.0))
+            learn("rate", max(report["throughput"], 0.0))
+        # Crowding lengthens the service time, which is then no lack of speed.
+        if report.get("recent_ms", 0) > 0 and not row.strained:
+            learn("service", report["recent_ms"])
 
     def told(self, manager, text):
         pass
@@ -317,11 +320,11 @@
         """Learned speed of each worker against its like: those of its kind where weights are listed."""
         raw = {}
         for w in ready:
-            row = self.workers[w]
-            if row.busy is not None and row.busy > 0.1 and row.rate > 0:
-                raw[w] = row.rate / row.busy
-            elif row.service:
-                raw[w] = 1.0 / row.service
+            mean = {name: value for name, (value, _) in self.workers[w].learned.items()}
+            if mean.get("busy", 0) > 0 and mean["rate"] > 0:
+                raw[w] = mean["rate"] / mean["busy"]
+            elif mean.get("service"):
+                raw[w] = 1.0 / mean["service"]
         like = {}
         for w in raw:
             like.setdefault(self.workers[w].kind if self.setup.weights_listed else 0, []).append(raw[w])
