Greet joined proxies with the levels; inherited slices rest a window; an all-draining fleet is left

Guards: a proxy that kept a dead instance's low level gets today's with the next message; a new owner does not re-lay what it knows nothing of; when every listed worker drains the tables are emptied all the same.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -158,7 +158,7 @@
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
-        self.sent, self.number, self.spoken, self.answered = [], 0, False, 1.0
+        self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages = []
@@ -202,6 +202,7 @@
 
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
+        self.greet = True
         if not self.setup.slices:
             self.orders.bind(proxy, 0, 0)
 
@@ -372,10 +373,13 @@
             self.probe()
         sizes = self.capacities()
         window = self.now >= self.window_at
-        if sizes and self.own and (self.urgent or window):
+        if self.own and (self.urgent or window):
             if window:
                 self.window_at = self.now + WINDOW_US
-            self.lay(sizes)
+            if sizes:
+                self.lay(sizes)
+            else:  # no one to send to: what drains or is gone must leave the tables all the same
+                self.parts, self.linger = {item: {} for item in self.slices}, {}
         self.urgent = False
         self.send(sizes)
 
@@ -414,7 +418,9 @@
                 limits[w] = max(bins[w], load)
         fresh = match(pack(popularity, bins, held, limits), bins, held)
         chosen = standing
-        if not self.setup.single_owner and fullest(fresh) < (1 - MARGIN) * fullest(standing):
+        # What was just inherited stays for a window: its former owner had reasons that are not known here.
+        settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
+        if settled and not self.setup.single_owner and fullest(fresh) < (1 - MARGIN) * fullest(standing):
             chosen = fresh
         for item, parts in chosen.items():
             if self.setup.single_owner:
@@ -471,7 +477,8 @@
         left, levels = sum(work) if self.able is None else HEADROOM * self.able, [1.0] * len(work)
         if left > FORGET * sum(work):
             self.able = None
-        for k in sorted(range(len(work)), key=lambda k: -self.setup.classes[k].utility / self.setup.classes[k].quoted_us):
+        value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
+        for k in sorted(range(len(work)), key=value.__getitem__):
             levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
             left -= work[k]
         self.set_levels(levels)
@@ -506,19 +513,15 @@
 
     def send(self, sizes):
         """What changed, as far as the channel drains it: removals of lost servers, then the largest changes."""
-        if not sizes:
-            return
         changes = []
         for item in sorted(self.own):
             table, lines = self.tables[item], self.wanted(item)
-            if not lines:
-                continue
             gone = any(w not in sizes for w in table)
             both = sorted(table.keys() | lines.keys())
             change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in both)
             if change > 1e-6:
                 changes.append((not gone, -change, item))
-        if not changes:
+        if not changes and not self.greet:
             return
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
@@ -542,8 +545,10 @@
                 for w in old:
                     self.orders.line(item, w, 0)
             self.tables[item] = lines
-        if each:
+        if each or self.greet:
+            # A proxy that joined may hold levels of before a restart: any message to it carries those of now.
             self.number = (self.number + 1) % 65536
-            self.orders.mark(self.number, False)
+            self.orders.mark(self.number, self.greet)
+            self.greet = False
             self.sent.append([self.number, (head + each) * count, head + each, self.now])
             self.messages.append(self.now)
