--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -29,7 +29,7 @@
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
-YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet is able to do falls at most, and regains, this much
+YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP = 0.03  # the same beyond the last jam
 HEADROOM = 0.9  # of that estimate is let in
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
@@ -96,7 +96,7 @@
         fits = [(space - left, server) for server, space in room.items() if space >= left]
         server = min(fits)[1] if fits else min(room, key=lambda s: (-room[s], s))
         part = left if fits else room[server]
-        if part <= 1e-6 * bins[server]:  # all are full: to the one least overfull by it, never a small bin first
+        if part <= 1e-6 * bins[server]:  # all are full: the least overfull by it, never a small bin first
             part, server = left, max(room, key=lambda s: ((room[s] - left) / bins[s], -s))
         placed[item][server] = placed[item].get(server, 0.0) + part
         room[server] -= part
@@ -304,8 +304,8 @@
         for w in ready:
             row = self.workers[w]
             if row.strained:
-                # Slow good answers are overload, not failure: it is as well as its fair part of all answers says,
-                # or, where little was sent to it, as the part of that which it answered.
+                # Slow good answers are overload, not failure: it is as well as its fair part of all answers
+                # says, or, where little was sent to it, as the part of that which it answered.
                 target = max(answers[w] / (fair * row.weight * self.warmth(w)), 1.0 - losses[w])
             else:
                 # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
@@ -391,7 +391,7 @@
         nominal = sum(self.workers[w].weight for w in sizes)
         for w in bins:
             if self.cold(w):
-                # Faded others and repeats swell what is asked of each; a cold server's part must not swell too.
+                # Faded others and repeats swell what is asked of each; a cold server's part must not swell.
                 part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
                 bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
         held = {}
@@ -456,9 +456,9 @@
     def admit(self):
         """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
 
-        What the fleet answered while too full is what it is able to do; a little less is let in, so that a jam
-        drains, the least utility for its work refused first; a class's work is taken to be in proportion to its
-        quoted time. The estimate grows again once the fleet is at ease: soon up to the last jam, then by inches.
+        What the fleet answered while too full is what it can do; a little less is let in, so that a jam
+        drains, the least utility for its work refused first; a class's work is taken to be in proportion to
+        its quoted time. The estimate grows once the fleet is at ease: soon up to the last jam, then by inches.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at:
@@ -469,7 +469,7 @@
         work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
                 for k, kind in enumerate(self.setup.classes)]
         if full > CROWDED:
-            # Sight is late: what was answered falls with the level too, so the estimate gives way only slowly.
+            # Sight is late: what was answered falls with the level too, so the estimate gives way slowly.
             self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
             self.jam = self.able
         elif full < EASY and self.able is not None:
@@ -512,7 +512,7 @@
         return lines
 
     def send(self, sizes):
-        """What changed, as far as the channel drains it: removals of lost servers, then the largest changes."""
+        """What changed, as far as the channel drains it: removals of lost servers, then the largest first."""
         changes = []
         for item in sorted(self.own):
             table, lines = self.tables[item], self.wanted(item)
--- /dev/null
+++ b/tests/test_manager.py
@@ -0,0 +1,303 @@
+"""What a manager does, fed by hand: each rule's guard, each kind of trouble, each gap in what it knows."""
+
+import unittest
+
+from ospreyrouter import policy
+from ospreyrouter.interface import ALL_TABLES, LevelKind, Outcome, Repeat, Retry
+from ospreyrouter.policy import Ring
+from tests.helper import DRAINING, GONE, READY, SECOND, Stand, deployment, entry, kind
+
+EVEN = dict.fromkeys(range(8), 20)
+WELL = dict.fromkeys(range(4), (40, 0, 0.1))
+
+
+class Measuring(unittest.TestCase):
+    def test_a_ring_forgets_what_it_skips(self):
+        for adds, now, sums in [([(0, 1), (5, 2)], 9, 3), ([(0, 1), (12, 2)], 12, 3), ([(0, 4)], 40, 0),
+                                ([(0, 1), (10, 2), (20, 4), (30, 8)], 30, 14)]:
+            ring = Ring(10, 3, 1)
+            for at, value in adds:
+                ring.add(at, value)
+            ring.turn(now)
+            self.assertEqual(sum(row[0] for row in ring.rows), sums)
+
+    def test_demand_ages_by_half_a_window(self):
+        stand = Stand()
+        stand.run(2, demand={0: 16, 1: 0}, met=WELL)
+        for windows in (1, 2, 3):
+            stand.run(2, demand={0: 0, 1: 16}, met=WELL)
+            seen, unheard = stand.manager.popularity()
+            self.assertLess(seen[0], seen[1] / 2 ** (windows - 1) + 1e-9)
+            self.assertNotIn(0, unheard)
+            self.assertIn(5, unheard)
+
+    def test_learned_speed_evens_the_first_guess(self):
+        stand = Stand()
+        fast, slow = {"utilization": 0.5, "throughput": 60.0}, {"utilization": 0.5, "throughput": 40.0}
+        stand.round(*(("met", 0, w, 9, 0, 1000, 1000, fast if w else slow) for w in range(4)))
+        speeds = stand.manager.speeds([0, 1, 2, 3])
+        self.assertAlmostEqual(speeds[1] / speeds[0], 1.5)
+        self.assertTrue(all(0.5 <= speed <= 2.0 for speed in speeds.values()))
+
+
+class Layout(unittest.TestCase):
+    def test_well_servers_keep_what_they_have(self):
+        stand = Stand()
+        stand.run(20, demand=EVEN | {0: 60}, met=WELL)
+        self.assertEqual({item: max(table, key=table.get) for item, table in stand.sheet.tables.items()},
+                         {item: item % 4 for item in range(8)})
+
+    def test_a_server_too_full_gives_up_its_least_popular(self):
+        stand = Stand()
+        demand = EVEN | {0: 60}
+        stand.run(8, demand=demand, met=WELL | {0: (80, 0, 1.5)})
+        self.assertEqual(max(stand.sheet.tables[0], key=stand.sheet.tables[0].get), 0)
+        self.assertNotEqual(max(stand.sheet.tables[4], key=stand.sheet.tables[4].get), 0)
+
+    def test_a_hot_slice_gets_several_servers(self):
+        stand = Stand()
+        stand.run(8, demand=EVEN | {0: 400}, met=WELL | {0: (420, 100, 1.5)})
+        self.assertGreater(sum(weight > policy.LINGER for weight in stand.sheet.tables[0].values()), 1)
+
+    def test_each_slice_has_a_lingering_replica_on_another_well_server(self):
+        stand = Stand(entries=[entry(0), entry(1), entry(2), entry(3, started=99 * SECOND)])
+        for item, table in stand.sheet.tables.items():
+            lingering = [w for w, weight in table.items() if weight == policy.LINGER]
+            self.assertEqual(len(lingering), 1)
+            self.assertNotIn(3, lingering)
+
+    def test_inherited_tables_rest_for_a_window(self):
+        stand = Stand()
+        stand.run(10, demand=EVEN, met=WELL)
+        stand.round(("charged", 3, False))
+        stand.round(("charged", 3, True), ("stored", 3, 1, 0.5), ("stored", 3, 2, 0.5))
+        stand.run(1, demand=EVEN | {4: 200}, met=WELL | {0: (80, 40, 2.0)})
+        self.assertEqual({w for w, weight in stand.sheet.tables[3].items() if weight > policy.LINGER} & {0}, set())
+        self.assertEqual(max(stand.sheet.tables[4], key=stand.sheet.tables[4].get), 0)
+
+    def test_same_input_same_orders(self):
+        def day():
+            stand = Stand(workers=5, slices=30)
+            stand.run(6, demand={item: 3 + item % 7 for item in range(30)}, met=WELL | {2: (40, 30, 0.1)})
+            stand.round(("listed", False, [entry(1, GONE)]))
+            return stand.sheet.orders
+        self.assertEqual(day(), day())
+
+
+class Losses(unittest.TestCase):
+    def test_who_drains_or_is_gone_leaves_every_table_at_once(self):
+        for state in (DRAINING, GONE):
+            with self.subTest(state=state):
+                stand = Stand()
+                stand.run(4, demand=EVEN, met=WELL)
+                before = {item: dict(table) for item, table in stand.sheet.tables.items()}
+                stand.round(("listed", False, [entry(1, state)]))
+                for item, table in stand.sheet.tables.items():
+                    self.assertNotIn(1, table)
+                    self.assertTrue(table)
+                    if 1 not in before[item]:
+                        self.assertEqual(table, before[item])
+
+    def test_the_last_servers_drain_too(self):
+        stand = Stand(workers=2)
+        stand.round(("listed", False, [entry(0, DRAINING), entry(1, DRAINING)]))
+        self.assertFalse(any(stand.sheet.tables.values()))
+        stand.round(("listed", False, [entry(1)]), after=1)
+        self.assertEqual([set(table) for table in stand.sheet.tables.values()], [{1}] * 8)
+
+    def test_a_full_list_drops_who_is_not_in_it(self):
+        stand = Stand()
+        stand.round(("listed", True, [entry(w) for w in (0, 2, 3)]))
+        self.assertFalse(any(1 in table for table in stand.sheet.tables.values()))
+
+    def test_health_fades_and_returns_but_never_to_nothing(self):
+        for name, met, probes in [("errors", (40, 36, 0.02), []),
+                                  ("silence", (0, 0, 0), [("probed", 2, Outcome.TIMED_OUT, SECOND, {})]),
+                                  ("refused connections", (40, 0, 0.1), [("probed", 2, Outcome.UNREACHABLE, 0, {})])]:
+            with self.subTest(name=name):
+                stand = Stand()
+                stand.run(4, demand=EVEN, met=WELL)
+                stand.run(4, demand=EVEN, met=WELL | {2: met}, each=probes)
+                self.assertLess(stand.manager.workers[2].health, 0.3)
+                self.assertGreaterEqual(stand.manager.workers[2].health, policy.FLOOR)
+                self.assertLess(stand.load(EVEN).get(2, 0.0), 15)
+                stand.run(12, demand=EVEN, met=WELL, each=[("probed", 2, Outcome.PASSED, 0, {})])
+                self.assertGreater(stand.manager.workers[2].health, 0.9)
+
+    def test_what_is_no_failure_of_the_worker(self):
+        for name, met, probes in [
+                ("slow answers and refusals", WELL | {2: (80, 40, 1.5)}, []),
+                ("a probe waits in the queue", WELL, [("probed", 2, Outcome.TIMED_OUT, SECOND, {})]),
+                ("all fail alike", dict.fromkeys(range(4), (40, 30, 0.1)), []),
+                ("all probes fail", WELL, [("probed", w, Outcome.UNREACHABLE, 0, {}) for w in range(4)]),
+                ("probes turned away", WELL, [("probed", 2, Outcome.FULL, 0, {})])]:
+            with self.subTest(name=name):
+                stand = Stand()
+                stand.run(4, demand=EVEN, met=WELL)
+                stand.run(4, demand=EVEN, met=met, each=probes)
+                self.assertGreater(stand.manager.workers[2].health, 0.7)
+
+
+class Return(unittest.TestCase):
+    def test_a_cold_server_starts_with_a_quarter_bin_at_most(self):
+        for name, tables in [("new", {}), ("named in full by the tables", {0: {4: 1.0}, 1: {4: 1.0}, 2: {4: 1.0}})]:
+            with self.subTest(name=name):
+                stand = Stand()
+                if tables:
+                    stand = Stand(workers=5, tables=tables)
+                stand.run(4, demand=EVEN, met=WELL)
+                stand.round(("listed", False, [entry(4, started=stand.now)]))
+                stand.run(3, demand=EVEN, met=dict.fromkeys(range(4), (60, 20, 1.5)))
+                self.assertLessEqual(stand.load(EVEN).get(4, 0.0), 160 / 5 * 0.25 * (1 + 3 / 16 * 3) + 1)
+
+    def test_lost_and_repeated_tries_do_not_swell_a_cold_bin(self):
+        stand = Stand()
+        jam = dict.fromkeys(range(4), (200, 150, 1.5))
+        many = dict.fromkeys(range(8), 100)
+        stand.run(4, demand=many, met=jam)
+        stand.round(("listed", False, [entry(4, started=stand.now)]))
+        stand.run(2, demand=many, met=jam)
+        self.assertLess(stand.load(many).get(4, 0.0), 800 / 5 * 0.45 * 0.5)
+
+    def test_the_bin_grows_to_the_full(self):
+        stand = Stand()
+        stand.round(("listed", False, [entry(4, started=stand.now)]))
+        grown = []
+        for _ in range(5):
+            stand.run(4)
+            grown.append(stand.manager.warmth(4))
+        self.assertEqual(grown, sorted(grown))
+        self.assertEqual(grown[-1], 1.0)
+
+
+class Effects(unittest.TestCase):
+    def test_what_may_have_run_is_never_tried_again(self):
+        rows = tuple(kind(name, repeat=repeat) for name, repeat in
+                     [("s", Repeat.SAFE), ("k", Repeat.KEYED), ("n", Repeat.NEVER)])
+        stand = Stand(classes=rows)
+        stand.run(10, demand=EVEN, met=dict.fromkeys(range(4), (90, 60, 2.0)))
+        for _, _, _, retry in stand.sheet.all("level"):
+            self.assertLessEqual(retry, Retry.PROVEN)
+
+
+class Levels(unittest.TestCase):
+    def test_least_utility_for_its_work_goes_first_and_comes_back(self):
+        stand = Stand()
+        jam = dict.fromkeys(range(4), (60, 30, 1.5))
+        stand.run(6, demand=EVEN, met=jam, each=[("demanded", item, 1, 20, 0, 1) for item in range(8)])
+        last = {bits: amount for _, bits, amount, _ in stand.sheet.all("level")}
+        self.assertLess(last[1], 0.6)
+        self.assertGreaterEqual(last[2], last[1])
+        stand.run(30, demand=EVEN, met=WELL)
+        self.assertEqual({bits: amount for _, bits, amount, _ in stand.sheet.all("level")}, {1: 1.0, 2: 1.0})
+
+    def test_one_crowded_server_is_no_reason_to_refuse(self):
+        stand = Stand()
+        stand.run(6, demand=EVEN, met=WELL | {2: (80, 40, 2.0)})
+        self.assertEqual({amount for _, _, amount, _ in stand.sheet.all("level")}, {1.0})
+
+    def test_a_proxy_that_joins_hears_of_them(self):
+        stand = Stand()
+        stand.run(3, demand=EVEN, met=WELL)
+        stand.round(("joined", 9, 0, 1.0, False), after=0.5)
+        self.assertTrue(stand.sheet.all("mark")[-1][1])
+
+
+class Channel(unittest.TestCase):
+    def test_the_queue_stays_short_when_nothing_is_answered(self):
+        stand = Stand(workers=12, slices=200, proxies=10, queue_lines=2000.0)
+        stand.manager.applied = lambda *_: None
+        del stand.sheet.orders[:]
+        for turn in range(6):
+            stand.round(("listed", False, [entry(w, DRAINING if w in (turn, turn + 1) else READY)
+                                           for w in range(12)]), after=0.5)
+            self.assertLessEqual(sum(row[1] for row in stand.manager.sent), 2000 * policy.URGENT_FILL)
+        lines = len(stand.sheet.all("line")) + 9 * len(stand.sheet.all("mark"))
+        self.assertLessEqual(lines * 10, 2000)
+
+    def test_removals_go_before_changes_and_additions_before_removals(self):
+        stand = Stand(slices=40, proxies=10, queue_lines=3000.0)
+        stand.run(6, demand=dict.fromkeys(range(40), 5), met=WELL)
+        del stand.sheet.orders[:]
+        stand.round(("listed", False, [entry(0, GONE), entry(4)]))
+        lines = stand.sheet.all("line")
+        lost = [item for item, worker, weight in lines if worker == 0 and weight == 0]
+        self.assertTrue(lost)
+        self.assertEqual(lines[0][0], lost[0])
+        for item in lost:
+            kinds = [weight > 0 for where, _, weight in lines if where == item]
+            self.assertEqual(kinds, sorted(kinds, reverse=True))
+
+    def test_only_differences_go_out(self):
+        stand = Stand()
+        stand.run(8, demand=EVEN, met=WELL)
+        del stand.sheet.orders[:]
+        stand.run(8, demand=EVEN, met=WELL)
+        self.assertEqual(stand.sheet.all("line"), [])
+
+    def test_a_cap_on_messages_is_kept(self):
+        stand = Stand(messages_most=6)
+        for turn in range(16):
+            stand.round(("listed", False, [entry(turn % 4, DRAINING if turn % 2 else READY)]), after=0.5)
+        self.assertLessEqual(len(stand.sheet.all("mark")), 6)
+
+
+class Missing(unittest.TestCase):
+    def test_gaps_have_an_answer(self):
+        for name, other in [("no workers", dict(entries=[entry(0, GONE)], workers=1)), ("one worker", dict(workers=1)),
+                            ("no proxies", dict(proxies=0)), ("one slice", dict(slices=1)),
+                            ("hundreds of slices", dict(slices=300, queue_lines=20000.0)),
+                            ("all cold", dict(entries=[entry(w, started=100 * SECOND) for w in range(4)])),
+                            ("rates for levels", dict(level_kind=LevelKind.RATE)),
+                            ("single owners", dict(single_owner=True))]:
+            with self.subTest(name=name):
+                stand = Stand(**other)
+                stand.run(3)
+                for item in range(stand.setup.slices):
+                    self.assertEqual(bool(stand.sheet.tables.get(item)), name != "no workers")
+
+    def test_single_owners_stay_single(self):
+        stand = Stand(single_owner=True)
+        stand.run(4, demand=EVEN | {0: 400}, met=WELL | {0: (400, 300, 2.0)})
+        stand.round(("listed", False, [entry(1, GONE)]))
+        placed = [(item, worker) for item, worker, weight in stand.sheet.all("line") if weight]
+        self.assertEqual(sorted(item for item, _ in placed), [1, 5])
+
+    def test_a_serverless_slice_gets_a_hashed_server_and_the_same_each_time(self):
+        first, again = (Stand(tables={3: {}}).sheet.tables[3] for _ in range(2))
+        self.assertTrue(first)
+        self.assertEqual(first, again)
+
+    def test_a_site_without_slices_binds_its_proxies(self):
+        stand = Stand(slices=0)
+        self.assertEqual([order[:2] for order in stand.sheet.all("bind")], [(p, 0) for p in range(4)])
+        self.assertTrue(stand.sheet.tables[0])
+
+    def test_lists_on_request_are_followed_again_after_a_failure(self):
+        stand = Stand(lists_on_request=True)
+        stand.round(("list_failed",))
+        self.assertEqual(stand.sheet.all("follow_list"), [(True,), (True,)])
+
+    def test_nonsense_is_ignored(self):
+        stand, same = Stand(), Stand()
+        for one in (stand, same):
+            one.run(4, demand=EVEN, met=WELL)
+        stand.round(("met", 0, 99, 5, 1, 9, 9, {}), ("met", 0, 1, -4, 9, -9, -9, {"utilization": -1.0}),
+                    ("demanded", 77, 0, 5, 0, 1), ("demanded", 2, 0, -50, 0, -1), ("left", 55), ("charged", 999, True),
+                    ("stored", 2, 1, -1.0), ("probed", 98, Outcome.TIMED_OUT, 0, {}), ("applied", 3, 60000, -5),
+                    ("woke", 12), ("told", 4, "?"))
+        same.round()
+        self.assertEqual(stand.manager.popularity(), same.manager.popularity())
+        self.assertEqual(stand.manager.capacities(), same.manager.capacities())
+
+    def test_a_restarted_manager_keeps_the_tables_it_is_given(self):
+        held = {item: {item % 4: 1.0, (item + 1) % 4: policy.LINGER} for item in range(8)}
+        stand = Stand(tables={item: dict(table) for item, table in held.items()})
+        self.assertEqual({item: max(table, key=table.get) for item, table in stand.sheet.tables.items()},
+                         {item: item % 4 for item in range(8)})
+        self.assertEqual(stand.sheet.all("level")[0][0], ALL_TABLES)
+        self.assertEqual(deployment().slices, 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
