--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -458,7 +458,7 @@
 
         What the fleet answered while too full is what it can do; a little less is let in, so that a jam
         drains, the least utility for its work refused first; a class's work is taken to be in proportion to
-        its quoted time. The estimate grows once the fleet is at ease: soon up to the last jam, then by inches.
+        its quoted time. It grows once the fleet is at ease: soon up to the last jam, then by inches.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at:
