--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -30,8 +30,10 @@
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
-CREEP = 0.03  # the same beyond the last jam
-HEADROOM = 0.9  # of that estimate is let in
+CREEP = 0.03  # the same beyond the last jam, unless answers come nearly
+IDLE = 1.3  # as quickly as the quickest seen, by this factor
+CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
+HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
@@ -159,6 +161,7 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
+        self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer, by quoted time; least seen; late
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages = []
@@ -281,12 +284,16 @@
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
         ready = self.ready()
-        losses, answers, asked, good = {}, {}, 1.0, 1.0
+        losses, answers, asked, good, waited = {}, {}, 1.0, 1.0, 0.0
         self.asked.turn(self.now)
         classes = len(self.setup.classes)
         let_in = [sum(row[classes + k] for row in self.asked.rows) + 1e-9 for k in range(classes)]
-        quoted = sum(part * row.quoted_us for part, row in zip(let_in, self.setup.classes)) / sum(let_in)
-        comfort = STRAIN * quoted  # of the classes as they are let in: where only slow ones are, slow is well
+
+        def mean(name):  # over the classes as they are let in: where only slow ones are, slow is well
+            parts = zip(let_in, self.setup.classes)
+            return sum(part * getattr(row, name) for part, row in parts) / sum(let_in)
+        quoted, patience = mean("quoted_us"), mean("timeout_us")
+        comfort = STRAIN * quoted
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
@@ -294,8 +301,11 @@
             answers[w] = tries - lost
             self.workers[w].strained = delay > comfort * answers[w]
             losses[w] = lost / (tries + 2.0)
-            asked, good = asked + tries, good + answers[w]
+            asked, good, waited = asked + tries, good + answers[w], waited + delay
         self.answered, self.good = good / asked, good * quoted
+        self.pace, self.overdue = waited / good / quoted, (waited / good - comfort) / patience
+        if good > CALM_COUNT:
+            self.calm = min(self.calm, self.pace)
         usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
@@ -458,7 +468,8 @@
 
         What the fleet answered while too full is what it can do; a little less is let in, so that a jam
         drains, the least utility for its work refused first; a class's work is taken to be in proportion to
-        its quoted time. It grows once the fleet is at ease: soon up to the last jam, then by inches.
+        its quoted time. It grows once the fleet is at ease: soon up to the last jam or while answers are as
+        quick as ever, else by inches.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at:
@@ -473,8 +484,11 @@
             self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
             self.jam = self.able
         elif full < EASY and self.able is not None:
-            self.able *= 1.0 + (RELEASE if self.able < self.jam else CREEP)
-        left, levels = sum(work) if self.able is None else HEADROOM * self.able, [1.0] * len(work)
+            idle = self.able < self.jam or self.pace < IDLE * self.calm
+            self.able *= 1.0 + (RELEASE if idle else CREEP)
+        # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
+        room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
+        left, levels = sum(work) if self.able is None else room * self.able, [1.0] * len(work)
         if left > FORGET * sum(work):
             self.able = None
         value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
