--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -32,6 +32,7 @@
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP = 0.03  # the same beyond the last jam, unless answers come nearly
 IDLE = 1.3  # as quickly as the quickest seen, by this factor
+TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
 CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
@@ -162,6 +163,7 @@
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer, by quoted time; least seen; late
+        self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages = []
@@ -303,6 +305,8 @@
             losses[w] = lost / (tries + 2.0)
             asked, good, waited = asked + tries, good + answers[w], waited + delay
         self.answered, self.good = good / asked, good * quoted
+        # Where a refused client's repeats are refused again, less comes through than the level says.
+        self.taken += TAKEN * (min(1.0, max(0.5, asked / sum(let_in))) - self.taken)
         self.pace, self.overdue = waited / good / quoted, (waited / good - comfort) / patience
         if good > CALM_COUNT:
             self.calm = min(self.calm, self.pace)
@@ -488,7 +492,7 @@
             self.able *= 1.0 + (RELEASE if idle else CREEP)
         # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
         room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
-        left, levels = sum(work) if self.able is None else room * self.able, [1.0] * len(work)
+        left, levels = sum(work) if self.able is None else room * self.able / self.taken, [1.0] * len(work)
         if left > FORGET * sum(work):
             self.able = None
         value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
