--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -38,6 +38,7 @@
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
+QUICK = 0.1  # part of what the channel carries in the drain grace; larger removals go out in two steps
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
 # By what repeating does: how proxies try again.
@@ -162,7 +163,7 @@
         self.since = {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
-        self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer, by quoted time; least seen; late
+        self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer; least; overdue
         self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
@@ -476,7 +477,7 @@
         quick as ever, else by inches.
         """
         ready = self.ready()
-        if not ready or self.now < self.level_at:
+        if not ready or self.now < self.level_at or self.capped(usual=True):
             return
         self.level_at = self.now + LEVEL_US
         weight = sum(self.workers[w].weight for w in ready)
@@ -506,7 +507,7 @@
             levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
         for k, row in enumerate(self.setup.classes):
             if abs(levels[k] - self.levels.get(k, -1.0)) > 0.01:
-                self.levels[k] = levels[k]
+                self.levels[k], self.greet = levels[k], True
                 self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRIES[row.repeat])
 
     def cold(self, w):
@@ -529,6 +530,13 @@
             lines.setdefault(self.linger[item], LINGER)
         return lines
 
+    def capped(self, usual):
+        """Whether a cap on messages leaves no room: half of it is kept for removals."""
+        if not self.setup.messages_most:
+            return False
+        self.messages = [at for at in self.messages if self.now - at < self.setup.messages_over_us]
+        return len(self.messages) + 2 > self.setup.messages_most * (0.5 if usual else 1.0)
+
     def send(self, sizes):
         """What changed, as far as the channel drains it: removals of lost servers, then the largest first."""
         changes = []
@@ -539,18 +547,26 @@
             change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in both)
             if change > 1e-6:
                 changes.append((not gone, -change, item))
-        if not changes and not self.greet:
+        if self.capped(usual=not any(not later for later, _, _ in changes)) or not changes and not self.greet:
             return
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
         waiting, count = sum(row[1] for row in self.sent), max(1, len(self.proxies))
         each, head = 0, self.setup.message_head + 1 + len(self.setup.classes)
-        if self.setup.messages_most:
-            self.messages = [at for at in self.messages if self.now - at < self.setup.messages_over_us]
-            if len(self.messages) + 2 > self.setup.messages_most * (0.5 if changes[0][0] else 1.0):
-                return
-        for later, _, item in sorted(changes):
+        changes.sort()
+        urgent = [item for later, _, item in changes if not later]
+        lines = sum(len(self.tables[item].keys() | self.wanted(item).keys()) for item in urgent)
+        if urgent and lines * count > QUICK * self.setup.lines_per_s * self.setup.grace_us / 1_000_000:
+            # Against a slow channel and the drain rule: only take lost servers out, where others are left to
+            # pick; what is packed in their place follows. A slice without another line is written whole.
+            changes = [change for change in changes if not change[0]]
+        else:
+            urgent = ()
+        for later, _, item in changes:
             table, lines = self.tables[item], self.wanted(item)
+            left = {w: weight for w, weight in table.items() if w in sizes}
+            if item in urgent and left:
+                lines = left
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (head + each + len(new) + len(old)) * count
@@ -564,7 +580,8 @@
                     self.orders.line(item, w, 0)
             self.tables[item] = lines
         if each or self.greet:
-            # A proxy that joined may hold levels of before a restart: any message to it carries those of now.
+            # Levels are lines too. A proxy that joined may hold those of before a restart: any message to it
+            # carries the present ones.
             self.number = (self.number + 1) % 65536
             self.orders.mark(self.number, self.greet)
             self.greet = False
