Ordinary sends as the channel's true pace allows

The pace is now learned from the first answer to each mark. Guards against any slow channel; layouts lag while it lasts.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -32,12 +32,14 @@
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP = 0.03  # the same beyond the last jam, unless answers come nearly
 IDLE = 1.3  # as quickly as the quickest seen, by this factor
+STEP = 0.02  # a level is changed by more than this: each change is a message to all
 TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
 CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
+SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
 QUICK = 0.1  # part of what the channel carries in the drain grace; larger removals go out in two steps
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
@@ -167,7 +169,7 @@
         self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
-        self.messages = []
+        self.messages, self.pace_lines = [], setup.lines_per_s
 
     # What a manager hears.
 
@@ -277,7 +279,14 @@
         place = next((k for k, row in enumerate(self.sent) if row[0] == number), None)
         if place is not None:
             self.sent = self.sent[place:]
-            self.sent[0][1] -= self.sent[0][2]
+            row = self.sent[0]
+            row[1] -= row[2]
+            # The first answer to a mark tells the true pace: what was ahead of it took so long to leave.
+            if row[4]:
+                slow, full = delay - self.setup.transit_us, self.setup.lines_per_s
+                late = slow > self.setup.transit_most_us
+                self.pace_lines = min(full, row[4] / slow * 1_000_000) if late else full
+                row[4] = 0
 
     # What is made of it.
 
@@ -506,7 +515,7 @@
         if self.setup.level_kind is LevelKind.RATE:
             levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
         for k, row in enumerate(self.setup.classes):
-            if abs(levels[k] - self.levels.get(k, -1.0)) > 0.01:
+            if abs(levels[k] - self.levels.get(k, -1.0)) > (STEP if 0.0 < levels[k] < 1.0 else 0.0):
                 self.levels[k], self.greet = levels[k], True
                 self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRIES[row.repeat])
 
@@ -553,10 +562,13 @@
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
         waiting, count = sum(row[1] for row in self.sent), max(1, len(self.proxies))
         each, head = 0, self.setup.message_head + 1 + len(self.setup.classes)
+        grace = self.pace_lines * self.setup.grace_us / 1_000_000
+        # Behind a long queue a removal comes too late: what usually waits must leave within part of the grace.
+        usual = min(self.setup.queue_lines * USUAL_FILL, grace * SOON)
         changes.sort()
         urgent = [item for later, _, item in changes if not later]
         lines = sum(len(self.tables[item].keys() | self.wanted(item).keys()) for item in urgent)
-        if urgent and lines * count > QUICK * self.setup.lines_per_s * self.setup.grace_us / 1_000_000:
+        if urgent and lines * count > QUICK * grace:
             # Against a slow channel and the drain rule: only take lost servers out, where others are left to
             # pick; what is packed in their place follows. A slice without another line is written whole.
             changes = [change for change in changes if not change[0]]
@@ -570,7 +582,7 @@
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (head + each + len(new) + len(old)) * count
-            if waiting + cost > self.setup.queue_lines * (USUAL_FILL if later else URGENT_FILL):
+            if waiting + cost > (usual if later else self.setup.queue_lines * URGENT_FILL):
                 break
             each += len(new) + len(old)
             for w in new:
@@ -585,5 +597,6 @@
             self.number = (self.number + 1) % 65536
             self.orders.mark(self.number, self.greet)
             self.greet = False
-            self.sent.append([self.number, (head + each) * count, head + each, self.now])
+            cost = (head + each) * count
+            self.sent.append([self.number, cost, head + each, self.now, waiting + cost / 2])
             self.messages.append(self.now)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -240,6 +240,20 @@
         self.assertLess(len(first), len(stand.sheet.all("line")) / 1.5)
         self.assertTrue(all(max(table.values()) > policy.LINGER for table in stand.sheet.tables.values()))
 
+    def test_late_marks_show_a_slow_channel_and_ordinary_sends_shrink(self):
+        for delay, most in [(0.3, 4000.0), (5.0, 400.0)]:
+            stand = Stand(slices=40, proxies=10)
+            stand.manager.applied(0, stand.manager.number, 0)
+            stand.manager.sent = [[7, 1000, 100, stand.now, 1000]]
+            stand.manager.applied(0, 7, int(delay * SECOND))
+            self.assertLessEqual(stand.manager.pace_lines, most)
+            stand.manager.sent = [[8, 500, 50, stand.now, 0]]
+            del stand.sheet.orders[:]
+            stand.round(("listed", False, [entry(4), entry(5)]), ("joined", 77, 0, 1.0, True))
+            stand.manager.linger = dict.fromkeys(range(40), 4)
+            stand.run(0.5)
+            self.assertEqual(bool(stand.sheet.all("line")), delay < 1)
+
     def test_only_differences_go_out(self):
         stand = Stand()
         stand.run(8, demand=EVEN, met=WELL)
