--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -33,6 +33,7 @@
 CREEP = 0.03  # the same beyond the last jam, unless answers come nearly
 IDLE = 1.3  # as quickly as the quickest seen, by this factor
 STEP = 0.02  # a level is changed by more than this: each change is a message to all
+AHEAD = 1.5  # the estimate grows to this many times what was answered of late
 TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
 CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
@@ -499,7 +500,9 @@
             self.jam = self.able
         elif full < EASY and self.able is not None:
             idle = self.able < self.jam or self.pace < IDLE * self.calm
-            self.able *= 1.0 + (RELEASE if idle else CREEP)
+            # No further ahead of what was answered than that, or it grows unproven into the next jam.
+            grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
+            self.able = max(grown, self.able * (1.0 - YIELD))
         # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
         room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
         left, levels = sum(work) if self.able is None else room * self.able / self.taken, [1.0] * len(work)
