--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -1,6 +1,7 @@
 """What a manager does, fed by hand: each rule's guard, each kind of trouble, each gap in what it knows."""
 
 import unittest
+from unittest.mock import patch
 
 from ospreyrouter import policy
 from ospreyrouter.interface import ALL_TABLES, LevelKind, Outcome, Repeat, Retry
@@ -66,14 +67,20 @@
             self.assertEqual(len(lingering), 1)
             self.assertNotIn(3, lingering)
 
-    def test_inherited_tables_rest_for_a_window(self):
-        stand = Stand()
-        stand.run(10, demand=EVEN, met=WELL)
-        stand.round(("charged", 3, False))
-        stand.round(("charged", 3, True), ("stored", 3, 1, 0.5), ("stored", 3, 2, 0.5))
-        stand.run(1, demand=EVEN | {4: 200}, met=WELL | {0: (80, 40, 2.0)})
-        self.assertEqual({w for w, weight in stand.sheet.tables[3].items() if weight > policy.LINGER} & {0}, set())
-        self.assertEqual(max(stand.sheet.tables[4], key=stand.sheet.tables[4].get), 0)
+    def test_inherited_tables_rest_for_a_window_and_the_margin_holds_what_gains_little(self):
+        for name, wait, margin, moves in [("at once", 0, policy.MARGIN, False), ("later", 3, policy.MARGIN, True),
+                                          ("little to gain", 3, 0.9, False)]:
+            with self.subTest(name=name), patch.object(policy, "MARGIN", margin):
+                stand = Stand()
+                stand.run(4, demand=EVEN, met=WELL)
+                stand.round(("charged", 4, False))
+                stand.round(("charged", 4, True), ("stored", 4, 0, 1.0))
+                stand.run(wait, demand=EVEN | {0: 60}, met=WELL)
+                manager = stand.manager
+                manager.workers[0].strained = True
+                before = dict(manager.parts[4])
+                manager.lay(manager.capacities())
+                self.assertEqual(manager.parts[4] != before, moves)
 
     def test_same_input_same_orders(self):
         def day():
@@ -156,8 +163,12 @@
         many = dict.fromkeys(range(8), 100)
         stand.run(4, demand=many, met=jam)
         stand.round(("listed", False, [entry(4, started=stand.now)]))
-        stand.run(2, demand=many, met=jam)
-        self.assertLess(stand.load(many).get(4, 0.0), 800 / 5 * 0.45 * 0.5)
+        manager = stand.manager
+        for w in range(4):
+            manager.workers[w].health = 0.1
+        manager.lay(manager.capacities())
+        part = sum(parts.get(4, 0.0) for parts in manager.parts.values()) / 8
+        self.assertLessEqual(part, policy.FIRST_BIN / 5 * manager.answered + 0.02)
 
     def test_the_bin_grows_to_the_full(self):
         stand = Stand()
@@ -199,8 +210,17 @@
     def test_a_proxy_that_joins_hears_of_them(self):
         stand = Stand()
         stand.run(3, demand=EVEN, met=WELL)
+        del stand.sheet.orders[:]
         stand.round(("joined", 9, 0, 1.0, False), after=0.5)
-        self.assertTrue(stand.sheet.all("mark")[-1][1])
+        self.assertEqual([everyone for _, everyone in stand.sheet.all("mark")], [True])
+
+    def test_an_estimate_grows_no_further_than_what_was_answered(self):
+        for good, able in [(40.0, 60.0), (90.0, 115.0), (1.0, 90.0)]:
+            manager = Stand().manager
+            manager.able, manager.jam, manager.good, manager.level_at = 100.0, 200.0, good, 0
+            manager.asked.add(manager.now, 1000, 0, 1000, 0)
+            manager.admit()
+            self.assertAlmostEqual(manager.able, max(able, 90.0))
 
 
 class Channel(unittest.TestCase):
