Read through once more: work each slice's lines out once a send, one forget for a worker's new start

Also: one constant for second tries in place of a table of equal rows, the group of a like worker named once, warmth, levels and probes moved to the part of the module that reads what was heard.

--- a/ospreyrouter/benchlink/host.py
+++ b/ospreyrouter/benchlink/host.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import traceback
 
 from ..interface import Entry, Outcome, State
 from ..policy import Manager
@@ -14,8 +15,7 @@
 OUTCOMES = {"pass": Outcome.PASSED, "fault": Outcome.ERROR, "no_room": Outcome.FULL,
             "too_slow": Outcome.TIMED_OUT, "no_route": Outcome.UNREACHABLE, "cut": Outcome.RESET,
             "undone": Outcome.CANCELLED, "stale_send": Outcome.CANCELLED}
-REPORT_NAMES = {"outstanding": "outstanding", "backlog": "backlog", "utilization": "utilization",
-                "recent_ms": "recent_ms", "throughput": "throughput", "errors_per_s": "errors_per_s"}
+REPORT_NAMES = {"outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s"}
 
 NUMBER, WHOLE, TEXT, FLAG, ROWS, FIELDS = "number", "whole number", "text", "bool", "array", "object or null"
 SHAPES = {
@@ -88,7 +88,7 @@
                      float(weight), micros(ready_at) if ready_at else None)
 
     def report(self, fields):
-        return {REPORT_NAMES[key]: float(value) for key, value in (fields or {}).items()
+        return {key: float(value) for key, value in (fields or {}).items()
                 if key in REPORT_NAMES and FITS[NUMBER](value)}
 
     def intake(self, item, lists):
@@ -200,7 +200,6 @@
         except Malformed as problem:
             text = f"{name}, event {place + 1}: {problem}"
         except Exception as problem:  # a fault of the decision code is declared, not thrown at the wire
-            import traceback
             traceback.print_exc(file=self.errors)
             text = f"{name}: {type(problem).__name__}: {problem}"
         self.complain(text)
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -12,7 +12,7 @@
 
 from scipy.optimize import linear_sum_assignment
 
-from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Repeat, Retry, State
+from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
 WINDOWS = 8  # windows that count, each half the one after it
@@ -44,8 +44,7 @@
 QUICK = 0.1  # part of what the channel carries in the drain grace; larger removals go out in two steps
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
-# By what repeating does: how proxies try again.
-RETRIES = {Repeat.SAFE: Retry.PROVEN, Repeat.KEYED: Retry.PROVEN, Repeat.NEVER: Retry.PROVEN}
+RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
 
 
 class Ring:
@@ -140,9 +139,14 @@
     def __init__(self):
         self.kind, self.weight, self.started = -1, 1.0, None
         self.state = State.READY  # also of one met only in a store's table, until a list tells otherwise
-        self.met = Ring(BUCKET_US, BUCKETS, 3)
+        self.probe_at, self.strained = 0, False
+        self.forget()
+
+    def forget(self):
+        """A process that starts anew owes nothing to what the one before it did."""
+        self.met = Ring(BUCKET_US, BUCKETS, 3)  # tries, of these lost, time that the good ones took
         self.learned = {}  # of its load reports, by name: running mean and how many
-        self.health, self.misses, self.probe_at, self.strained = 1.0, 0, 0, False
+        self.health, self.misses = 1.0, 0
 
     def heard(self, now):
         """Whether good answers of it were reported of late."""
@@ -199,9 +203,7 @@
         for entry in entries:
             worker = self.workers.setdefault(entry.worker, Worker())
             if entry.started_us is not None and entry.started_us != worker.started:
-                worker.health, worker.misses = 1.0, 0
-                worker.met = Ring(BUCKET_US, BUCKETS, 3)
-                worker.learned = {}
+                worker.forget()
             worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
             worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
         self.urgent = True
@@ -342,6 +344,15 @@
                 self.urgent = True
             row.health = min(target, row.health + span / RETURN_US)
 
+    def warmth(self, w):
+        started = self.workers[w].started
+        if started is None or not self.setup.cold_us:
+            return 1.0
+        return FIRST_BIN + (1.0 - FIRST_BIN) * min(1.0, max(0.0, (self.now - started) / self.setup.cold_us))
+
+    def cold(self, w):
+        return self.warmth(w) < 1.0
+
     def speeds(self, ready):
         """Learned speed of each worker against its like: those of its kind where weights are listed."""
         raw = {}
@@ -351,22 +362,18 @@
                 raw[w] = mean["rate"] / mean["busy"]
             elif mean.get("service"):
                 raw[w] = 1.0 / mean["service"]
+        group = {w: self.workers[w].kind if self.setup.weights_listed else 0 for w in raw}
         like = {}
         for w in raw:
-            like.setdefault(self.workers[w].kind if self.setup.weights_listed else 0, []).append(raw[w])
+            like.setdefault(group[w], []).append(raw[w])
         mean = {kind: sum(values) / len(values) for kind, values in like.items()}
-        return {w: min(2.0, max(0.5, raw[w] / mean[self.workers[w].kind if self.setup.weights_listed else 0]))
-                if w in raw else 1.0 for w in ready}
+        return {w: min(2.0, max(0.5, raw[w] / mean[group[w]])) if w in raw else 1.0 for w in ready}
 
     def capacities(self):
         """Listed weight x learned speed x cold ramp x health, by ready worker."""
         ready = self.ready()
         speed = self.speeds(ready)
-        sizes = {}
-        for w in ready:
-            row = self.workers[w]
-            sizes[w] = row.weight * speed[w] * self.warmth(w) * row.health
-        return sizes
+        return {w: self.workers[w].weight * speed[w] * self.warmth(w) * self.workers[w].health for w in ready}
 
     def popularity(self):
         """Aged demand by slice in charge; one not heard of yet counts as the mean of the others."""
@@ -386,6 +393,59 @@
         mean = sum(heard.values()) / len(heard) if heard else 1.0
         return heard | dict.fromkeys(unheard, mean), set(unheard)
 
+    def admit(self):
+        """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
+
+        What the fleet answered while too full is what it can do; a little less is let in, so that a jam
+        drains, the least utility for its work refused first; a class's work is taken to be in proportion to
+        its quoted time. It grows once the fleet is at ease: soon up to the last jam or while answers are as
+        quick as ever, else by inches.
+        """
+        ready = self.ready()
+        if not ready or self.now < self.level_at or self.capped(usual=True):
+            return
+        self.level_at = self.now + LEVEL_US
+        weight = sum(self.workers[w].weight for w in ready)
+        full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
+        work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
+                for k, kind in enumerate(self.setup.classes)]
+        if full > CROWDED:
+            # Sight is late: what was answered falls with the level too, so the estimate gives way slowly.
+            self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
+            self.jam = self.able
+        elif full < EASY and self.able is not None:
+            idle = self.able < self.jam or self.pace < IDLE * self.calm
+            # No further ahead of what was answered than that, or it grows unproven into the next jam.
+            grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
+            self.able = max(grown, self.able * (1.0 - YIELD))
+        # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
+        room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
+        left, levels = sum(work) if self.able is None else room * self.able / self.taken, [1.0] * len(work)
+        if left > FORGET * sum(work):
+            self.able = None
+        value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
+        for k in sorted(range(len(work)), key=value.__getitem__):
+            levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
+            left -= work[k]
+        self.set_levels(levels)
+
+    def set_levels(self, levels):
+        if self.setup.level_kind is LevelKind.RATE:
+            levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
+        for k in range(len(levels)):
+            if abs(levels[k] - self.levels.get(k, -1.0)) > (STEP if 0.0 < levels[k] < 1.0 else 0.0):
+                self.levels[k], self.greet = levels[k], True
+                self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRY)
+
+    def probe(self):
+        if not self.setup.probes_allowed:
+            return
+        for w in self.ready():
+            row = self.workers[w]
+            if self.now >= row.probe_at:
+                row.probe_at = self.now + PROBE_US
+                self.orders.probe(w)
+
     # The layout.
 
     def decide(self):
@@ -472,68 +532,6 @@
                 others = [w for w in well if w not in self.parts[item]]
                 self.linger[item] = hashed(item, others) if others else None
 
-    def warmth(self, w):
-        started = self.workers[w].started
-        if started is None or not self.setup.cold_us:
-            return 1.0
-        return FIRST_BIN + (1.0 - FIRST_BIN) * min(1.0, max(0.0, (self.now - started) / self.setup.cold_us))
-
-    def admit(self):
-        """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
-
-        What the fleet answered while too full is what it can do; a little less is let in, so that a jam
-        drains, the least utility for its work refused first; a class's work is taken to be in proportion to
-        its quoted time. It grows once the fleet is at ease: soon up to the last jam or while answers are as
-        quick as ever, else by inches.
-        """
-        ready = self.ready()
-        if not ready or self.now < self.level_at or self.capped(usual=True):
-            return
-        self.level_at = self.now + LEVEL_US
-        weight = sum(self.workers[w].weight for w in ready)
-        full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
-        work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
-                for k, kind in enumerate(self.setup.classes)]
-        if full > CROWDED:
-            # Sight is late: what was answered falls with the level too, so the estimate gives way slowly.
-            self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
-            self.jam = self.able
-        elif full < EASY and self.able is not None:
-            idle = self.able < self.jam or self.pace < IDLE * self.calm
-            # No further ahead of what was answered than that, or it grows unproven into the next jam.
-            grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
-            self.able = max(grown, self.able * (1.0 - YIELD))
-        # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
-        room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
-        left, levels = sum(work) if self.able is None else room * self.able / self.taken, [1.0] * len(work)
-        if left > FORGET * sum(work):
-            self.able = None
-        value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
-        for k in sorted(range(len(work)), key=value.__getitem__):
-            levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
-            left -= work[k]
-        self.set_levels(levels)
-
-    def set_levels(self, levels):
-        if self.setup.level_kind is LevelKind.RATE:
-            levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
-        for k, row in enumerate(self.setup.classes):
-            if abs(levels[k] - self.levels.get(k, -1.0)) > (STEP if 0.0 < levels[k] < 1.0 else 0.0):
-                self.levels[k], self.greet = levels[k], True
-                self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRIES[row.repeat])
-
-    def cold(self, w):
-        return self.warmth(w) < 1.0
-
-    def probe(self):
-        if not self.setup.probes_allowed:
-            return
-        for w in self.ready():
-            row = self.workers[w]
-            if self.now >= row.probe_at:
-                row.probe_at = self.now + PROBE_US
-                self.orders.probe(w)
-
     # The sends.
 
     def wanted(self, item):
@@ -551,15 +549,17 @@
 
     def send(self, sizes):
         """What changed, as far as the channel drains it: removals of lost servers, then the largest first."""
-        changes = []
-        for item in sorted(self.own):
-            table, lines = self.tables[item], self.wanted(item)
+        changes, wanted = [], {item: self.wanted(item) for item in sorted(self.own)}
+        for item, lines in wanted.items():
+            table = self.tables[item]
             gone = any(w not in sizes for w in table)
             both = sorted(table.keys() | lines.keys())
             change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in both)
             if change > 1e-6:
                 changes.append((not gone, -change, item))
-        if self.capped(usual=not any(not later for later, _, _ in changes)) or not changes and not self.greet:
+        changes.sort()
+        urgent = [item for later, _, item in changes if not later]
+        if self.capped(usual=not urgent) or not changes and not self.greet:
             return
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
@@ -568,20 +568,16 @@
         grace = self.pace_lines * self.setup.grace_us / 1_000_000
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
         usual = min(self.setup.queue_lines * USUAL_FILL, grace * SOON)
-        changes.sort()
-        urgent = [item for later, _, item in changes if not later]
-        lines = sum(len(self.tables[item].keys() | self.wanted(item).keys()) for item in urgent)
-        if urgent and lines * count > QUICK * grace:
+        lines = sum(len(self.tables[item].keys() | wanted[item].keys()) for item in urgent)
+        brief = lines * count > QUICK * grace
+        if brief:
             # Against a slow channel and the drain rule: only take lost servers out, where others are left to
             # pick; what is packed in their place follows. A slice without another line is written whole.
-            changes = [change for change in changes if not change[0]]
-        else:
-            urgent = ()
+            changes = changes[:len(urgent)]
         for later, _, item in changes:
-            table, lines = self.tables[item], self.wanted(item)
-            left = {w: weight for w, weight in table.items() if w in sizes}
-            if item in urgent and left:
-                lines = left
+            table, lines = self.tables[item], wanted[item]
+            if brief:
+                lines = {w: weight for w, weight in table.items() if w in sizes} or lines
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (head + each + len(new) + len(old)) * count
