Lost servers are withheld in one line a proxy; their tables follow as the channel drains

Cause: at full size a batch of a deploy holds some twenty slices a manager, and rewriting them for 110 proxies outlasts the drain grace of two seconds. One line a proxy withholds a server from all tables.

It should also hold against a slow channel and the loss of a whole zone. It could harm where a proxy misses that a server was let in: proxies that come back are told again.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -41,7 +41,6 @@
 PROBE_US = 1_000_000  # each worker is probed this often
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
-QUICK = 0.1  # part of what the channel carries in the drain grace; larger removals go out in two steps
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
 RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
@@ -175,6 +174,8 @@
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines = [], setup.lines_per_s
+        # Withheld as all joined proxies know; not let in again since; let in again; perhaps not at all proxies.
+        self.withheld, self.barred, self.freed, self.doubted = set(), set(), set(), set()
 
     # What a manager hears.
 
@@ -214,6 +215,9 @@
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
         self.greet = True
+        self.withheld = set()
+        if not fresh:  # it may have missed that a server was let in again, or hold what a former life withheld
+            self.doubted |= self.freed | {w for w, row in self.workers.items() if row.started is not None}
         if not self.setup.slices:
             self.orders.bind(proxy, 0, 0)
 
@@ -227,6 +231,7 @@
         self.linger.pop(item, None)
         (self.own.add if given else self.own.discard)(item)
         self.since[item] = self.now
+        self.withheld = set()
         self.demand[item] = Ring(WINDOW_US, WINDOWS + 1, 1)
         self.urgent = True
 
@@ -548,40 +553,43 @@
         return len(self.messages) + 2 > self.setup.messages_most * (0.5 if usual else 1.0)
 
     def send(self, sizes):
-        """What changed, as far as the channel drains it: removals of lost servers, then the largest first."""
-        changes, wanted = [], {item: self.wanted(item) for item in sorted(self.own)}
+        """What changed, as far as the channel drains it: lost servers are withheld first, then the largest first.
+
+        One line a proxy withholds a server from every table, however many slices it holds: against a drain grace
+        that passes while whole tables are rewritten for many proxies. What others it had goes on at their lines.
+        """
+        changes, lost, tables = [], set(), self.tables
+        wanted = {item: self.wanted(item) for item in sorted(self.own)}
+        usable = sizes.keys() - self.barred
         for item, lines in wanted.items():
-            table = self.tables[item]
-            gone = any(w not in sizes for w in table)
-            both = sorted(table.keys() | lines.keys())
-            change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in both)
+            table = tables[item]
+            gone = table.keys() - usable
+            lost |= table.keys() - sizes.keys()
+            change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
-                changes.append((not gone, -change, item))
+                changes.append((len(gone) < len(table), not gone, -change, item))
         changes.sort()
-        urgent = [item for later, _, item in changes if not later]
-        if self.capped(usual=not urgent) or not changes and not self.greet:
+        out, again = sorted(lost - self.withheld), sorted(sizes.keys() & self.barred)
+        urgent = out or again or changes and not changes[0][0]
+        if self.capped(usual=not urgent) or not (changes or urgent or self.doubted or self.greet):
             return
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
         waiting, count = sum(row[1] for row in self.sent), max(1, len(self.proxies))
-        each, head = 0, self.setup.message_head + 1 + len(self.setup.classes)
-        grace = self.pace_lines * self.setup.grace_us / 1_000_000
+        head, full = self.setup.message_head + 1 + len(self.setup.classes), self.setup.queue_lines * URGENT_FILL
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
-        usual = min(self.setup.queue_lines * USUAL_FILL, grace * SOON)
-        lines = sum(len(self.tables[item].keys() | wanted[item].keys()) for item in urgent)
-        brief = lines * count > QUICK * grace
-        if brief:
-            # Against a slow channel and the drain rule: only take lost servers out, where others are left to
-            # pick; what is packed in their place follows. A slice without another line is written whole.
-            changes = changes[:len(urgent)]
-        for later, _, item in changes:
-            table, lines = self.tables[item], wanted[item]
-            if brief:
-                lines = {w: weight for w, weight in table.items() if w in sizes} or lines
+        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1_000_000 * SOON)
+        out = out[:max(0, int((full - waiting) / count - head))]
+        back = sorted(self.doubted & usable)
+        each, spare = len(out) + len(back), head + len(again)
+        for w in out:
+            self.orders.withhold(w, True)
+        for later, _, _, item in changes:
+            table, lines = tables[item], wanted[item]
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
-            cost = (head + each + len(new) + len(old)) * count
-            if waiting + cost > (usual if later else self.setup.queue_lines * URGENT_FILL):
+            cost = (spare + each + len(new) + len(old)) * count
+            if waiting + cost > (usual if later else full):
                 break
             each += len(new) + len(old)
             for w in new:
@@ -589,7 +597,16 @@
             if not self.setup.single_owner:
                 for w in old:
                     self.orders.line(item, w, 0)
-            self.tables[item] = lines
+            tables[item] = lines
+        # Let in again only once no table holds more of it than it is to have: it may have come back cold.
+        again = [w for w in again if all(tables[item].get(w, 0.0) <= lines.get(w, 0.0) + 1e-6
+                                         for item, lines in wanted.items())]
+        back, each = back + again, each + len(again)
+        for w in back:
+            self.orders.withhold(w, False)
+        self.withheld = (self.withheld | set(out)) - set(back)
+        self.barred = (self.barred | set(out)) - set(back)
+        self.freed, self.doubted = self.freed | set(back), set()
         if each or self.greet:
             # Levels are lines too. A proxy that joined may hold those of before a restart: any message to it
             # carries the present ones.
