A worker is used once it answered, and while it answers though the list lost it

Cause: a wrong list names workers that take work and answer none, or calls running ones gone. Where leaving the list alone does not bind, a worker that answered within 3 s keeps its slices; one never heard from waits for its first probe.

It could hold back new workers where probes are lost: one good answer counts as well, and if none ever answered all are used.

--- a/ospreyrouter/benchlink/start.py
+++ b/ospreyrouter/benchlink/start.py
@@ -111,6 +111,7 @@
         fall_multiple=float(rules.number("FallMultiple")),
         fall_us=rules.span("FallS"),
         grace_us=rules.span("DrainGraceS"),
+        gone_binds=not rules.flag("SoftRemoval", False),
         full_may_have_run=rules.flag("FullMayHaveRun", False),
         warm_keys=info.flag("WarmKeys", False),
     )
--- a/ospreyrouter/interface.py
+++ b/ospreyrouter/interface.py
@@ -123,6 +123,7 @@
     fall_multiple: float
     fall_us: int
     grace_us: int
+    gone_binds: bool
     full_may_have_run: bool
     warm_keys: bool
 
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -39,6 +39,7 @@
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
+VOUCHED_US = 3_000_000  # a worker that the list has lost is held to be running for this long after an answer
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
@@ -137,7 +138,8 @@
 
     def __init__(self):
         self.kind, self.weight, self.started = -1, 1.0, None
-        self.state = State.READY  # also of one met only in a store's table, until a list tells otherwise
+        self.state, self.drained = State.READY, False  # ready if only a store's table names it, until listed
+        self.proved, self.vouched_at = False, 0  # whether it ever answered; when it last did
         self.probe_at, self.strained = 0, False
         self.forget()
 
@@ -207,6 +209,9 @@
                 worker.forget()
             worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
             worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
+            worker.drained = entry.state is State.DRAINING or worker.drained and entry.state is State.GONE
+            if entry.state is State.READY and not worker.proved:
+                self.check(entry.worker)
         self.urgent = True
 
     def list_failed(self):
@@ -236,7 +241,7 @@
         self.urgent = True
 
     def stored(self, item, worker, weight):
-        self.workers.setdefault(worker, Worker())
+        self.workers.setdefault(worker, Worker()).proved = True  # others found it good; nothing moves at a start
         if item in self.own and weight > 0:
             self.tables[item][worker] = weight
 
@@ -253,6 +258,8 @@
         if worker in self.workers and tries > 0:
             lost = min(max(lost, 0), tries)
             self.workers[worker].met.add(self.now, tries, lost, (tries - lost) * max(delay, 0))
+            if lost < tries:
+                self.vouch(worker)
             self.reported(worker, report)
 
     def probed(self, worker, outcome, delay, report):
@@ -261,11 +268,17 @@
         row = self.workers[worker]
         if outcome is Outcome.PASSED:
             row.misses = 0
+            self.vouch(worker)
             self.reported(worker, report)
         elif outcome is not Outcome.FULL and (outcome is not Outcome.TIMED_OUT or not row.heard(self.now)):
             row.misses += 1  # a probe may wait in the same queue as all else: no sign while answers come
             row.probe_at = self.now
 
+    def vouch(self, worker):
+        row = self.workers[worker]
+        self.urgent = self.urgent or not row.proved
+        row.proved, row.vouched_at = True, self.now
+
     def reported(self, worker, report):
         row = self.workers[worker]
 
@@ -299,7 +312,16 @@
     # What is made of it.
 
     def ready(self):
-        return [w for w, row in sorted(self.workers.items()) if row.state is State.READY]
+        """Who may hold slices: whom the list has as ready and who ever answered.
+
+        The list may be wrong. One that never answered may be none of ours: it waits for its first probe. One
+        that left the list without draining stays while it answers, where leaving the list alone does not bind.
+        """
+        listed = [w for w, row in sorted(self.workers.items()) if row.state is State.READY]
+        answer = [w for w, row in sorted(self.workers.items()) if row.state is State.READY and (
+            row.proved or not self.setup.probes_allowed) or row.state is State.GONE and not row.drained
+            and not self.setup.gone_binds and self.now - row.vouched_at < VOUCHED_US]
+        return answer or listed
 
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
@@ -443,13 +465,15 @@
                 self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRY)
 
     def probe(self):
-        if not self.setup.probes_allowed:
-            return
-        for w in self.ready():
-            row = self.workers[w]
-            if self.now >= row.probe_at:
-                row.probe_at = self.now + PROBE_US
-                self.orders.probe(w)
+        ready = self.ready()
+        for w, row in sorted(self.workers.items()):
+            if self.now >= row.probe_at and (row.state is State.READY or w in ready):
+                self.check(w)
+
+    def check(self, w):
+        if self.setup.probes_allowed:
+            self.workers[w].probe_at = self.now + PROBE_US
+            self.orders.probe(w)
 
     # The layout.
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -20,7 +20,7 @@
         lines_per_s=2000.0, message_head=8.0, queue_lines=4000.0, messages_most=0, messages_over_us=10 * SECOND,
         transit_us=SECOND // 5, transit_most_us=SECOND // 2, bare_us=2 * SECOND, settle_us=4 * SECOND, lease_us=0,
         level_kind=LevelKind.SHARE, usual_retry=Retry.PROVEN, try_factor=1.2, cold_share=0.2, cold_us=16 * SECOND,
-        fall_multiple=3.0, fall_us=SECOND, grace_us=2 * SECOND, full_may_have_run=False, warm_keys=True)
+        fall_multiple=3.0, fall_us=SECOND, grace_us=2 * SECOND, gone_binds=True, full_may_have_run=False, warm_keys=True)
     return Deployment(**values | other)
 
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -51,8 +51,10 @@
 
     def test_a_start_lays_tables_and_names_workers_as_the_wire_does(self):
         out = self.send(*START)
-        self.assertIn(["PUT_LINE", 0, "w.y"], [row[:3] for row in out])
+        self.assertIn(["CHECK", "w.y"], out)
         self.assertIn(["SET_ALARM", 0.5, 0], out)
+        out = self.send(["STATUS_BACK", "w.y", "pass", 0.01, None], clock=100.01)
+        self.assertIn(["PUT_LINE", 0, "w.y"], [row[:3] for row in out])
 
     def test_the_newer_list_of_a_number_counts_within_one_batch(self):
         out = self.send(*START, ["SNAPSHOT_ROWS", 0, [["w.x", "a", "std", 0, "terminated", 1, None]]],
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -117,6 +117,27 @@
         stand.round(("listed", True, [entry(w) for w in (0, 2, 3)]))
         self.assertFalse(any(1 in table for table in stand.sheet.tables.values()))
 
+    def test_a_worker_that_never_answered_waits_for_a_probe(self):
+        stand = Stand(workers=3)
+        stand.run(6, demand=EVEN, met=WELL, each=[("listed", False, [entry(8)])])
+        self.assertFalse(any(8 in table for table in stand.sheet.tables.values()))
+        self.assertIn((8,), stand.sheet.all("probe"))
+        stand.round(("probed", 8, Outcome.PASSED, 0, {}))
+        stand.run(6, demand=EVEN, met=WELL)
+        self.assertGreater(stand.load(EVEN).get(8, 0.0), 0.0)
+
+    def test_who_leaves_the_list_but_answers_stays_where_that_does_not_bind(self):
+        passed = [("probed", w, Outcome.PASSED, 0, {}) for w in range(4)]
+        for binds, states, answers, stays in [(False, [GONE], passed, True), (False, [GONE], [], False),
+                                              (True, [GONE], passed, False), (False, [DRAINING, GONE], passed, False)]:
+            with self.subTest(binds=binds, states=states, answers=len(answers)):
+                stand = Stand(gone_binds=binds)
+                stand.run(4, demand=EVEN, met=WELL, each=passed)
+                for state in states:
+                    stand.round(("listed", False, [entry(w, state) for w in (1, 2, 3)]))
+                stand.run(6, demand=EVEN, each=answers)
+                self.assertEqual(any(2 in table for table in stand.sheet.tables.values()), stays)
+
     def test_health_fades_and_returns_but_never_to_nothing(self):
         for name, met, probes in [("errors", (40, 36, 0.02), []),
                                   ("silence", (0, 0, 0), [("probed", 2, Outcome.TIMED_OUT, SECOND, {})]),
