--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -16,6 +16,7 @@
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
 WINDOWS = 8  # windows that count, each half the one after it
+UNHEARD_US = 6_000_000  # a slice of which nothing was reported for so long had no demand
 MARGIN = 0.10  # what a new layout must cut off the largest load
 FIRST_BIN = 0.25  # of a full bin, for a server that has just started
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
@@ -61,11 +62,17 @@
             self.rows[step % len(self.rows)] = [0.0] * self.width
         self.at = max(self.at, at)
 
-    def add(self, now, *values):
+    def add(self, now, span, *values):
+        """Add what was counted over the last `span` (0: just now): a sum that waited its turn is no burst."""
         self.turn(now)
-        row = self.rows[self.at % len(self.rows)]
-        for place, value in enumerate(values):
-            row[place] += value
+        span = max(1, span)
+        for back in range(len(self.rows)):
+            low = (self.at - back) * self.span
+            part = (min(now, low + self.span) - max(now - span, low)) / span
+            if part > 0:
+                row = self.row(back)
+                for place, value in enumerate(values):
+                    row[place] += value * part
 
     def row(self, back):
         return self.rows[(self.at - back) % len(self.rows)]
@@ -168,7 +175,7 @@
         self.parts = {item: {} for item in self.slices}  # the layout: shares by server
         self.linger = {}
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
-        self.since = {}
+        self.since, self.heard_at = {}, {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer; least; overdue
@@ -247,9 +254,10 @@
 
     def demanded(self, item, kind, count, lost, span):
         if item in self.own and count > 0:
-            self.demand[item].add(self.now, count)
+            self.demand[item].add(self.now, span, count)
+            self.heard_at[item] = self.now
             came = [count * (place == kind) for place in range(len(self.setup.classes))]
-            self.asked.add(self.now, *came, *(self.levels.get(k, 1.0) * part for k, part in enumerate(came)))
+            self.asked.add(self.now, 0, *came, *(self.levels.get(k, 1.0) * part for k, part in enumerate(came)))
 
     def used(self, proxy, kind, count, lost, span):
         self.demanded(0, kind, count, lost, span)
@@ -257,7 +265,7 @@
     def met(self, zone, worker, tries, lost, delay, span, report):
         if worker in self.workers and tries > 0:
             lost = min(max(lost, 0), tries)
-            self.workers[worker].met.add(self.now, tries, lost, (tries - lost) * max(delay, 0))
+            self.workers[worker].met.add(self.now, 0, tries, lost, (tries - lost) * max(delay, 0))
             if lost < tries:
                 self.vouch(worker)
             self.reported(worker, report)
@@ -406,15 +414,16 @@
         """Aged demand by slice in charge; one not heard of yet counts as the mean of the others."""
         heard, unheard = {}, []
         for item in sorted(self.own):
-            ring, total, weights = self.demand[item], 0.0, 0.0
+            ring, total, time, since = self.demand[item], 0.0, 0.0, self.since.get(item, 0)
             ring.turn(self.now)
-            for back in range(1, WINDOWS + 1):
-                if (ring.at - back + 1) * WINDOW_US <= self.since.get(item, 0):
-                    break
-                total += ring.row(back)[0] * 0.5 ** (back - 1)
-                weights += 0.5 ** (back - 1)
-            if weights and total:
-                heard[item] = total / weights
+            # Of the time since its last report nothing is known yet, unless reports would have come by now.
+            until = max(self.heard_at.get(item, 0), self.now - UNHEARD_US)
+            for back in range(WINDOWS + 1):
+                low = (ring.at - back) * WINDOW_US
+                total += ring.row(back)[0] * 0.5 ** back
+                time += max(0, min(until, low + WINDOW_US) - max(since, low)) * 0.5 ** back
+            if until - since >= WINDOW_US and total:
+                heard[item] = total / time * WINDOW_US
             else:
                 unheard.append(item)
         mean = sum(heard.values()) / len(heard) if heard else 1.0
