--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -358,7 +358,6 @@
         self.pace, self.overdue = waited / good / quoted, (waited / good - comfort) / patience
         if good > CALM_COUNT:
             self.calm = min(self.calm, self.pace)
-        usual = sorted(losses.values())[len(ready) // 2] if ready else 0.0
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span = self.now - (self.judged_at if self.judged_at is not None else self.now)
         self.judged_at = self.now
@@ -370,8 +369,8 @@
                 # says, or, where little was sent to it, as the part of that which it answered.
                 target = max(answers[w] / (fair * row.weight * self.warmth(w)), 1.0 - losses[w])
             else:
-                # Against the usual loss: when all fail alike the trouble is elsewhere, and no one is better.
-                target = (1.0 - max(0.0, losses[w] - usual) / max(1.0 - usual, 0.1)) ** 4
+                # No more than in proportion: what it gives up the others must carry, and many may fail in part.
+                target = 1.0 - losses[w]
                 if silent * 2 <= len(ready):
                     target *= 0.25 ** max(0, row.misses - 1)
             target = min(1.0, max(FLOOR, target))
