--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -618,6 +618,11 @@
             self.orders.withhold(w, True)
         for later, _, _, item in changes:
             table, lines = tables[item], wanted[item]
+            if not later and usable and not self.setup.single_owner:
+                # Nothing is left to pick: one line now, for as many such slices as can be; the rest follows.
+                some = {w: weight for w, weight in lines.items() if w in usable} or {hashed(item, usable): 1.0}
+                best = max(some, key=lambda w: (some[w], -w))
+                lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
