--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -20,6 +20,7 @@
 MARGIN = 0.10  # what a new layout must cut off the largest load
 FIRST_BIN = 0.25  # of a full bin, for a server that has just started
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
+LEAST_PART = 0.25  # of what is left of a slice: a smaller part is not worth a line at every proxy
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
 BUCKETS = 4  # this many
@@ -109,7 +110,7 @@
         fits = [(space - left, server) for server, space in room.items() if space >= left]
         server = min(fits)[1] if fits else min(room, key=lambda s: (-room[s], s))
         part = left if fits else room[server]
-        if part <= 1e-6 * bins[server]:  # all are full: the least overfull by it, never a small bin first
+        if part <= LEAST_PART * left:  # all are full: the least overfull by it, never a small bin first
             part, server = left, max(room, key=lambda s: ((room[s] - left) / bins[s], -s))
         placed[item][server] = placed[item].get(server, 0.0) + part
         room[server] -= part
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -35,6 +35,11 @@
         placed = pack({1: 10, 2: 10, 3: 6}, {0: 9, 1: 9, 2: 1}, held)
         self.assertLessEqual(placed[3].get(2, 0), 1)
 
+    def test_a_full_fleet_splits_no_slice_into_slivers(self):
+        held = {item: {item: 1.0} for item in range(8)}
+        placed = pack(dict.fromkeys(range(8), 9.5) | {8: 8.0}, dict.fromkeys(range(8), 10.0), held)
+        self.assertEqual(len(placed[8]), 1)
+
 
 class Matching(unittest.TestCase):
     def test_equal_bins_swap_to_where_the_replicas_are(self):
