--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -174,7 +174,7 @@
         self.own = set() if setup.slices else {0}
         self.tables = {item: {} for item in self.slices}  # as ordered, or as the store gave them
         self.parts = {item: {} for item in self.slices}  # the layout: shares by server
-        self.linger = {}
+        self.linger, self.asked_for = {}, {}
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.since, self.heard_at = {}, {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
@@ -508,6 +508,7 @@
 
     def lay(self, sizes):
         popularity, unheard = self.popularity()
+        self.asked_for = popularity
         total, scale = sum(popularity.values()), sum(sizes.values())
         slot = total / len(sizes) / SLOTS
         bins = {w: slot * -(-total * size / scale // slot) for w, size in sizes.items()}
@@ -600,7 +601,7 @@
             lost |= table.keys() - sizes.keys()
             change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
-                changes.append((len(gone) < len(table), not gone, -change, item))
+                changes.append((len(gone) < len(table), not gone, -change * self.asked_for.get(item, 1.0), item))
         changes.sort()
         out, again = sorted(lost - self.withheld), sorted(sizes.keys() & self.barred)
         urgent = out or again or changes and not changes[0][0]
