What has left the channel by its pace waits no longer, until an answer is overdue

Cause: answers to marks take over a second at full size (transit, the proxies' standstill), and until then lines counted as waiting, so a manager sent half of what its channel drains. Now lines leave by the pace; where an answer is overdue everything unproven counts again, and no more is ever unproven than the queue's limit holds, however slow the channel has become.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -42,7 +42,7 @@
 FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
 PROBE_US = 1_000_000  # each worker is probed this often
 VOUCHED_US = 3_000_000  # a worker that the list has lost is held to be running for this long after an answer
-USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
+USUAL_FILL, URGENT_FILL, PROVEN = 0.40, 0.85, 0.8  # parts of the queue's limit that ordinary sends and removals may fill
 SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
@@ -609,11 +609,16 @@
             return
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
-        waiting, count = sum(row[1] for row in self.sent), max(1, len(self.proxies))
+        # Not proven to have left; and of these what has not left by the pace, as long as no answer is overdue.
+        unproven, waiting, count = sum(row[1] for row in self.sent), 0.0, max(1, len(self.proxies))
+        for row in self.sent:
+            left_at = row[3] + row[4] / self.pace_lines * 1_000_000 if row[4] else 0
+            overdue = self.now > left_at + self.setup.transit_most_us and row[4]
+            waiting = unproven if overdue else waiting + row[1] * (left_at > self.now)
         head, full = self.setup.message_head + 1 + len(self.setup.classes), self.setup.queue_lines * URGENT_FILL
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
         usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1_000_000 * SOON)
-        out = out[:max(0, int((full - waiting) / count - head))]
+        out = out[:max(0, int((full - unproven) / count - head))]
         back = sorted(self.doubted & usable)
         each, spare = len(out) + len(back), head + len(again)
         for w in out:
@@ -628,7 +633,7 @@
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
-            if waiting + cost > (usual if later else full):
+            if later and waiting + cost > usual or unproven + cost > (PROVEN * full if later else full):
                 break
             each += len(new) + len(old)
             for w in new:
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -334,6 +334,28 @@
         stand.run(0.5, demand=demand, met=WELL, each=[("listed", False, [entry(0, DRAINING), entry(1, DRAINING)])])
         self.assertTrue(all(set(table) - {0, 1} for table in stand.sheet.tables.values()))
 
+    def test_what_has_left_by_the_pace_does_not_wait_until_an_answer_is_overdue(self):
+        for waited, moves in [(0.2, False), (1.2, True), (3.0, False)]:
+            with self.subTest(waited=waited):
+                stand = Stand(slices=40, proxies=10, lines_per_s=2000.0, queue_lines=4000.0)
+                stand.run(6, demand=dict.fromkeys(range(40), 5), met=WELL)
+                del stand.sheet.orders[:]
+                # 1,900 lines sent, an answer outstanding: left after a second, overdue after one and a half.
+                stand.manager.sent = [[9, 1900.0, 190.0, stand.now - int(waited * SECOND), 1900.0]]
+                stand.manager.linger = {item: 3 if one != 3 else 2 for item, one in stand.manager.linger.items()}
+                stand.manager.send(stand.manager.capacities())
+                self.assertEqual(bool(stand.sheet.all("line")), moves)
+
+    def test_the_largest_load_moves_first(self):
+        stand = Stand(slices=40, proxies=10, lines_per_s=2000.0, queue_lines=4000.0)
+        stand.run(6, demand={item: 1 + item for item in range(40)}, met=WELL)
+        del stand.sheet.orders[:]
+        stand.manager.linger = {item: 3 if one != 3 else 2 for item, one in stand.manager.linger.items()}
+        stand.manager.send(stand.manager.capacities())
+        moved = [item for item, _, _ in stand.sheet.all("line")]
+        alike = [item for item in moved if moved.count(item) == 2]  # one line more, one less
+        self.assertEqual(alike, sorted(alike, reverse=True))
+
     def test_late_marks_show_a_slow_channel_and_ordinary_sends_shrink(self):
         for delay, pace in [(0.3, 2000.0), (5.0, 1000 / 4.8)]:
             stand = Stand(slices=40, proxies=10)
