A layout starts from the tables as they stand, not from plans that were never sent

Cause: under a full channel the plan ran seconds ahead of the tables, and each window planned moves from places that slices had never reached.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -520,7 +520,7 @@
                 bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
         held = {}
         for item in popularity:
-            lines = self.parts[item] or self.tables[item]
+            lines = {w: x for w, x in self.tables[item].items() if x > LINGER} or self.tables[item] or self.parts[item]
             whole = sum(lines.values())
             held[item] = {w: weight / whole for w, weight in lines.items() if w in sizes}
             if not held[item] and item in unheard:
