--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -1,9 +1,9 @@
 """Every decision of a manager.
 
 Called once a round: `manager.round(now, intake, orders)`. `intake` is a list of tuples, each the name of one
-of the methods under "What a manager hears" and its arguments; decisions go straight into `orders`. Types
-and the writer are in `interface.py`. Times are whole microseconds. The order of reading: the constants,
-pack and match (the mechanism), what is heard, what is made of it (judge), the layout, the sends.
+of the methods under "What a manager hears" and its arguments; decisions go straight into `orders`. Types and
+the writer are in `interface.py`. Times are whole microseconds. To be read from the top: constants, pack and
+match (the mechanism), what is heard, what is made of it, the layout, the sends.
 """
 
 import hashlib
@@ -22,27 +22,26 @@
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
 LEAST_PART = 0.25  # of what is left of a slice: a smaller part is not worth a line at every proxy
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
-BUCKET_US = 500_000  # what workers did is kept in buckets of this length,
-BUCKETS = 4  # this many
+BUCKET_US, BUCKETS = 500_000, 4  # what workers did is kept in so many buckets of this length
 LEARN = 0.02  # weight of a new load report in a worker's learned speed: more, and noise moves slices
-HEARD = 3  # buckets without a good answer make a worker silent
+SILENT_US = 1_500_000  # without a good answer for so long, a probe that times out counts
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
-CREEP = 0.03  # the same beyond the last jam, unless answers come nearly
-IDLE = 1.3  # as quickly as the quickest seen, by this factor
+CREEP, IDLE = 0.03, 1.3  # beyond the last jam only this, unless answers take the least seen times that
 STEP = 0.02  # a level is changed by more than this: each change is a message to all
-AHEAD = 1.5  # the estimate grows to this many times what was answered of late
 TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
 CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
-HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off
-FORGET = 1.5  # an estimate this many times what is asked is dropped: the fleet has grown or the rush is over
+HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off:
+DRAIN = 0.3  # so much less for each quoted time that answers take longer than they should
+AHEAD = 1.5  # times what was answered of late it grows to; times what is asked, it is dropped: all is over
 PROBE_US = 1_000_000  # each worker is probed this often
-VOUCHED_US = 3_000_000  # a worker that the list has lost is held to be running for this long after an answer
-USUAL_FILL, URGENT_FILL, PROVEN = 0.40, 0.85, 0.8  # parts of the queue's limit that ordinary sends and removals may fill
+VOUCHED_US = 3_000_000  # so long after an answer a worker that the list has lost is held to be running
+USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
+UNPROVEN = 0.8  # part of the latter that ordinary sends may fill before any is proven to have left
 SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
@@ -82,9 +81,8 @@
 def pack(popularity, bins, held, limits=None):
     """ModifiedBestFit on bins that may already hold parts of slices; returns {slice: {server: part}}.
 
-    What a server holds stays up to its limit, most popular slice first (all of it without limits); the rest
-    goes the paper's way: off a max-heap to the bin with the fewest slots left after taking it, and where none
-    can take it the roomiest is filled and the remainder requeued.
+    What a server holds stays up to its limit, most popular slice first (without limits, all); the rest goes
+    the paper's way: where fewest slots are left after it, else the roomiest is filled, the rest requeued.
     """
     room, placed, heap = dict(bins), {}, []
     limits = {s: float("inf") for s in bins} if limits is None else limits
@@ -124,10 +122,7 @@
     groups, goes = {}, {}
     for server in bins:
         groups.setdefault(bins[server], []).append(server)
-    content = {server: [] for server in bins}
-    for item, parts in placed.items():
-        for server in parts:
-            content[server].append(item)
+    content = {server: [item for item, parts in placed.items() if server in parts] for server in bins}
     for group in groups.values():
         loads = [[sum(target not in held.get(item, {}) for item in content[source]) - (source == target) * 0.5
                   for target in group] for source in group]
@@ -157,11 +152,6 @@
         self.learned = {}  # of its load reports, by name: running mean and how many
         self.health, self.misses = 1.0, 0
 
-    def heard(self, now):
-        """Whether good answers of it were reported of late."""
-        self.met.turn(now)
-        return any(self.met.row(back)[0] > self.met.row(back)[1] for back in range(HEARD))
-
 
 class Manager:
     """Assigns slices to workers for the proxies of one deployment."""
@@ -177,14 +167,14 @@
         self.linger, self.asked_for = {}, {}
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.since, self.heard_at = {}, {}
-        self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, None
+        self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, 0
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
-        self.pace, self.calm, self.overdue = 0.0, 1.0, 0.0  # mean time to answer; least; overdue
+        self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines = [], setup.lines_per_s
-        # Withheld as all joined proxies know; not let in again since; let in again; perhaps not at all proxies.
+        # Withheld as all joined proxies know; not let in since; let in again; perhaps not at all proxies.
         self.withheld, self.barred, self.freed, self.doubted = set(), set(), set(), set()
 
     # What a manager hears.
@@ -204,8 +194,10 @@
         if self.setup.lists_on_request:
             self.orders.follow_list(True)
 
-    def woke(self, token):
-        pass  # the round itself is what the alarm was for
+    def ignored(self, *_):
+        """Of an alarm the round itself is the point; other managers say nothing that is acted on."""
+
+    woke = told = ignored
 
     def listed(self, whole, entries):
         if whole:
@@ -229,7 +221,7 @@
         self.proxies.add(proxy)
         self.greet = True
         self.withheld = set()
-        if not fresh:  # it may have missed that a server was let in again, or hold what a former life withheld
+        if not fresh:  # it may have missed that a server was let in, or hold what a former life withheld
             self.doubted |= self.freed | {w for w, row in self.workers.items() if row.started is not None}
         if not self.setup.slices:
             self.orders.bind(proxy, 0, 0)
@@ -249,7 +241,7 @@
         self.urgent = True
 
     def stored(self, item, worker, weight):
-        self.workers.setdefault(worker, Worker()).proved = True  # others found it good; nothing moves at a start
+        self.workers.setdefault(worker, Worker()).proved = True  # others found it good
         if item in self.own and weight > 0:
             self.tables[item][worker] = weight
 
@@ -258,7 +250,7 @@
             self.demand[item].add(self.now, span, count)
             self.heard_at[item] = self.now
             came = [count * (place == kind) for place in range(len(self.setup.classes))]
-            self.asked.add(self.now, 0, *came, *(self.levels.get(k, 1.0) * part for k, part in enumerate(came)))
+            self.asked.add(self.now, 0, *came, *(self.levels.get(k, 1.0) * n for k, n in enumerate(came)))
 
     def used(self, proxy, kind, count, lost, span):
         self.demanded(0, kind, count, lost, span)
@@ -279,7 +271,8 @@
             row.misses = 0
             self.vouch(worker)
             self.reported(worker, report)
-        elif outcome is not Outcome.FULL and (outcome is not Outcome.TIMED_OUT or not row.heard(self.now)):
+        elif outcome is not Outcome.FULL and (
+                outcome is not Outcome.TIMED_OUT or self.now - row.vouched_at > SILENT_US):
             row.misses += 1  # a probe may wait in the same queue as all else: no sign while answers come
             row.probe_at = self.now
 
@@ -291,18 +284,13 @@
     def reported(self, worker, report):
         row = self.workers[worker]
 
-        def learn(name, value):
-            old, count = row.learned.get(name, (0.0, 0))
-            row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (value - old), count + 1)
-        if "utilization" in report and "throughput" in report:
-            learn("busy", max(report["utilization"], 0.0))
-            learn("rate", max(report["throughput"], 0.0))
+        seen = dict(report) if {"utilization", "throughput"} <= report.keys() else {}
         # Crowding lengthens the service time, which is then no lack of speed.
         if report.get("recent_ms", 0) > 0 and not row.strained:
-            learn("service", report["recent_ms"])
-
-    def told(self, manager, text):
-        pass
+            seen["recent_ms"] = report["recent_ms"]
+        for name, value in seen.items():
+            old, count = row.learned.get(name, (0.0, 0))
+            row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (max(value, 0.0) - old), count + 1)
 
     def applied(self, proxy, number, delay):
         # Messages leave in order: whatever was sent before an answered mark has left the channel.
@@ -323,14 +311,15 @@
     def ready(self):
         """Who may hold slices: whom the list has as ready and who ever answered.
 
-        The list may be wrong. One that never answered may be none of ours: it waits for its first probe. One
-        that left the list without draining stays while it answers, where leaving the list alone does not bind.
+        The list may be wrong. One that never answered may be none of ours: it waits for its first probe.
+        One that left the list without draining stays while it answers, where leaving it does not bind.
         """
-        listed = [w for w, row in sorted(self.workers.items()) if row.state is State.READY]
-        answer = [w for w, row in sorted(self.workers.items()) if row.state is State.READY and (
-            row.proved or not self.setup.probes_allowed) or row.state is State.GONE and not row.drained
-            and not self.setup.gone_binds and self.now - row.vouched_at < VOUCHED_US]
-        return answer or listed
+        rows = sorted(self.workers.items())
+        listed = [w for w, row in rows if row.state is State.READY]
+        stays = [w for w, row in rows if row.state is State.GONE and not row.drained
+                 and not self.setup.gone_binds and self.now - row.vouched_at < VOUCHED_US]
+        proved = [w for w in listed if self.workers[w].proved or not self.setup.probes_allowed]
+        return sorted(proved + stays) or listed
 
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
@@ -339,45 +328,31 @@
         self.asked.turn(self.now)
         classes = len(self.setup.classes)
         let_in = [sum(row[classes + k] for row in self.asked.rows) + 1e-9 for k in range(classes)]
-
-        def mean(name):  # over the classes as they are let in: where only slow ones are, slow is well
-            parts = zip(let_in, self.setup.classes)
-            return sum(part * getattr(row, name) for part, row in parts) / sum(let_in)
-        quoted, patience = mean("quoted_us"), mean("timeout_us")
-        comfort = STRAIN * quoted
+        # Over the classes as they are let in: where only slow ones are, slow is well.
+        quoted = sum(n * kind.quoted_us for n, kind in zip(let_in, self.setup.classes)) / sum(let_in)
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
             tries, lost, delay = (sum(row[k] for row in ring.rows) for k in (0, 1, 2))
             answers[w] = tries - lost
-            self.workers[w].strained = delay > comfort * answers[w]
+            self.workers[w].strained = delay > STRAIN * quoted * answers[w]
             losses[w] = lost / (tries + 2.0)
             asked, good, waited = asked + tries, good + answers[w], waited + delay
-        self.answered, self.good = good / asked, good * quoted
+        self.answered, self.good, self.pace = good / asked, good * quoted, waited / good / quoted
         # Where a refused client's repeats are refused again, less comes through than the level says.
         self.taken += TAKEN * (min(1.0, max(0.5, asked / sum(let_in))) - self.taken)
-        self.pace, self.overdue = waited / good / quoted, (waited / good - comfort) / patience
-        if good > CALM_COUNT:
-            self.calm = min(self.calm, self.pace)
+        self.calm = min(self.calm, self.pace) if good > CALM_COUNT else self.calm
         silent = sum(self.workers[w].misses > 1 for w in ready)
-        span = self.now - (self.judged_at if self.judged_at is not None else self.now)
-        self.judged_at = self.now
-        fair = good / max(1e-9, sum(self.workers[w].weight * self.warmth(w) for w in ready))
+        span, self.judged_at = self.now - (self.judged_at or self.now), self.now
         for w in ready:
             row = self.workers[w]
-            if row.strained:
-                # Slow good answers are overload, not failure: it is as well as its fair part of all answers
-                # says, or, where little was sent to it, as the part of that which it answered.
-                target = max(answers[w] / (fair * row.weight * self.warmth(w)), 1.0 - losses[w])
-            else:
-                # No more than in proportion: what it gives up the others must carry, and many may fail in part.
-                target = 1.0 - losses[w]
-                if silent * 2 <= len(ready):
-                    target *= 0.25 ** max(0, row.misses - 1)
-            target = min(1.0, max(FLOOR, target))
-            if target < 0.5 * row.health:
-                self.urgent = True
-            row.health = min(target, row.health + span / RETURN_US)
+            # No more than in proportion: others must carry what it gives up, and many may fail in part.
+            target = 1.0 - losses[w]
+            if silent * 2 <= len(ready) and not row.strained:
+                target *= 0.25 ** max(0, row.misses - 1)
+            target = max(FLOOR, target)
+            self.urgent = self.urgent or target < 0.5 * row.health
+            row.health = min(1.0, target, row.health + span / RETURN_US)
 
     def warmth(self, w):
         started = self.workers[w].started
@@ -385,30 +360,26 @@
             return 1.0
         return FIRST_BIN + (1.0 - FIRST_BIN) * min(1.0, max(0.0, (self.now - started) / self.setup.cold_us))
 
-    def cold(self, w):
-        return self.warmth(w) < 1.0
-
     def speeds(self, ready):
         """Learned speed of each worker against its like: those of its kind where weights are listed."""
-        raw = {}
+        raw, like = {}, {}
         for w in ready:
-            mean = {name: value for name, (value, _) in self.workers[w].learned.items()}
-            if mean.get("busy", 0) > 0 and mean["rate"] > 0:
-                raw[w] = mean["rate"] / mean["busy"]
-            elif mean.get("service"):
-                raw[w] = 1.0 / mean["service"]
-        group = {w: self.workers[w].kind if self.setup.weights_listed else 0 for w in raw}
-        like = {}
-        for w in raw:
-            like.setdefault(group[w], []).append(raw[w])
+            row = self.workers[w]
+            mean = {name: value for name, (value, _) in row.learned.items()}
+            if mean.get("utilization", 0) > 0 and mean["throughput"] > 0:
+                raw[w] = mean["throughput"] / mean["utilization"]
+            elif mean.get("recent_ms"):
+                raw[w] = 1.0 / mean["recent_ms"]
+            if w in raw:
+                like.setdefault(row.kind * self.setup.weights_listed, []).append(raw[w])
         mean = {kind: sum(values) / len(values) for kind, values in like.items()}
-        return {w: min(2.0, max(0.5, raw[w] / mean[group[w]])) if w in raw else 1.0 for w in ready}
+        return {w: min(2.0, max(0.5, raw[w] / mean[self.workers[w].kind * self.setup.weights_listed]))
+                if w in raw else 1.0 for w in ready}
 
     def capacities(self):
         """Listed weight x learned speed x cold ramp x health, by ready worker."""
-        ready = self.ready()
-        speed = self.speeds(ready)
-        return {w: self.workers[w].weight * speed[w] * self.warmth(w) * self.workers[w].health for w in ready}
+        speed = self.speeds(self.ready())
+        return {w: self.workers[w].weight * speed[w] * self.warmth(w) * self.workers[w].health for w in speed}
 
     def popularity(self):
         """Aged demand by slice in charge; one not heard of yet counts as the mean of the others."""
@@ -432,17 +403,16 @@
     def admit(self):
         """Levels: where most of the fleet is too full, refuse early what it could not fulfil in time.
 
-        What the fleet answered while too full is what it can do; a little less is let in, so that a jam
-        drains, the least utility for its work refused first; a class's work is taken to be in proportion to
-        its quoted time. It grows once the fleet is at ease: soon up to the last jam or while answers are as
-        quick as ever, else by inches.
+        What it answered while too full is what it can do; a little less is let in, least utility for its work
+        refused first; work is taken to be in proportion to the quoted time. It grows once the fleet is at
+        ease: soon up to the last jam or while answers are as quick as ever, else by inches.
         """
         ready = self.ready()
         if not ready or self.now < self.level_at or self.capped(usual=True):
             return
         self.level_at = self.now + LEVEL_US
-        weight = sum(self.workers[w].weight for w in ready)
-        full = sum(self.workers[w].weight for w in ready if self.workers[w].strained) / weight
+        rows = [self.workers[w] for w in ready]
+        full = sum(row.weight for row in rows if row.strained) / sum(row.weight for row in rows)
         work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
                 for k, kind in enumerate(self.setup.classes)]
         if full > CROWDED:
@@ -454,16 +424,14 @@
             # No further ahead of what was answered than that, or it grows unproven into the next jam.
             grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
             self.able = max(grown, self.able * (1.0 - YIELD))
-        # What waits beyond the client timeout is lost: a queue is to be worked off within that time.
-        room = max(LEAST, HEADROOM - max(0.0, self.overdue)) if full > EASY else HEADROOM
-        left, levels = sum(work) if self.able is None else room * self.able / self.taken, [1.0] * len(work)
-        if left > FORGET * sum(work):
-            self.able = None
-        value = [-kind.utility / kind.quoted_us for kind in self.setup.classes]
+        room = max(LEAST, HEADROOM - DRAIN * max(0.0, self.pace - STRAIN))
+        left = sum(work) if self.able is None else room * self.able / self.taken
+        self.able = None if left > AHEAD * sum(work) else self.able
+        value, levels = [-kind.utility / kind.quoted_us for kind in self.setup.classes], {}
         for k in sorted(range(len(work)), key=value.__getitem__):
             levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
             left -= work[k]
-        self.set_levels(levels)
+        self.set_levels([levels[k] for k in sorted(levels)])
 
     def set_levels(self, levels):
         if self.setup.level_kind is LevelKind.RATE:
@@ -487,18 +455,16 @@
     # The layout.
 
     def decide(self):
-        orders, tick = self.orders, self.setup.report_period_us or BUCKET_US
         if self.now >= self.tick_at:
+            tick = self.setup.report_period_us or BUCKET_US
             self.tick_at = self.now + tick
-            orders.wake(tick, 0)
+            self.orders.wake(tick, 0)
             self.judge()
             self.admit()
             self.probe()
         sizes = self.capacities()
-        window = self.now >= self.window_at
-        if self.own and (self.urgent or window):
-            if window:
-                self.window_at = self.now + WINDOW_US
+        if self.own and (self.urgent or self.now >= self.window_at):
+            self.window_at = max(self.window_at, self.now // WINDOW_US * WINDOW_US + WINDOW_US)
             if sizes:
                 self.lay(sizes)
             else:  # no one to send to: what drains or is gone must leave the tables all the same
@@ -514,13 +480,14 @@
         bins = {w: slot * -(-total * size / scale // slot) for w, size in sizes.items()}
         nominal = sum(self.workers[w].weight for w in sizes)
         for w in bins:
-            if self.cold(w):
+            if self.warmth(w) < 1.0:
                 # Faded others and repeats swell what is asked of each; a cold server's part must not swell.
                 part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
                 bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
         held = {}
         for item in popularity:
-            lines = {w: x for w, x in self.tables[item].items() if x > LINGER} or self.tables[item] or self.parts[item]
+            table = self.tables[item]
+            lines = {w: weight for w, weight in table.items() if weight > LINGER} or table or self.parts[item]
             whole = sum(lines.values())
             held[item] = {w: weight / whole for w, weight in lines.items() if w in sizes}
             if not held[item] and item in unheard:
@@ -528,25 +495,20 @@
 
         def loads(placed):
             sums = dict.fromkeys(sizes, 0.0)
-            for parts in placed.values():
-                for w, part in parts.items():
-                    sums[w] += part
+            for w, part in (line for parts in placed.values() for line in parts.items()):
+                sums[w] += part
             return sums
-
-        def fullest(placed):
-            return max(load / limits[w] for w, load in loads(placed).items())
         standing, limits = pack(popularity, bins, held), dict(bins)
         for w, load in loads(standing).items():
             # A server that answers well within the quoted time is not too full, whatever the counts say.
-            if not self.workers[w].strained and self.workers[w].health > 0.9 and not self.cold(w):
+            if not self.workers[w].strained and self.workers[w].health > 0.9 and self.warmth(w) == 1.0:
                 limits[w] = max(bins[w], load)
         fresh = match(pack(popularity, bins, held, limits), bins, held)
-        chosen = standing
+        old, new = (max(load / limits[w] for w, load in loads(way).items()) for way in (standing, fresh))
         # What was just inherited stays for a window: its former owner had reasons that are not known here.
         settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
-        if settled and not self.setup.single_owner and fullest(fresh) < (1 - MARGIN) * fullest(standing):
-            chosen = fresh
-        for item, parts in chosen.items():
+        moves = settled and not self.setup.single_owner and new < (1 - MARGIN) * old
+        for item, parts in (fresh if moves else standing).items():
             if self.setup.single_owner:
                 parts = {max(parts, key=lambda w: (parts[w], -w)): 1.0}
             whole = sum(parts.values())
@@ -560,12 +522,11 @@
     def mind_lingering(self, sizes):
         """Each slice has one lingering replica: the last one dropped while that is well, else a hashed one.
 
-        It is where a try goes that the slice's server refused or lost, and all that is left to pick when a
-        proxy avoids that server, so it must be warm and well itself.
+        It takes over when the slice's server fails, is avoided or withheld, so it must be warm and well.
         """
         if self.setup.single_owner:
             return
-        well = [w for w in sizes if self.workers[w].health > 0.5 and not self.cold(w)]
+        well = [w for w in sizes if self.workers[w].health > 0.5 and self.warmth(w) == 1.0]
         for item in sorted(self.own):
             if self.linger.get(item) in self.parts[item] or self.linger.get(item) not in well:
                 others = [w for w in well if w not in self.parts[item]]
@@ -580,17 +541,30 @@
         return lines
 
     def capped(self, usual):
-        """Whether a cap on messages leaves no room: half of it is kept for removals."""
-        if not self.setup.messages_most:
-            return False
+        """Whether the channel, or a cap on messages, leaves no room: half of the cap is kept for removals."""
+        unproven, _, count, head, full = self.channel()
         self.messages = [at for at in self.messages if self.now - at < self.setup.messages_over_us]
-        return len(self.messages) + 2 > self.setup.messages_most * (0.5 if usual else 1.0)
+        most = self.setup.messages_most * (0.5 if usual else 1.0) or len(self.messages) + 2
+        return len(self.messages) + 2 > most or unproven + head * count > full
+
+    def channel(self):
+        """Lines not proven to have left; of these not yet due to; proxies; a message's head; the limit."""
+        slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
+        self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
+        unproven, waiting = sum(row[1] for row in self.sent), 0.0
+        for row in self.sent:
+            # They leave by the pace, unless an answer is overdue: the channel is slower than thought.
+            left_at = row[3] + row[4] / self.pace_lines * 1_000_000
+            overdue = row[4] and self.now > left_at + self.setup.transit_most_us
+            waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
+        head = self.setup.message_head + 1 + len(self.setup.classes)
+        return unproven, waiting, max(1, len(self.proxies)), head, self.setup.queue_lines * URGENT_FILL
 
     def send(self, sizes):
-        """What changed, as far as the channel drains it: lost servers are withheld first, then the largest first.
+        """What changed, as far as the channel drains it: withheld servers first, then the largest change.
 
-        One line a proxy withholds a server from every table, however many slices it holds: against a drain grace
-        that passes while whole tables are rewritten for many proxies. What others it had goes on at their lines.
+        One line a proxy withholds a lost server from all tables: rewriting them outlasts the drain grace
+        where proxies are many. What it had goes on at the slices' other lines.
         """
         changes, lost, tables = [], set(), self.tables
         wanted = {item: self.wanted(item) for item in sorted(self.own)}
@@ -599,27 +573,21 @@
             table = tables[item]
             gone = table.keys() - usable
             lost |= table.keys() - sizes.keys()
-            change = sum(abs(lines.get(w, 0.0) - table.get(w, 0.0)) for w in sorted(table.keys() | lines.keys()))
+            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
-                changes.append((len(gone) < len(table), not gone, -change * self.asked_for.get(item, 1.0), item))
+                load = change * self.asked_for.get(item, 1.0)
+                changes.append((len(gone) < len(table), not gone, -load, item))
         changes.sort()
         out, again = sorted(lost - self.withheld), sorted(sizes.keys() & self.barred)
         urgent = out or again or changes and not changes[0][0]
         if self.capped(usual=not urgent) or not (changes or urgent or self.doubted or self.greet):
             return
-        slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
-        self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
-        # Not proven to have left; and of these what has not left by the pace, as long as no answer is overdue.
-        unproven, waiting, count = sum(row[1] for row in self.sent), 0.0, max(1, len(self.proxies))
-        for row in self.sent:
-            left_at = row[3] + row[4] / self.pace_lines * 1_000_000 if row[4] else 0
-            overdue = self.now > left_at + self.setup.transit_most_us and row[4]
-            waiting = unproven if overdue else waiting + row[1] * (left_at > self.now)
-        head, full = self.setup.message_head + 1 + len(self.setup.classes), self.setup.queue_lines * URGENT_FILL
+        unproven, waiting, count, head, full = self.channel()
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
-        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1_000_000 * SOON)
-        out = out[:max(0, int((full - unproven) / count - head))]
-        back = sorted(self.doubted & usable)
+        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1e6 * SOON)
+        out = out[:int((full - unproven) / count - head)]
+        # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
+        back = sorted(self.doubted & usable)[:max(0, int((usual - waiting) / count - head - len(out)))]
         each, spare = len(out) + len(back), head + len(again)
         for w in out:
             self.orders.withhold(w, True)
@@ -627,13 +595,13 @@
             table, lines = tables[item], wanted[item]
             if not later and usable and not self.setup.single_owner:
                 # Nothing is left to pick: one line now, for as many such slices as can be; the rest follows.
-                some = {w: weight for w, weight in lines.items() if w in usable} or {hashed(item, usable): 1.0}
+                some = {w: lines[w] for w in lines if w in usable} or {hashed(item, usable): 1.0}
                 best = max(some, key=lambda w: (some[w], -w))
                 lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
-            if later and waiting + cost > usual or unproven + cost > (PROVEN * full if later else full):
+            if later and waiting + cost > usual or unproven + cost > (UNPROVEN * full if later else full):
                 break
             each += len(new) + len(old)
             for w in new:
@@ -643,17 +611,17 @@
                     self.orders.line(item, w, 0)
             tables[item] = lines
         # Let in again only once no table holds more of it than it is to have: it may have come back cold.
-        again = [w for w in again if all(tables[item].get(w, 0.0) <= lines.get(w, 0.0) + 1e-6
+        room = int((full - unproven) / count - head) - each
+        again = [w for w in again[:max(0, room)] if all(tables[item].get(w, 0.0) <= lines.get(w, 0.0) + 1e-6
                                          for item, lines in wanted.items())]
         back, each = back + again, each + len(again)
         for w in back:
             self.orders.withhold(w, False)
         self.withheld = (self.withheld | set(out)) - set(back)
         self.barred = (self.barred | set(out)) - set(back)
-        self.freed, self.doubted = self.freed | set(back), set()
+        self.freed, self.doubted = self.freed | set(back), self.doubted - set(back)
         if each or self.greet:
-            # Levels are lines too. A proxy that joined may hold those of before a restart: any message to it
-            # carries the present ones.
+            # A proxy that joined may hold levels of before a restart: any message carries the present ones.
             self.number = (self.number + 1) % 65536
             self.orders.mark(self.number, self.greet)
             self.greet = False
