--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -36,7 +36,7 @@
 TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
 CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off:
-DRAIN = 0.3  # so much less for each quoted time that answers take longer than they should
+DRAIN = 0.35  # so much less for each quoted time that answers take longer than they should
 AHEAD = 1.5  # times what was answered of late it grows to; times what is asked, it is dropped: all is over
 PROBE_US = 1_000_000  # each worker is probed this often
 VOUCHED_US = 3_000_000  # so long after an answer a worker that the list has lost is held to be running
@@ -69,10 +69,8 @@
         for back in range(len(self.rows)):
             low = (self.at - back) * self.span
             part = (min(now, low + self.span) - max(now - span, low)) / span
-            if part > 0:
-                row = self.row(back)
-                for place, value in enumerate(values):
-                    row[place] += value * part
+            for place, value in enumerate(values):
+                self.row(back)[place] += value * max(part, 0.0)
 
     def row(self, back):
         return self.rows[(self.at - back) % len(self.rows)]
@@ -194,10 +192,8 @@
         if self.setup.lists_on_request:
             self.orders.follow_list(True)
 
-    def ignored(self, *_):
-        """Of an alarm the round itself is the point; other managers say nothing that is acted on."""
-
-    woke = told = ignored
+    def woke(self, token):
+        pass  # the round itself is what the alarm was for
 
     def listed(self, whole, entries):
         if whole:
@@ -232,11 +228,9 @@
     def charged(self, item, given):
         if item not in self.tables:
             return
-        self.tables[item], self.parts[item] = {}, {}
-        self.linger.pop(item, None)
+        self.tables[item], self.parts[item], self.linger[item] = {}, {}, None
         (self.own.add if given else self.own.discard)(item)
-        self.since[item] = self.now
-        self.withheld = set()
+        self.since[item], self.withheld = self.now, set()
         self.demand[item] = Ring(WINDOW_US, WINDOWS + 1, 1)
         self.urgent = True
 
@@ -276,6 +270,9 @@
             row.misses += 1  # a probe may wait in the same queue as all else: no sign while answers come
             row.probe_at = self.now
 
+    def told(self, manager, text):
+        pass
+
     def vouch(self, worker):
         row = self.workers[worker]
         self.urgent = self.urgent or not row.proved
@@ -344,11 +341,14 @@
         self.calm = min(self.calm, self.pace) if good > CALM_COUNT else self.calm
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span, self.judged_at = self.now - (self.judged_at or self.now), self.now
+        fair = good / max(1e-9, sum(self.workers[w].weight * self.warmth(w) for w in ready))
         for w in ready:
             row = self.workers[w]
             # No more than in proportion: others must carry what it gives up, and many may fail in part.
             target = 1.0 - losses[w]
-            if silent * 2 <= len(ready) and not row.strained:
+            if row.strained:  # slow good answers are overload: it is as well as its fair part of all says
+                target = max(target, answers[w] / (fair * row.weight * self.warmth(w)))
+            elif silent * 2 <= len(ready):
                 target *= 0.25 ** max(0, row.misses - 1)
             target = max(FLOOR, target)
             self.urgent = self.urgent or target < 0.5 * row.health
@@ -424,7 +424,7 @@
             # No further ahead of what was answered than that, or it grows unproven into the next jam.
             grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
             self.able = max(grown, self.able * (1.0 - YIELD))
-        room = max(LEAST, HEADROOM - DRAIN * max(0.0, self.pace - STRAIN))
+        room = max(LEAST, HEADROOM - DRAIN * max(0.0, self.pace - STRAIN)) if full > EASY else HEADROOM
         left = sum(work) if self.able is None else room * self.able / self.taken
         self.able = None if left > AHEAD * sum(work) else self.able
         value, levels = [-kind.utility / kind.quoted_us for kind in self.setup.classes], {}
@@ -464,7 +464,7 @@
             self.probe()
         sizes = self.capacities()
         if self.own and (self.urgent or self.now >= self.window_at):
-            self.window_at = max(self.window_at, self.now // WINDOW_US * WINDOW_US + WINDOW_US)
+            self.window_at = self.now + WINDOW_US if self.now >= self.window_at else self.window_at
             if sizes:
                 self.lay(sizes)
             else:  # no one to send to: what drains or is gone must leave the tables all the same
