--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -553,7 +553,6 @@
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
         unproven, waiting = sum(row[1] for row in self.sent), 0.0
         for row in self.sent:
-            # They leave by the pace, unless an answer is overdue: the channel is slower than thought.
             left_at = row[3] + row[4] / self.pace_lines * 1_000_000
             overdue = row[4] and self.now > left_at + self.setup.transit_most_us
             waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
@@ -621,9 +620,10 @@
         self.barred = (self.barred | set(out)) - set(back)
         self.freed, self.doubted = self.freed | set(back), self.doubted - set(back)
         if each or self.greet:
-            # A proxy that joined may hold levels of before a restart: any message carries the present ones.
+            # To all: who joined may hold levels of before a restart, and any message carries the present
+            # ones; and a line that concerns no proxy would never be answered, and wait in the books for long.
             self.number = (self.number + 1) % 65536
-            self.orders.mark(self.number, self.greet)
+            self.orders.mark(self.number, True)
             self.greet = False
             cost = (head + each) * count
             self.sent.append([self.number, cost, head + each, self.now, waiting + cost / 2])
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -321,6 +321,8 @@
         del stand.sheet.orders[:]
         stand.run(2, demand=demand, met=WELL, each=[("listed", False, [entry(2, started=stand.now)])])
         self.assertEqual(stand.sheet.all("withhold"), [(2, False)])
+        # Whether or not a table names it, every proxy answers, or the books would wait for it.
+        self.assertEqual({everyone for _, everyone in stand.sheet.all("mark")}, {True})
         del stand.sheet.orders[:]
         stand.round(("joined", 3, 0, 1.0, False), after=0.5)  # back from a time in which it missed that
         self.assertEqual(stand.sheet.all("withhold"), [(2, False)])
