Levels fall too where answers take long and many tries have none

Now a fleet that answers late and less than 0.7 of all tries counts as crowded.

It could refuse too much where half of all tries fail for another reason while answers are slow.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -28,13 +28,13 @@
 FLOOR = 0.02  # health never falls below: the little a failing worker still gets shows when it is well again
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
-CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again
+CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again;
+LOSING = 0.7  # they fall too where answers take long and no more than this part of all tries has one
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP, IDLE = 0.03, 1.3  # beyond the last jam only this, unless answers take the least seen times that
-STEP = 0.02  # a level is changed by more than this: each change is a message to all
+CALM_COUNT, STEP = 50, 0.02  # answers that make a mean; change of a level that is worth a message to all
 TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
-CALM_COUNT = 50  # answers that make a mean worth remembering as the quickest
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off:
 DRAIN = 0.35  # so much less for each quoted time that answers take longer than they should
 AHEAD = 1.5  # times what was answered of late it grows to; times what is asked, it is dropped: all is over
@@ -415,7 +415,7 @@
         full = sum(row.weight for row in rows if row.strained) / sum(row.weight for row in rows)
         work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
                 for k, kind in enumerate(self.setup.classes)]
-        if full > CROWDED:
+        if full > CROWDED or self.pace > STRAIN and self.answered < LOSING:  # who only loses is not seen slow
             # Sight is late: what was answered falls with the level too, so the estimate gives way slowly.
             self.able = self.good if self.able is None else max(self.good, self.able * (1.0 - YIELD))
             self.jam = self.able
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -252,6 +252,11 @@
             manager.admit()
             self.assertAlmostEqual(manager.levels[0], level)
 
+    def test_a_jam_in_which_most_answer_nothing_is_seen(self):
+        stand = Stand()
+        stand.run(6, demand=EVEN, met=dict.fromkeys((0, 1, 2), (60, 60, 0.0)) | {3: (60, 40, 1.5)})
+        self.assertLess(min(amount for _, _, amount, _ in stand.sheet.all("level")), 0.7)
+
     def test_one_crowded_server_is_no_reason_to_refuse(self):
         stand = Stand()
         stand.run(6, demand=EVEN, met=WELL | {2: (80, 40, 2.0)})
