--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -69,8 +69,9 @@
         for back in range(len(self.rows)):
             low = (self.at - back) * self.span
             part = (min(now, low + self.span) - max(now - span, low)) / span
-            for place, value in enumerate(values):
-                self.row(back)[place] += value * max(part, 0.0)
+            if part > 0:
+                row = self.row(back)
+                row[:] = [old + value * part for old, value in zip(row, values)]
 
     def row(self, back):
         return self.rows[(self.at - back) % len(self.rows)]
@@ -106,7 +107,7 @@
         fits = [(space - left, server) for server, space in room.items() if space >= left]
         server = min(fits)[1] if fits else min(room, key=lambda s: (-room[s], s))
         part = left if fits else room[server]
-        if part <= LEAST_PART * left:  # all are full: the least overfull by it, never a small bin first
+        if part <= LEAST_PART * left:  # all are near full: the least overfull by it, never a small bin
             part, server = left, max(room, key=lambda s: ((room[s] - left) / bins[s], -s))
         placed[item][server] = placed[item].get(server, 0.0) + part
         room[server] -= part
@@ -215,8 +216,7 @@
 
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
-        self.greet = True
-        self.withheld = set()
+        self.greet, self.withheld = True, set()
         if not fresh:  # it may have missed that a server was let in, or hold what a former life withheld
             self.doubted |= self.freed | {w for w, row in self.workers.items() if row.started is not None}
         if not self.setup.slices:
@@ -280,14 +280,13 @@
 
     def reported(self, worker, report):
         row = self.workers[worker]
-
-        seen = dict(report) if {"utilization", "throughput"} <= report.keys() else {}
+        names = ["utilization", "throughput"] if {"utilization", "throughput"} <= report.keys() else []
         # Crowding lengthens the service time, which is then no lack of speed.
         if report.get("recent_ms", 0) > 0 and not row.strained:
-            seen["recent_ms"] = report["recent_ms"]
-        for name, value in seen.items():
-            old, count = row.learned.get(name, (0.0, 0))
-            row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (max(value, 0.0) - old), count + 1)
+            names.append("recent_ms")
+        for name in names:
+            (old, count), value = row.learned.get(name, (0.0, 0)), max(report[name], 0.0)
+            row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (value - old), count + 1)
 
     def applied(self, proxy, number, delay):
         # Messages leave in order: whatever was sent before an answered mark has left the channel.
@@ -323,14 +322,13 @@
         ready = self.ready()
         losses, answers, asked, good, waited = {}, {}, 1.0, 1.0, 0.0
         self.asked.turn(self.now)
-        classes = len(self.setup.classes)
-        let_in = [sum(row[classes + k] for row in self.asked.rows) + 1e-9 for k in range(classes)]
+        let_in = [sum(column) + 1e-9 for column in zip(*self.asked.rows)][len(self.setup.classes):]
         # Over the classes as they are let in: where only slow ones are, slow is well.
         quoted = sum(n * kind.quoted_us for n, kind in zip(let_in, self.setup.classes)) / sum(let_in)
         for w in ready:
             ring = self.workers[w].met
             ring.turn(self.now)
-            tries, lost, delay = (sum(row[k] for row in ring.rows) for k in (0, 1, 2))
+            tries, lost, delay = map(sum, zip(*ring.rows))
             answers[w] = tries - lost
             self.workers[w].strained = delay > STRAIN * quoted * answers[w]
             losses[w] = lost / (tries + 2.0)
@@ -427,11 +425,11 @@
         room = max(LEAST, HEADROOM - DRAIN * max(0.0, self.pace - STRAIN)) if full > EASY else HEADROOM
         left = sum(work) if self.able is None else room * self.able / self.taken
         self.able = None if left > AHEAD * sum(work) else self.able
-        value, levels = [-kind.utility / kind.quoted_us for kind in self.setup.classes], {}
+        value, levels = [-kind.utility / kind.quoted_us for kind in self.setup.classes], [1.0] * len(work)
         for k in sorted(range(len(work)), key=value.__getitem__):
             levels[k] = round(min(1.0, max(0.0, left / work[k])), 2)
             left -= work[k]
-        self.set_levels([levels[k] for k in sorted(levels)])
+        self.set_levels(levels)
 
     def set_levels(self, levels):
         if self.setup.level_kind is LevelKind.RATE:
@@ -464,7 +462,8 @@
             self.probe()
         sizes = self.capacities()
         if self.own and (self.urgent or self.now >= self.window_at):
-            self.window_at = self.now + WINDOW_US if self.now >= self.window_at else self.window_at
+            if self.now >= self.window_at:
+                self.window_at = self.now + WINDOW_US
             if sizes:
                 self.lay(sizes)
             else:  # no one to send to: what drains or is gone must leave the tables all the same
@@ -611,8 +610,8 @@
             tables[item] = lines
         # Let in again only once no table holds more of it than it is to have: it may have come back cold.
         room = int((full - unproven) / count - head) - each
-        again = [w for w in again[:max(0, room)] if all(tables[item].get(w, 0.0) <= lines.get(w, 0.0) + 1e-6
-                                         for item, lines in wanted.items())]
+        again = [w for w in again[:max(0, room)]
+                 if all(tables[item].get(w, 0.0) <= due.get(w, 0.0) + 1e-6 for item, due in wanted.items())]
         back, each = back + again, each + len(again)
         for w in back:
             self.orders.withhold(w, False)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -53,7 +53,6 @@
     def __init__(self, workers=4, proxies=4, seed=1, start=100 * SECOND, tables=None, entries=None, **other):
         self.setup, self.sheet, self.now = deployment(**other), Sheet(), start
         self.manager = Manager(self.setup, seed)
-        self.count = workers
         intake = [("listed", True, entries or [entry(w) for w in range(workers)])]
         for item in range(self.setup.slices):
             intake.append(("charged", item, True))
@@ -70,7 +69,7 @@
                 self.manager.applied(proxy, number, 0)
         return self.sheet
 
-    def run(self, seconds, demand=None, met=None, probe=True, each=None):
+    def run(self, seconds, demand=None, met=None, each=None):
         """Half-second rounds; `demand` by slice and `met` by worker as (tries, lost, delay in s) a round."""
         for _ in range(int(seconds * 2)):
             intake = [("demanded", item, 0, count, 0, SECOND // 2) for item, count in (demand or {}).items()]
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -142,8 +142,9 @@
         passed = [("probed", w, Outcome.PASSED, 0, {}) for w in range(4)]
         gone, drains = ([entry(w, state) for w in (1, 2, 3)] for state in (GONE, DRAINING))
         for binds, lists, answers, stays in [
-                (False, [(False, gone)], passed, True), (False, [(False, gone)], [], False), (False, [(True, [])], passed, True),
-                (True, [(False, gone)], passed, False), (False, [(False, drains), (False, gone)], passed, False)]:
+                (False, [(False, gone)], passed, True), (False, [(False, gone)], [], False),
+                (False, [(True, [])], passed, True), (True, [(False, gone)], passed, False),
+                (False, [(False, drains), (False, gone)], passed, False)]:
             stand = Stand(gone_binds=binds)
             stand.run(4, demand=EVEN, met=WELL, each=passed)
             for whole, entries in lists:
@@ -158,11 +159,11 @@
             stand = Stand()
             stand.run(4, demand=EVEN, met=WELL)
             stand.run(4, demand=EVEN, met=WELL | {2: met}, each=probes)
-            self.assertLess(stand.manager.workers[2].health, 0.3)
-            self.assertGreaterEqual(stand.manager.workers[2].health, policy.FLOOR)
-            self.assertLess(stand.load(EVEN).get(2, 0.0), 15)
+            self.assertLess(stand.manager.workers[2].health, 0.3, name)
+            self.assertGreaterEqual(stand.manager.workers[2].health, policy.FLOOR, name)
+            self.assertLess(stand.load(EVEN).get(2, 0.0), 15, name)
             stand.run(12, demand=EVEN, met=WELL, each=[("probed", 2, Outcome.PASSED, 0, {})])
-            self.assertGreater(stand.manager.workers[2].health, 0.9)
+            self.assertGreater(stand.manager.workers[2].health, 0.9, name)
 
     def test_health_is_the_part_answered(self):
         for lost in (10, 20, 30):
@@ -181,7 +182,7 @@
             stand.run(4, demand=EVEN, met=WELL)
             stand.run(4, demand=EVEN, met=met, each=probes)
             others = max(stand.manager.workers[w].health for w in (0, 1, 3))
-            self.assertGreater(stand.manager.workers[2].health, 0.7 * others)
+            self.assertGreater(stand.manager.workers[2].health, 0.7 * others, name)
 
 
 class Return(unittest.TestCase):
@@ -193,8 +194,8 @@
             stand.run(4, demand=demand, met=WELL)
             stand.round(("listed", False, [entry(4, started=stand.now)]), ("probed", 4, Outcome.PASSED, 0, {}))
             stand.run(3, demand=demand, met=dict.fromkeys(range(4), (60, 20, 1.5)))
-            self.assertLessEqual(stand.load(demand).get(4, 0.0), 160 / 5 * 0.25 * (1 + 3 / 16 * 3) + 1)
-            self.assertGreater(stand.load(demand).get(4, 0.0), 0.0)
+            self.assertLessEqual(stand.load(demand).get(4, 0.0), 160 / 5 * 0.25 * (1 + 3 / 16 * 3) + 1, name)
+            self.assertGreater(stand.load(demand).get(4, 0.0), 0.0, name)
 
     @patch.object(policy, "MARGIN", 0.0)
     def test_lost_and_repeated_tries_do_not_swell_a_cold_bin(self):
@@ -355,7 +356,7 @@
             stand = Stand(**other)
             stand.run(3)
             for item in range(stand.setup.slices):
-                self.assertEqual(bool(stand.sheet.tables.get(item)), name != "no workers")
+                self.assertEqual(bool(stand.sheet.tables.get(item)), name != "no workers", name)
 
     def test_single_owners_stay_single(self):
         stand = Stand(single_owner=True)
