--- /dev/null
+++ b/ospreyrouter/files/ledger.py
@@ -0,0 +1,110 @@
+"""What a file agent holds and which pushes it accepts. No I/O; the same calls in any order of arrival end alike.
+
+    ledger = Ledger()
+    changed = ledger.push(push)              # a set of slices whose table is another now, or raises Rejected
+    changed = ledger.read(manager, tables)   # tables read from the store, as a joining proxy gets them
+
+Fences: a slice's tables are taken only from a sender whose fencing number is no older than the newest that was
+seen for the slice. Two managers may both believe that they own a slice after a pause: the older one is refused.
+"""
+
+from dataclasses import dataclass, field
+
+
+class Rejected(Exception):
+    """A push that is not taken; `reason` is one of a few words that are counted, the text says more."""
+
+    def __init__(self, reason, text):
+        super().__init__(text)
+        self.reason = reason
+
+
+@dataclass
+class Orders:
+    """What one manager ordered beside tables."""
+
+    levels: dict = field(default_factory=dict)
+    withheld: frozenset = frozenset()
+
+
+class Ledger:
+    """Tables by slice, fences by slice, levels and withheld workers by manager."""
+
+    def __init__(self):
+        self.tables, self.fences, self.owners, self.orders = {}, {}, {}, {}
+
+    def fence(self, item):
+        return self.fences.get(item, 0)
+
+    def custody(self, manager, fence, items):
+        """A manager tells that it was given slices. Raises Rejected, having changed nothing."""
+        self._unfenced(manager, fence, items)
+        for item in items:
+            self.fences[item], self.owners[item] = fence, manager
+
+    def _unfenced(self, manager, fence, items):
+        late = [item for item in items if fence < self.fence(item)
+                or fence == self.fence(item) and self.owners.get(item, manager) != manager]
+        if late:
+            raise Rejected("fenced", f"{manager} has fence {fence}, slice {late[0]} has {self.fence(late[0])}")
+
+    def push(self, push):
+        """Take a push as a whole or not at all; returns what changed: slices, and whether orders did."""
+        items = [table.slice for table in push.tables]
+        if len(set(items)) != len(items):
+            raise Rejected("malformed", "a slice stands twice in one push")
+        self._unfenced(push.manager, push.fence, items)
+        changed = set()
+        for table in push.tables:
+            if self._newer(table, push.fence):
+                self.tables[table.slice] = table
+                changed.add(table.slice)
+            self.fences[table.slice], self.owners[table.slice] = push.fence, push.manager
+        orders = self.orders.setdefault(push.manager, Orders())
+        levels = orders.levels | push.levels
+        withheld = frozenset((orders.withheld | {name for name, out in push.withheld.items() if out})
+                             - {name for name, out in push.withheld.items() if not out})
+        reordered = levels != orders.levels or withheld != orders.withheld
+        touched = {item for item, table in self.tables.items() if self.owner(item) == push.manager
+                   and (levels != orders.levels
+                        or any((line.worker in withheld) != (line.worker in orders.withheld)
+                               for line in table.lines))} if reordered else set()
+        orders.levels, orders.withheld = levels, withheld
+        return changed | touched, reordered
+
+    def _newer(self, table, fence):
+        held = self.tables.get(table.slice)
+        # From a newer owner any version counts: what an older one wrote after losing the slice must go.
+        return held is None or fence > self.fence(table.slice) or table.version > held.version
+
+    def read(self, manager, fence, tables):
+        """Tables of the store, through the manager in charge: those of slices that are fenced off are left."""
+        changed = set()
+        for table in tables:
+            if fence < self.fence(table.slice):
+                continue
+            if self._newer(table, fence) and table != self.tables.get(table.slice):
+                self.tables[table.slice] = table
+                changed.add(table.slice)
+            if self.owners.get(table.slice) != manager:
+                changed.add(table.slice)
+            self.fences[table.slice], self.owners[table.slice] = fence, manager
+        return changed
+
+    def owner(self, item):
+        table = self.tables.get(item)
+        return self.owners.get(item) or (table.manager if table else None)
+
+    def ordered(self, manager):
+        return self.orders.get(manager) or Orders()
+
+    def versions(self, manager=None):
+        """Versions held, by slice name; what a reader of the store says that it has."""
+        return {f"slice-{item}": f"{table.version[0]}.{table.version[1]}" for item, table in self.tables.items()}
+
+    def restored(self, tables, orders, fences):
+        """What files left by a former process held."""
+        self.tables = {table.slice: table for table in tables}
+        self.orders = {name: Orders(dict(levels), withheld) for name, (levels, withheld) in orders.items()}
+        for item, (fence, owner) in fences.items():
+            self.fences[item], self.owners[item] = fence, owner
--- /dev/null
+++ b/ospreyrouter/loop/real.py
@@ -0,0 +1,289 @@
+"""The loop on real sockets: `selectors`, a timer heap on the monotonic clock, signals through a self-pipe.
+
+    loop = Loop()
+    loop.listen(("127.0.0.1", 0), accepted)
+    loop.run()          # until loop.stop()
+
+One thread, no asyncio. A turn handles what is ready, then the timers that are due.
+"""
+
+import errno
+import os
+import selectors
+import signal
+import socket
+import time
+
+from .streams import Refused, Stream
+from .timers import TimerHeap
+
+READ_AT_ONCE = 256 << 10
+TIMERS_A_TURN = 500
+
+
+def monotonic_us():
+    """Microseconds on the machine's monotonic clock: the same for all processes of one machine."""
+    return time.monotonic_ns() // 1000
+
+
+class SocketStream(Stream):
+    """A connected non-blocking TCP socket with a bounded buffer of what is still to be written."""
+
+    def __init__(self, loop, sock, peer):
+        super().__init__(peer)
+        self.loop, self.sock, self.out, self.out_size = loop, sock, [], 0
+        self.closing, self.flush_due = False, False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.mask = selectors.EVENT_READ
+        loop.selector.register(sock, self.mask, self._ready)
+
+    @property
+    def unsent(self):
+        return self.out_size
+
+    def _watch(self):
+        if not self.open:
+            return
+        mask = (selectors.EVENT_READ if self.reading else 0) | (selectors.EVENT_WRITE if self.out else 0)
+        if mask != self.mask:
+            if not self.mask:
+                self.loop.selector.register(self.sock, mask, self._ready)
+            elif mask:
+                self.loop.selector.modify(self.sock, mask, self._ready)
+            else:
+                self.loop.selector.unregister(self.sock)
+            self.mask = mask
+
+    def _ready(self, mask):
+        if mask & selectors.EVENT_WRITE and self.open:
+            self._flush()
+        if mask & selectors.EVENT_READ and self.open and self.reading:
+            self._read()
+
+    def _read(self):
+        try:
+            data = self.sock.recv(READ_AT_ONCE)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as problem:
+            self._finish(errno.errorcode.get(problem.errno, "error").lower())
+            return
+        if not data:
+            self._finish("closed by the peer")
+            return
+        self.bytes_in += len(data)
+        if self.on_data is not None:
+            self.on_data(data)
+
+    def write(self, data):
+        if not self.open or self.closing:
+            return
+        self.out.append(bytes(data))
+        self.out_size += len(data)
+        if self.out_size > self.write_most:
+            self.abort("does not read")
+        elif not self.flush_due:
+            # What one turn writes in pieces goes out in one call.
+            self.flush_due = True
+            self.loop.soon(self._flush_now)
+
+    def _flush_now(self):
+        self.flush_due = False
+        if self.open:
+            self._flush()
+
+    def _flush(self):
+        while self.out:
+            data = self.out[0] if len(self.out) == 1 else b"".join(self.out)
+            try:
+                sent = self.sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                self.out = [data]
+                break
+            except OSError as problem:
+                self._finish(errno.errorcode.get(problem.errno, "error").lower())
+                return
+            self.out_size -= sent
+            self.bytes_out += sent
+            self.out = [data[sent:]] if sent < len(data) else []
+        if self.closing and not self.out:
+            self._finish("closed here")
+        else:
+            self._watch()
+
+    def close(self):
+        if self.open and not self.closing:
+            self.closing = True
+            if not self.out:
+                self._finish("closed here")
+
+    def abort(self, reason="aborted"):
+        if self.open:
+            try:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            except OSError:
+                pass
+            self._finish(reason)
+
+    def _finish(self, reason):
+        if not self.open:
+            return
+        self.open = False
+        if self.mask:
+            self.loop.selector.unregister(self.sock)
+            self.mask = 0
+        self.sock.close()
+        self.out, self.out_size = [], 0
+        if self.on_closed is not None:
+            self.loop.soon(lambda: self.on_closed(reason))
+
+    def pause(self):
+        self.reading = False
+        self._watch()
+
+    def resume(self):
+        self.reading = True
+        self._watch()
+
+
+class Listener:
+    """A listening socket; `address` tells the port that was given out."""
+
+    def __init__(self, loop, sock, on_stream):
+        self.loop, self.sock, self.on_stream = loop, sock, on_stream
+        self.address = sock.getsockname()[:2]
+        loop.selector.register(sock, selectors.EVENT_READ, self._ready)
+
+    def _ready(self, mask):
+        for _ in range(64):
+            try:
+                sock, peer = self.sock.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as problem:
+                if problem.errno in (errno.EMFILE, errno.ENFILE):
+                    self.pause(200_000)  # out of descriptors: spinning on accept would starve everything else
+                return
+            sock.setblocking(False)
+            self.on_stream(SocketStream(self.loop, sock, peer[:2]))
+
+    def pause(self, for_us):
+        self.loop.selector.unregister(self.sock)
+        self.loop.after(for_us, self._resume)
+
+    def _resume(self):
+        if self.sock.fileno() >= 0:
+            self.loop.selector.register(self.sock, selectors.EVENT_READ, self._ready)
+
+    def close(self):
+        if self.sock.fileno() >= 0:
+            try:
+                self.loop.selector.unregister(self.sock)
+            except KeyError:
+                pass
+            self.sock.close()
+
+
+class Loop:
+    """See the top of this module."""
+
+    def __init__(self, clock=monotonic_us):
+        self.clock, self.selector, self.timers = clock, selectors.DefaultSelector(), TimerHeap()
+        self.running, self.ready, self.pipe, self.handlers = False, [], None, {}
+        self.longest_turn_us, self.turns = 0, 0
+
+    def now(self):
+        return self.clock()
+
+    def at(self, when_us, callback):
+        return self.timers.at(when_us, callback)
+
+    def after(self, us, callback):
+        return self.timers.at(self.clock() + us, callback)
+
+    def soon(self, callback):
+        """Run `callback` later in this turn or early in the next."""
+        self.ready.append(callback)
+
+    def listen(self, address, on_stream, backlog=512):
+        """Listen on (host, port); port 0 lets the system choose. Raises Refused."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(backlog)
+        except OSError as problem:
+            sock.close()
+            raise Refused(f"{address[0]}:{address[1]}: {problem.strerror}") from None
+        sock.setblocking(False)
+        return Listener(self, sock, on_stream)
+
+    def connect(self, address, timeout_us, on_done):
+        """Connect; `on_done(stream, reason)` is called once, with a stream or with None and why not."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            self.soon(lambda: on_done(None, errno.errorcode.get(code, "error").lower()))
+            return
+
+        def settled(mask):
+            timer.cancel()
+            self.selector.unregister(sock)
+            failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if failed:
+                sock.close()
+                on_done(None, errno.errorcode.get(failed, "error").lower())
+            else:
+                on_done(SocketStream(self, sock, address), "")
+
+        def too_late():
+            self.selector.unregister(sock)
+            sock.close()
+            on_done(None, "timed out")
+
+        timer = self.after(timeout_us, too_late)
+        self.selector.register(sock, selectors.EVENT_WRITE, settled)
+
+    def on_signal(self, number, callback):
+        """Run `callback` on the loop after the signal; the handler itself only writes to the self-pipe."""
+        if self.pipe is None:
+            self.pipe = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+            signal.set_wakeup_fd(self.pipe[1], warn_on_full_buffer=False)
+            self.selector.register(self.pipe[0], selectors.EVENT_READ, self._signalled)
+        self.handlers[number] = callback
+        signal.signal(number, lambda *_: None)
+
+    def _signalled(self, mask):
+        for number in os.read(self.pipe[0], 4096):
+            if number in self.handlers:
+                self.handlers[number]()
+
+    def stop(self):
+        self.running = False
+
+    def run(self, until_us=None):
+        """Turn until `stop()` or until the clock passes `until_us`."""
+        self.running = True
+        while self.running and (until_us is None or self.clock() < until_us):
+            self.turn(until_us)
+
+    def turn(self, until_us=None):
+        upcoming = self.timers.next_at()
+        bounds = [when for when in (upcoming, until_us) if when is not None]
+        wait = 0.0 if self.ready else max(0, min(bounds) - self.clock()) / 1e6 if bounds else None
+        events = self.selector.select(wait)
+        began = self.clock()
+        for key, mask in events:
+            # An earlier callback of this turn may have closed it.
+            if key.fileobj in self.selector.get_map() and self.selector.get_key(key.fileobj).data == key.data:
+                key.data(mask)
+        self.timers.due(self.clock(), TIMERS_A_TURN)
+        ready, self.ready = self.ready, []
+        for callback in ready:
+            callback()
+        self.turns += 1
+        self.longest_turn_us = max(self.longest_turn_us, self.clock() - began)
--- /dev/null
+++ b/ospreyrouter/manager/__init__.py
@@ -0,0 +1,7 @@
+"""The running manager: `core` turns what happened into calls of the module and its orders into effects, without
+I/O; `sums` merges reports; `service` has the sockets and files."""
+
+from .core import ManagerCore
+from .service import ManagerService
+
+__all__ = ["ManagerCore", "ManagerService"]
--- /dev/null
+++ b/ospreyrouter/manager/core.py
@@ -0,0 +1,257 @@
+"""What happened, turned into calls of the module; its orders, turned into effects. No I/O; the clock is an argument.
+
+    core = ManagerCore(setup, me, seed)
+    core.listed(now, rows); core.joined(now, proxy, fresh); core.swept(...)   # whatever happened
+    for effect in core.turn(now): ...                                         # to be carried out in this order
+
+Effects are tuples: ("store", tables), ("send", proxies, lines, push), ("probe", worker name, host, port),
+("wake", at_us), ("read", slices) where proxies are to read slices from the store, ("said", text).
+Nothing is decided here that the module decides: a table's content, when it is sent, who is withheld, levels.
+"""
+
+from ..interface import ALL_TABLES, Entry, Outcome, Retry, State
+from ..policy import Manager
+from ..xds.documents import Line, Push, Table
+from .sums import Sums
+
+RETRY_NAMES = {Retry.NONE: "none", Retry.PROVEN: "proven", Retry.ONCE: "once", Retry.TWICE: "twice"}
+STATES = {"ready": State.READY, "draining": State.DRAINING}
+
+
+class WorkerRow:
+    """What is known of a worker outside the module: where it listens, and when its present process started."""
+
+    __slots__ = ("name", "host", "port", "zone", "incarnation", "started_us")
+
+    def __init__(self, name):
+        self.name, self.host, self.port, self.zone = name, "", 0, ""
+        self.incarnation, self.started_us = None, None
+
+
+class ManagerCore:
+    """See the top of this module. `setup` is a DeploymentFile, `me` this manager's number."""
+
+    def __init__(self, setup, me, seed, module=Manager):
+        self.setup, self.me, self.name = setup, me, setup.managers[me].name
+        self.facts = setup.interface(me)
+        self.module = module(self.facts, seed)
+        self.classes = {row.name: place for place, row in enumerate(setup.classes)}
+        self.zones = {name: place for place, name in enumerate(setup.zones)}
+        self.proxies = {row.name: place for place, row in enumerate(setup.proxies)}
+        self.workers, self.rows, self.kinds = {}, [], {}
+        self.tables = {}  # {slice: {worker index: weight}} of slices in charge, as ordered
+        self.written = {}  # {slice: Table} as last published or read from the store
+        self.epoch, self.counts, self.number = 0, {}, 0
+        self.levels, self.withheld, self.joined_now = {}, set(), set()
+        self.sums, self.intake, self.effects = Sums(setup.reports.lines_per_s), [], []
+        self.marks = {}
+        self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
+        self.now, self.unsupported, self.lines, self.fences = 0, 0, 0, {}
+
+    # What happened.
+
+    def worker(self, name):
+        if name not in self.workers:
+            self.workers[name] = len(self.rows)
+            self.rows.append(WorkerRow(name))
+        return self.workers[name]
+
+    def listed(self, now, entries):
+        """A whole list: rows of (name, host, port, zone, kind, cell, state, weight, incarnation, age_us or None)."""
+        out, moved = [], set()
+        for name, host, port, zone, kind, cell, state, weight, incarnation, age in entries:
+            place = self.worker(name)
+            row = self.rows[place]
+            if row.host and (row.host, row.port) != (host, port):
+                moved.add(place)
+            if incarnation != row.incarnation:
+                # The list says how old a process is; that is turned into a time once, or each list would
+                # seem to tell of another start.
+                row.incarnation, row.started_us = incarnation, None if age is None else now - age
+            row.host, row.port, row.zone = host, port, zone
+            out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
+                             STATES[state], weight, row.started_us))
+        self.intake.append(("listed", True, out))
+        stale = {item for item, lines in self.tables.items() if moved & lines.keys()}
+        if stale:
+            self.changed |= stale
+            self._publish(now)
+            self.effects.append(("read", sorted(stale)))
+
+    def joined(self, now, proxy, fresh):
+        place, row = self.proxies[proxy], self.setup.proxies[self.proxies[proxy]]
+        self.joined_now.add(place)
+        self.intake.append(("joined", place, self.zones[row.zone], row.usual_per_s, fresh))
+
+    def left(self, proxy):
+        place = self.proxies[proxy]
+        if place in self.joined_now:
+            self.joined_now.discard(place)
+            self.intake.append(("left", place))
+
+    def answered(self, now, proxy, mark):
+        place = self.proxies[proxy]
+        if place in self.joined_now and mark in self.marks:
+            self.intake.append(("applied", place, mark, now - self.marks[mark]))
+
+    def probed(self, worker, outcome, delay_us, report):
+        self.intake.append(("probed", self.workers[worker], outcome, delay_us, report))
+
+    def reported(self, zone, met, demand):
+        """Sums of one proxy, as `xds.reports.sums_of` gives them; unknown names are counted, not guessed."""
+        if zone not in self.zones:
+            self._count("unknown zone")
+            return
+        for worker, tries, lost, delay, span, report in met:
+            if worker not in self.workers:
+                self._count("unknown worker")
+            elif tries:
+                self.sums.met(self.zones[zone], self.workers[worker], tries, lost, delay, span, report)
+        for item, kind, came, lost, span in demand:
+            if kind not in self.classes or item >= self.setup.slices:
+                self._count("unknown class or slice")
+            elif item in self.tables:
+                self.sums.demand(item, self.classes[kind], came, lost, span)
+
+    def _count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def custody(self, epoch, mine, stored):
+        """Slices this manager is in charge of by the newest epoch: {slice: fence}; `stored` has their tables."""
+        if epoch < self.epoch:
+            return
+        self.epoch = epoch
+        fences = self.fences
+        for item in sorted(self.tables.keys() - mine.keys()):
+            del self.tables[item]
+            self.written.pop(item, None)
+            self.intake.append(("charged", item, False))
+        given = []
+        for item, fence in sorted(mine.items()):
+            if fences.get(item) == fence and item in self.tables:
+                continue
+            given.append(item)
+            if item in self.tables:
+                continue  # only fenced anew: nothing about it changed
+            table = stored.get(item)
+            self.tables[item] = {}
+            self.intake.append(("charged", item, True))
+            if table is not None:
+                self.written[item] = table
+                for line in table.lines:
+                    place = self.worker(line.worker)
+                    row = self.rows[place]
+                    if not row.host:
+                        row.host, row.port, row.zone = line.host, line.port, line.zone
+                    self.tables[item][place] = line.weight
+                    self.intake.append(("stored", item, place, line.weight))
+        self.fences = dict(mine)
+        if given:
+            self.effects.append(("read", given))
+
+    # One turn of the module.
+
+    def turn(self, now):
+        """Tell the module what happened and return the effects of what it orders."""
+        self.now = now
+        self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
+        intake, self.intake = self.intake + self.sums.take(now), []
+        self.lines = 0
+        self.module.round(now, intake, self)
+        self._publish(now)
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _publish(self, now):
+        if not (self.changed or self.withhold_lines or self.mark_asked is not None):
+            return
+        tables = []
+        for item in sorted(self.changed):
+            if item not in self.tables:
+                continue
+            held = self.written.get(item)
+            count = held.version[1] + 1 if held is not None and held.version[0] == self.epoch else 1
+            rows = [self.rows[place] for place in sorted(self.tables[item])]
+            lines = tuple(Line(row.name, row.host, row.port, row.zone, self.tables[item][self.workers[row.name]])
+                          for row in rows)
+            table = self.written[item] = Table(item, self.name, (self.epoch, count), lines)
+            tables.append(table)
+        if tables:
+            self.effects.append(("store", tables))
+        if self.mark_asked is not None:
+            self.number += 1
+            push = Push(self.name, self.epoch, self.number, self.mark_asked, tables, dict(self.withhold_lines),
+                        dict(self.levels))
+            # Levels for all tables ride along with every message; the mark is a line of its own.
+            lines = self.lines + len(self.levels) + 1
+            self.marks[self.mark_asked] = now
+            if len(self.marks) > 4096:
+                del self.marks[next(iter(self.marks))]
+            proxies = [self.setup.proxies[place].name for place in sorted(self.joined_now)]
+            self.effects.append(("send", proxies, lines, push))
+        elif tables:
+            self.effects.append(("read", [table.slice for table in tables]))
+        self.changed = set()
+
+    # The module's orders.
+
+    def line(self, table, worker, weight):
+        if table not in self.tables:
+            return  # a slice that another manager has by now
+        self.lines += 1
+        if weight > 0:
+            self.tables[table][worker] = weight
+        else:
+            self.tables[table].pop(worker, None)
+        self.changed.add(table)
+
+    def wipe(self, table):
+        if table in self.tables:
+            self.lines += 1
+            self.tables[table] = {}
+            self.changed.add(table)
+
+    def withhold(self, worker, out):
+        self.lines += 1
+        self.withhold_lines[self.rows[worker].name] = out
+        (self.withheld.add if out else self.withheld.discard)(worker)
+
+    def level(self, table, classes, amount, retry):
+        if table != ALL_TABLES:
+            self.unsupported += 1  # levels of single tables: the module orders none, and the files have no place
+            return
+        for name, place in self.classes.items():
+            if not classes or classes >> place & 1:
+                self.levels[name] = (float(amount), RETRY_NAMES[Retry(retry)])
+
+    def mark(self, number, everyone):
+        self.mark_asked = number
+
+    def probe(self, worker):
+        row = self.rows[worker]
+        if row.host:
+            self.effects.append(("probe", row.name, row.host, row.port))
+
+    def wake(self, after_us, token):
+        self.effects.append(("wake", self.now + after_us))
+
+    def woke(self, token=0):
+        self.intake.append(("woke", token))
+
+    def log(self, text):
+        self.effects.append(("said", text))
+
+    def bind(self, proxy, table, classes):
+        self.unsupported += 1  # deployments here have slices: every proxy uses every table
+
+    def tell(self, manager, text):
+        self.unsupported += 1  # managers cannot speak to each other here
+
+    def follow_list(self, on):
+        pass  # the list is followed from the start
+
+    def fetch_list(self):
+        pass
+
+
+__all__ = ["ManagerCore", "Outcome"]
--- /dev/null
+++ b/ospreyrouter/manager/service.py
@@ -0,0 +1,432 @@
+"""The manager's sockets and files round `ManagerCore`: proxies, the worker list, probes, the store, the clock.
+
+    service = ManagerService(loop, setup, "manager-0", store_folder, disk, log, seed)
+
+Effects are carried out in their order, and none while the own lease has run out: a process that stood still renews
+it and reads who is in charge first. A table is in the store before any proxy gets it.
+"""
+
+from collections import Counter, deque
+
+from ..channel import PacedChannel
+from ..files.reader import fences_text
+from ..interface import Outcome
+from ..policy import Manager
+from ..store import Custody, EpochFiles, ListFile, TableStore
+from ..web import Client, Server, content_digest
+from ..xds.documents import CLA, BadDocument, dump, load, need, push_body, table_resource, version_text
+from ..xds.reports import ORCA_HEADER, orca_report, sums_of
+from ..xds.worker_list import NAME, list_of
+from .admission import ReadBudget
+from .core import ManagerCore
+
+TURN_US = 5_000  # what happens within so long is told to the module in one round
+PUT_US = 3_000_000  # a proxy that has not answered a push for so long has lost this manager
+ACK_US = 5_000_000  # what a joining proxy may take to say that it has read the store
+REDIAL_US = 200_000
+JSON = ("content-type", "application/json")
+
+
+class Session:
+    """One joined proxy: the connection it joined by, and the one by which tables are pushed to it."""
+
+    def __init__(self, proxy, connection, nonce, address):
+        self.proxy, self.connection, self.nonce, self.address = proxy, connection, nonce, address
+        self.client, self.tag, self.outbox, self.busy, self.ready = None, 0, deque(), False, False
+
+
+class ManagerService:
+    """See the top of this module."""
+
+    def __init__(self, loop, setup, name, folder, disk, log, seed, module=Manager):
+        self.loop, self.setup, self.name, self.log = loop, setup, name, log
+        names = [row.name for row in setup.managers]
+        self.me, self.counts = names.index(name), Counter()
+        self.core = ManagerCore(setup, self.me, seed, module)
+        channel = setup.channel
+        self.channel = PacedChannel(channel.lines_per_s, channel.message_head, channel.queue_lines,
+                                    channel.messages_most, round(channel.messages_over_s * 1e6))
+        self.reads = ReadBudget(channel.lines_per_s)
+        self.lease_us = round(setup.custody.lease_s * 1e6)
+        self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
+        self.epochs = EpochFiles(folder, self.me, names, disk)
+        self.tables, self.lists = TableStore(folder, name, disk), ListFile(folder, name, disk)
+        if self.tables.cut:
+            self.log.warning("store_tail_cut", manager=name, bytes=self.tables.cut)
+        for problem in self.tables.damaged:
+            self.log.error("store_damaged", manager=name, detail=problem)
+        self.unsaved, self.behind = {}, False
+        self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
+        self.list_version, self.list_client, self.probing = "", None, {}
+        self.stopped = False
+        cached = self.lists.read()
+        if cached is not None:
+            self._use_list(cached, cached=True)
+        self.server = Server(loop, setup.managers[self.me].listen.pair, self._request, self.counts)
+        self.address = self.server.address
+        self._mind_custody()
+        self._follow_list()
+
+    # Custody: who is in charge, as the store has it.
+
+    def _mind_custody(self):
+        if self.stopped:
+            return
+        self.loop.after(self.lease_us // 4, self._mind_custody)
+        self._renew()
+        self._look()
+        proposal = self.custody.proposal(self.loop.now())
+        if proposal is not None:
+            self._propose(proposal)
+        if self.unsaved:
+            self._save([])
+
+    def _renew(self):
+        began = self.loop.now()
+        try:
+            self.epochs.write_beat()
+            self.custody.beat_written(began)
+        except OSError as problem:
+            self.counts["lease not renewed"] += 1
+            self.log.error("lease_not_renewed", manager=self.name, reason=problem.strerror)
+
+    def _look(self):
+        now = self.loop.now()
+        try:
+            for manager, beat in self.epochs.beats().items():
+                self.custody.beat_seen(now, manager, beat)
+            self.custody.epoch_seen(self.epochs.newest())
+        except OSError as problem:
+            self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
+            return
+        self._take_custody()
+
+    def _propose(self, epoch):
+        giving = {item for item in self.custody.mine() if epoch.owners[item] != self.me}
+        try:
+            written = self.epochs.create(epoch)
+        except OSError as problem:
+            self.log.error("custody_not_written", manager=self.name, reason=problem.strerror)
+            return
+        if written:
+            self.custody.wrote(epoch)
+            self.log.info("custody_proposed", manager=self.name, epoch=epoch.number, given_away=len(giving))
+        self._look()
+
+    def _take_custody(self):
+        epoch = self.custody.epoch
+        if epoch is None or epoch.number == self.core.epoch:
+            return
+        mine = self.custody.mine()
+        try:
+            self.tables.refresh()
+        except OSError as problem:
+            self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
+        before = len(self.core.tables)
+        self.core.custody(epoch.number, mine, self.tables.newest)
+        self.log.info("custody", manager=self.name, epoch=epoch.number, slices=len(mine), before=before)
+        self._soon()
+
+    # The module's turns.
+
+    def _soon(self):
+        if not self.turn_due and not self.stopped:
+            self.turn_due = True
+            self.loop.after(TURN_US, self._turn)
+
+    def _turn(self):
+        self.turn_due = False
+        if self.stopped:
+            return
+        if not self.custody.may_publish(self.loop.now()):
+            # It stood still, or the store does not take its signs of life: nothing is said until it does.
+            self.counts["turns without lease"] += 1
+            self._renew()
+            self._look()
+            if not self.custody.may_publish(self.loop.now()):
+                self.loop.after(self.lease_us // 8, self._soon)
+                return
+        self._carry_out(self.core.turn(self.loop.now()))
+
+    def _carry_out(self, effects):
+        for kind, *values in effects:
+            if kind == "store":
+                self._save(values[0])
+            elif kind == "send":
+                self._send(*values)
+            elif kind == "read":
+                self._tell_to_read(values[0])
+            elif kind == "probe":
+                self._probe(*values)
+            elif kind == "wake":
+                self.loop.at(values[0], self._woke)
+            elif kind == "said":
+                self.log.info("module", manager=self.name, text=values[0])
+
+    def _woke(self):
+        self.core.woke()
+        self._soon()
+
+    def _save(self, tables):
+        """Into the store before any proxy has it. A store that refuses does not stop drains: it is caught up."""
+        self.unsaved.update((table.slice, table) for table in tables)
+        try:
+            self.tables.append(list(self.unsaved.values()))
+        except OSError as problem:
+            self.counts["store refused"] += 1
+            if not self.behind:
+                self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=len(self.unsaved))
+            self.behind = True
+            return
+        self.unsaved = {}
+        if self.behind:
+            self.behind = False
+            self.log.info("store_caught_up", manager=self.name)
+
+    # The channel to proxies.
+
+    def _send(self, proxies, lines, push):
+        now, body = self.loop.now(), push_body(push)
+        content = (push, body, content_digest(body))
+        for proxy in self.channel.order(now, proxies, lines, content):
+            self._drop(proxy, "no room in the channel")
+        self._pump()
+
+    def _pump(self):
+        now = self.loop.now()
+        for proxy, row in self.channel.due(now):
+            session = self.sessions.get(proxy)
+            if session is not None:
+                session.outbox.append(row)
+                self._write(session)
+        upcoming = self.channel.next_at(now)
+        if upcoming is not None and (self.channel_timer is None or self.channel_timer.callback is None):
+            self.channel_timer = self.loop.at(max(upcoming, now + 500), self._pump)
+
+    def _write(self, session):
+        """The next message, once the proxy has answered the one before it."""
+        if session.busy or not session.ready or not session.outbox:
+            return
+        row = session.outbox.popleft()
+        push, body, digest = row.content
+        session.busy = True
+        headers = [JSON, ("content-digest", digest), ("if-match", f'"{session.nonce}.{session.tag}"'),
+                   ("x-ordered-us", str(row.ordered_us)), ("x-lines", str(row.lines))]
+        session.client.ask("PUT", f"/v3/tables/{self.name}", headers, body,
+                           lambda answer: self._pushed(session, push, answer), PUT_US)
+        self.channel.taken(session.proxy, row)
+        self.counts["pushes"] += 1
+        self.counts["bytes pushed"] += len(body)
+
+    def _pushed(self, session, push, answer):
+        session.busy = False
+        if self.sessions.get(session.proxy) is not session:
+            return
+        if answer.status == 204:
+            session.tag = push.number
+            self._write(session)
+            return
+        if answer.status == 409:
+            self._look()  # another has its slices: the store says who
+        self.log.warning("push_not_taken", manager=self.name, proxy=session.proxy, status=answer.status,
+                         reason=answer.reason or answer.body[:100].decode("latin-1"))
+        self._drop(session.proxy, f"answered {answer.status}")
+
+    def _tell_to_read(self, items):
+        body = dump({"fence": self.core.epoch, "slices": items})
+        headers = [JSON, ("content-digest", content_digest(body))]
+        for session in self.sessions.values():
+            if session.ready:
+                session.client.ask("PUT", f"/v3/custody/{self.name}", headers, body, lambda _: None, PUT_US)
+
+    def _drop(self, proxy, reason):
+        session = self.sessions.pop(proxy, None)
+        if session is None:
+            return
+        self.counts["proxies lost"] += 1
+        self.log.info("proxy_left", manager=self.name, proxy=proxy, reason=reason)
+        self.channel.broke(proxy)
+        self.core.left(proxy)
+        session.connection.on_closed = None
+        session.connection.abort(reason)
+        if session.client is not None:
+            session.client.on_closed = None
+            session.client.abort(reason)
+        self._soon()
+
+    # What proxies ask.
+
+    def _request(self, request):
+        routes = {"/v3/delta_discovery:endpoints": self._read_store, "/v3/discovery:endpoints": self._answered,
+                  "/v3/load_stats": self._load_stats}
+        handler = routes.get(request.path)
+        if request.method != "POST" or handler is None:
+            self.counts["unknown request"] += 1
+            request.answer(404)
+            return
+        try:
+            data = load(request.body, "request")
+            proxy = need(need(data, "node", dict, "request"), "id", str, "request.node")
+            if proxy not in self.core.proxies:
+                raise BadDocument(f"request.node.id: {proxy!r:.60} is not in the deployment")
+            handler(request, proxy, data)
+        except BadDocument as problem:
+            self.counts["malformed request"] += 1
+            self.log.warning("request_refused", manager=self.name, detail=str(problem))
+            request.answer(400, [("connection", "close")], str(problem).encode())
+            request.connection.close()
+
+    def _read_store(self, request, proxy, data):
+        held = need(data, "initialResourceVersions", dict, "request")
+        session = self.sessions.get(proxy)
+        if session is not None and session.connection is not request.connection:
+            self._drop(proxy, "joined anew")
+            session = None
+        names = data.get("resourceNamesSubscribe")
+        items = sorted(self.core.tables if names is None else
+                       {item for item in self.core.tables if f"slice-{item}" in set(names)})
+        tables = [self.core.written[item] for item in items if item in self.core.written and
+                  held.get(f"slice-{item}") != version_text(self.core.written[item].version)]
+        lines = 1 + sum(len(table.lines) for table in tables)
+        now = self.loop.now()
+        if session is None and (self.custody.epoch is None or not self.reads.admit(now, lines)):
+            self.counts["joins put off"] += 1
+            wait = self.reads.wait_us(lines) / 1e6
+            request.answer(503, [("retry-after", str(max(1, round(wait)))), ("connection", "close")])
+            return
+        nonce = session.nonce if session is not None else f"{self.epochs.life}.{self.joins}"
+        fences = {item: (self.core.epoch, self.name) for item in items}
+        answer = {"systemVersionInfo": f"{self.core.epoch}.{self.core.number}", "typeUrl": CLA, "nonce": nonce,
+                  "resources": [{"name": f"slice-{table.slice}", "version": version_text(table.version),
+                                 "resource": table_resource(table)} for table in tables],
+                  "controlPlane": {"identifier": fences_text(fences)}}
+        if session is None:
+            self._join(request, proxy, data, nonce)
+        request.answer(200, [JSON], dump(answer))
+
+    def _join(self, request, proxy, data, nonce):
+        about = need(data["node"], "metadata", dict, "request.node")
+        address = (need(about, "host", str, "request.node"), need(about, "port", int, "request.node"))
+        self.joins += 1
+        session = self.sessions[proxy] = Session(proxy, request.connection, nonce, address)
+        request.connection.on_closed = lambda reason: self._stream_broke(session, reason)
+        self.channel.joined(proxy)
+        self.core.joined(self.loop.now(), proxy, bool(about.get("fresh", False)))
+        self.log.info("proxy_joined", manager=self.name, proxy=proxy)
+        self.loop.after(ACK_US, lambda: session.ready or self._stream_broke(session, "never read the store"))
+        self._soon()
+
+    def _stream_broke(self, session, reason):
+        if self.sessions.get(session.proxy) is session:
+            self._drop(session.proxy, reason)
+
+    def _answered(self, request, proxy, data):
+        session, nonce = self.sessions.get(proxy), need(data, "responseNonce", str, "request")
+        request.answer(204)
+        if session is None or session.connection is not request.connection:
+            return
+        if "errorDetail" in data:
+            self.counts["sets a proxy refused"] += 1
+            self.log.error("proxy_refused_set", manager=self.name, proxy=proxy,
+                           problem=str(data["errorDetail"])[:200])
+        if nonce == session.nonce and not session.ready:
+            session.ready = True
+            session.client = Client(self.loop, session.address,
+                                    on_closed=lambda reason: self._stream_broke(session, f"push: {reason}"))
+            self._write(session)
+        elif nonce.isdigit() and "errorDetail" not in data:
+            self.core.answered(self.loop.now(), proxy, int(nonce))
+            self._soon()
+
+    def _load_stats(self, request, proxy, data):
+        zone, met, demand = sums_of(data)
+        self.core.reported(zone, met, demand)
+        self.counts["sums"] += 1
+        request.answer(204)
+        self._soon()
+
+    # The worker list, and probes.
+
+    def _follow_list(self):
+        if self.stopped:
+            return
+        if self.list_client is None or self.list_client.closed:
+            self.list_client = Client(self.loop, self.setup.worker_list.listen.pair)
+        wait = round(self.setup.worker_list.wait_s * 1e6)
+        question = {"node": {"id": self.name}, "versionInfo": self.list_version, "typeUrl": CLA, "resourceNames": [NAME]}
+        self.list_client.ask("POST", "/v3/discovery:endpoints", [JSON], dump(question), self._list_answer, 2 * wait)
+
+    def _list_answer(self, answer):
+        if answer.status == 200:
+            self._use_list(answer.body)
+        elif answer.status != 304:
+            self.counts["list questions failed"] += 1
+            self.loop.after(REDIAL_US, self._follow_list)
+            return
+        self.loop.soon(self._follow_list)
+
+    def _use_list(self, body, cached=False):
+        try:
+            version, rows = list_of(body, self.core.zones)
+        except BadDocument as problem:
+            self.counts["malformed list"] += 1
+            self.log.error("list_refused", manager=self.name, detail=str(problem))
+            return
+        if not cached:
+            self.list_version = version
+            try:
+                self.lists.write(body)
+            except OSError as problem:
+                self.log.error("list_not_kept", manager=self.name, reason=problem.strerror)
+        self.log.info("list", manager=self.name, version=version, workers=len(rows), cached=cached,
+                      draining=sum(row[6] == "draining" for row in rows))
+        self.core.listed(self.loop.now(), rows)
+        self._soon()
+
+    def _probe(self, worker, host, port):
+        if worker in self.probing:
+            return  # the last one has not ended; another would only add to its load
+        began, client = self.loop.now(), Client(self.loop, (host, port), round(self.setup.probe_timeout_s * 1e6))
+        self.probing[worker] = client
+        self.counts["probes"] += 1
+
+        def answered(answer):
+            del self.probing[worker]
+            client.close()
+            self.core.probed(worker, outcome_of(answer), self.loop.now() - began,
+                             orca_report(answer.headers.get(ORCA_HEADER)))
+            self._soon()
+
+        client.ask("GET", "/probe", [], b"", answered, round(self.setup.probe_timeout_s * 1e6))
+
+    def figures(self):
+        """What the manager counts, for its last log line and for measurements."""
+        return {"lines_sent": self.channel.lines_sent, "lines_longest": self.channel.longest,
+                "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
+                **self.counts}
+
+    def close(self):
+        """Stop: slices go to those who live, proxies are let go."""
+        if self.stopped:
+            return
+        epoch = self.custody.farewell(self.loop.now())
+        if epoch is not None:
+            self._propose(epoch)
+        self.stopped = True
+        for proxy in list(self.sessions):
+            self._drop(proxy, "stopped")
+        self.server.close()
+        self.tables.close()
+
+
+def outcome_of(answer):
+    """How a probe ended, in the module's words."""
+    if answer.status == 200:
+        return Outcome.PASSED
+    if answer.status == 503:
+        return Outcome.FULL
+    if answer.status:
+        return Outcome.ERROR
+    if answer.reason == "timed out":
+        return Outcome.TIMED_OUT
+    return Outcome.RESET if answer.sent else Outcome.UNREACHABLE
--- /dev/null
+++ b/ospreyrouter/rehearse/play.py
@@ -0,0 +1,210 @@
+"""Plays a day: in virtual time within one process, or on loopback sockets with a process for each part."""
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+import orjson
+
+from ..files import Disk
+from ..loop import Loop, VirtualNetwork
+from ..manager import ManagerService
+from ..policy import Manager
+from ..standins import Clients, Journal, Proxy, WorkerListService, Workers
+from ..standins.journal import read_journal
+from .audit import audit
+from .day import deployment, worker_specs
+from .watch import Watch
+
+SETTLE_US = 2_500_000  # before traffic: custody is dealt, proxies join
+TAIL_S = 1.0
+
+
+class TeeLog:
+    """Events of a file agent that the audit needs, into the journal; all of them on to the log."""
+
+    KEPT = {"joined_manager", "left_manager", "pushed"}
+
+    def __init__(self, journal, log):
+        self.journal, self.log = journal, log
+
+    def _event(self, level, event, fields):
+        if event in self.KEPT:
+            self.journal.write(event, **fields)
+        if self.log is not None:
+            getattr(self.log, level)(event, **fields)
+
+    def debug(self, event, **fields):
+        if event in self.KEPT:
+            self.journal.write(event, **fields)
+
+    def info(self, event, **fields):
+        self._event("info", event, fields)
+
+    def warning(self, event, **fields):
+        self._event("warning", event, fields)
+
+    def error(self, event, **fields):
+        self._event("error", event, fields)
+
+
+class Script:
+    """Turns the troubles of a day into calls on a stage, by time. A stage carries them out."""
+
+    def __init__(self, day, loop, stage, journal, start_us):
+        self.day, self.loop, self.stage, self.journal = day, loop, stage, journal
+        for row in day.troubles:
+            begin, end = start_us + round(row.at_s * 1e6), start_us + round((row.at_s + row.for_s) * 1e6)
+            loop.at(begin, lambda row=row: self._do(row, True))
+            loop.at(end, lambda row=row: self._do(row, False))
+
+    def _do(self, row, on):
+        self.journal.write("trouble", trouble=row.what, on=on)
+        getattr(self, "_" + row.what)(row, on)
+
+    def _names(self, row):
+        return [f"worker-{k}" for k in row.workers]
+
+    def _worker_crash(self, row, on):
+        names = self._names(row)
+        self.stage.control("workers", "stop" if on else "start", workers=names)
+        self.stage.control("list", "state", workers=names, state="gone" if on else "ready", fresh=not on)
+
+    def _worker_hang(self, row, on):
+        self.stage.control("workers", "hang", workers=self._names(row), on=on)
+
+    def _worker_vanish(self, row, on):
+        self.stage.control("workers", "vanish", workers=self._names(row), on=on)
+
+    def _worker_errors(self, row, on):
+        self.stage.control("workers", "errors", workers=self._names(row), share=row.share if on else 0.0)
+
+    def _answer_lost(self, row, on):
+        self.stage.control("workers", "answer_lost", workers=self._names(row), share=row.share if on else 0.0)
+
+    def _drain(self, row, on):
+        """A worker drains, stops after half the time, and its successor comes up cold at the end."""
+        names = self._names(row)
+        if on:
+            self.stage.control("list", "state", workers=names, state="draining", now=True)
+            self.loop.after(round(row.for_s * 5e5), lambda: (
+                self.stage.control("workers", "stop", workers=names),
+                self.stage.control("list", "state", workers=names, state="gone")))
+        else:
+            self.stage.control("workers", "start", workers=names)
+            self.stage.control("list", "state", workers=names, state="ready", fresh=True)
+
+    def _hidden(self, row, on):
+        if on:
+            self.stage.control("list", "hide", workers=self._names(row))
+        else:
+            self.stage.control("list", "true")
+
+    def _ghosts(self, row, on):
+        zone = self.day.fleet.zones[0]
+        addresses = {f"ghost-{k}": ["127.0.0.1", 9, zone] for k in range(row.count)}
+        self.stage.control("list", "ghosts" if on else "true", addresses=addresses)
+
+    def _manager_kill(self, row, on):
+        (self.stage.kill if on else self.stage.start)(f"manager-{row.manager}")
+
+    def _manager_stall(self, row, on):
+        (self.stage.pause if on else self.stage.resume)(f"manager-{row.manager}")
+
+    def _proxy_kill(self, row, on):
+        (self.stage.kill if on else self.stage.start)(f"proxy-{row.proxy}")
+
+    def _proxy_wipe(self, row, on):
+        if not on:
+            self.stage.wipe(f"proxy-{row.proxy}")
+        (self.stage.kill if on else self.stage.start)(f"proxy-{row.proxy}")
+
+    def _lose_manager(self, row, on):
+        self.stage.control(f"proxy-{row.proxy}", "lose", manager=f"manager-{row.manager}", on=on)
+
+    def _slow_channel(self, row, on):
+        for k in range(self.day.fleet.proxies):
+            self.stage.control(f"proxy-{k}", "slow", us=round(row.ms * 1000) if on else 0)
+
+    def _hot_key(self, row, on):
+        self.stage.control("clients", "hot_key", keys=row.keys, share=row.share, on=on)
+
+
+class VirtualStage:
+    """All parts on one virtual network. `module` may be another manager's decisions, as the audit's tests need."""
+
+    def __init__(self, day, folder, module=Manager, log=None):
+        self.day, self.folder, self.module, self.log = day, folder, module, log
+        self.network = VirtualNetwork(day.seed)
+        fleet = day.fleet
+        self.ports = {"managers": range(11_000, 11_000 + fleet.managers), "agents": range(12_000, 12_000 + fleet.proxies),
+                      "proxies": range(14_000, 14_000 + fleet.proxies), "list": [10_000],
+                      "workers": range(16_000, 16_000 + fleet.workers)}
+        self.setup, self.rows = deployment(day, self.ports), []
+        self.host = self.network.host("rehearsal")
+        self.journal, self.hosts, self.parts, self.lives = Journal(self.host), {}, {}, 0
+        self.journal.rows = self.rows
+        specs = worker_specs(day, self.ports["workers"])
+        self.parts["workers"] = Workers(self.host, self.setup, specs, self.journal, day.seed)
+        self.parts["list"] = WorkerListService(self.network.host("list"), self.setup, specs, self.journal,
+                                               round(fleet.list_notice_s * 1e6))
+        for row in [*self.setup.managers, *self.setup.proxies]:
+            self.start(row.name)
+        proxies = [(row.name, row.zone, ("127.0.0.1", self.ports["proxies"][k]))
+                   for k, row in enumerate(self.setup.proxies)]
+        folders = {row.name: os.path.join(folder, row.folder) for row in self.setup.proxies}
+        self.watch = Watch(self.host, folders, os.path.join(folder, "store"), self.journal)
+        start = self.network.time + SETTLE_US
+        traffic = day.traffic.model_copy(update={"seconds": day.seconds})
+        self.parts["clients"] = Clients(self.host, self.setup, traffic, proxies, self.journal, day.seed, start)
+        Script(day, self.host, self, self.journal, start)
+        self.end = start + round((day.seconds + TAIL_S + max(row.client_timeout_s for row in day.classes)) * 1e6)
+
+    def control(self, part, name, **more):
+        if part in self.parts and (part not in self.hosts or self.hosts[part].alive):
+            self.parts[part].control(name, **more)
+
+    def start(self, name):
+        self.lives += 1
+        host, disk = self.network.host(name), Disk(flush=False)
+        log = TeeLog(self.journal, self.log)
+        if name.startswith("manager"):
+            self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), disk, log,
+                                              self.day.seed * 1000 + self.lives, self.module)
+        else:
+            place = int(name.rpartition("-")[2])
+            self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
+                                     ("127.0.0.1", self.ports["proxies"][place]), self.journal, log,
+                                     f"{self.day.seed}/{self.lives}", disk)
+        self.hosts[name] = host
+
+    def kill(self, name):
+        self.hosts[name].kill()
+        self._down(name)
+
+    def _down(self, name):
+        what = "manager" if name.startswith("manager") else "proxy"
+        self.journal.write(f"{what}_down", **{what: name})
+
+    def pause(self, name):
+        self.hosts[name].pause()
+
+    def resume(self, name):
+        self.hosts[name].resume()
+
+    def wipe(self, name):
+        shutil.rmtree(os.path.join(self.folder, name), ignore_errors=True)
+
+    def run(self):
+        self.network.run(self.end)
+        self.watch.stop()
+        return self.rows
+
+
+def play_virtually(day, folder, module=Manager, log=None):
+    """(account, stage) of the day in virtual time. `folder` gets the files."""
+    stage = VirtualStage(day, folder, module, log)
+    return audit(day, stage.run()), stage
--- /dev/null
+++ b/ospreyrouter/standins/__init__.py
@@ -0,0 +1,13 @@
+"""Stand-ins for what the product serves: workers, their list, plain proxies, clients. Figures they yield are simulated.
+
+Each runs on a loop, real or virtual, writes what passed its sockets into a journal, and takes troubles by
+`control(name, **arguments)`.
+"""
+
+from .clients import Clients
+from .journal import Journal
+from .proxy import Proxy
+from .worker_list import WorkerListService
+from .workers import Workers
+
+__all__ = ["Clients", "Journal", "Proxy", "WorkerListService", "Workers"]
--- /dev/null
+++ b/ospreyrouter/web/client.py
@@ -0,0 +1,143 @@
+"""An HTTP/1.1 client of one connection: one request at a time, in the order they were asked.
+
+    client = Client(loop, address)
+    client.ask("PUT", "/v3/tables", headers, body, on_answer, timeout_us)
+
+`on_answer(answer)` is called once: `answer.status`, or 0 and `answer.reason` where none came. `answer.sent` says
+whether anything of the request was written: if not, it was never begun at the far end.
+"""
+
+from collections import deque
+
+import h11
+
+HEAD_MOST = 32 << 10
+BODY_MOST = 64 << 20  # bytes of an answer
+
+
+class Answer:
+    __slots__ = ("status", "headers", "body", "reason", "sent")
+
+    def __init__(self, status, headers=None, body=b"", reason="", sent=True):
+        self.status, self.headers, self.body, self.reason, self.sent = status, headers or {}, body, reason, sent
+
+
+class _Asked:
+    __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us")
+
+    def __init__(self, *values):
+        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us = values
+
+
+class Client:
+    """One persistent connection, dialled when first needed; it is not dialled again once it broke."""
+
+    def __init__(self, loop, address, connect_timeout_us=1_000_000, on_closed=None):
+        self.loop, self.address, self.on_closed = loop, address, on_closed
+        self.stream, self.http, self.queue, self.current = None, None, deque(), None
+        self.closed, self.timer, self.head, self.body, self.size = False, None, None, [], 0
+        loop.connect(address, connect_timeout_us, self._connected)
+
+    @property
+    def idle(self):
+        return not self.closed and self.current is None and not self.queue
+
+    @property
+    def outstanding(self):
+        return len(self.queue) + (self.current is not None)
+
+    def _connected(self, stream, reason):
+        if self.closed:
+            if stream is not None:
+                stream.start(None, None)
+                stream.close()
+            return
+        if stream is None:
+            self._fail(reason)
+            return
+        self.stream, self.http = stream, h11.Connection(h11.CLIENT, HEAD_MOST)
+        stream.start(self._data, self._fail)
+        self._next()
+
+    def ask(self, method, path, headers, body, on_answer, timeout_us):
+        asked = _Asked(method, path, headers, body, on_answer, timeout_us)
+        if self.closed:
+            self.loop.soon(lambda: on_answer(Answer(0, reason="closed", sent=False)))
+            return
+        self.queue.append(asked)
+        if self.stream is not None and self.current is None:
+            self._next()
+
+    def _next(self):
+        if not self.queue or self.closed:
+            return
+        asked = self.current = self.queue.popleft()
+        self.timer = self.loop.after(asked.timeout_us, lambda: self.abort("timed out"))
+        self.head, self.body, self.size = None, [], 0
+        headers = [("host", "{}:{}".format(*self.address)), *asked.headers, ("content-length", str(len(asked.body)))]
+        data = self.http.send(h11.Request(method=asked.method, target=asked.path, headers=headers))
+        if asked.body:
+            data += self.http.send(h11.Data(data=asked.body))
+        self.stream.write(data + self.http.send(h11.EndOfMessage()))
+
+    def _data(self, data):
+        try:
+            self.http.receive_data(data)
+            while not self.closed and self.current is not None:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    return
+                if isinstance(event, h11.Response):
+                    self.head = event
+                elif isinstance(event, h11.Data):
+                    self.size += len(event.data)
+                    if self.size > BODY_MOST:
+                        self.abort("answer too large")
+                        return
+                    self.body.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self._answered()
+                elif isinstance(event, h11.ConnectionClosed):
+                    return
+        except h11.RemoteProtocolError:
+            self.abort("malformed answer")
+
+    def _answered(self):
+        asked, self.current = self.current, None
+        self.timer.cancel()
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in self.head.headers}
+        answer = Answer(self.head.status_code, headers, b"".join(self.body))
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            asked.on_answer(answer)
+            if self.current is None:
+                self._next()
+        else:
+            asked.on_answer(answer)
+            self.close()
+
+    def _fail(self, reason):
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        current, waiting = self.current, list(self.queue)
+        self.current = None
+        self.queue.clear()
+        if current is not None:
+            current.on_answer(Answer(0, reason=reason, sent=True))
+        for asked in waiting:
+            asked.on_answer(Answer(0, reason=reason, sent=False))
+        if self.on_closed is not None:
+            self.on_closed(reason)
+
+    def abort(self, reason):
+        if self.stream is not None:
+            self.stream.abort(reason)
+        self._fail(reason)
+
+    def close(self):
+        if self.stream is not None:
+            self.stream.close()
+        self._fail("closed here")
--- /dev/null
+++ b/ospreyrouter/web/server.py
@@ -0,0 +1,154 @@
+"""An HTTP/1.1 server on a loop.
+
+    Server(loop, address, handle, counts)
+    handle(request)      # answer now or later by request.answer(status, headers, body)
+
+What is malformed or too large is counted in `counts`, answered if the peer still listens, and that peer alone
+is closed. A request that has been answered, or whose peer is gone, may be answered again without effect.
+"""
+
+from collections import Counter
+
+import h11
+
+from ..loop import Refused
+
+HEAD_MOST = 32 << 10  # bytes of a request's head
+
+
+class Request:
+    """One request; `connection.context` is the handler's to use for as long as the connection lasts."""
+
+    __slots__ = ("method", "path", "headers", "body", "connection", "answered")
+
+    def __init__(self, method, path, headers, body, connection):
+        self.method, self.path, self.headers, self.body = method, path, headers, body
+        self.connection, self.answered = connection, False
+
+    def answer(self, status, headers=(), body=b""):
+        if not self.answered:
+            self.answered = True
+            self.connection._answer(status, headers, body)
+
+
+class Connection:
+    def __init__(self, server, stream):
+        self.server, self.stream, self.http = server, stream, h11.Connection(h11.SERVER, HEAD_MOST)
+        self.context, self.on_closed, self.head, self.body, self.size = None, None, None, [], 0
+        self.waiting = False
+        stream.start(self._data, self._closed)
+
+    @property
+    def open(self):
+        return self.stream.open
+
+    def _closed(self, reason):
+        self.server.connections.discard(self)
+        if self.on_closed is not None:
+            self.on_closed(reason)
+
+    def close(self):
+        self.stream.close()
+
+    def abort(self, reason):
+        self.stream.abort(reason)
+        if self.on_closed is None:
+            self.server.connections.discard(self)
+
+    def _refuse(self, status, why):
+        self.server.counts[why] += 1
+        try:
+            head = h11.Response(status_code=status, headers=[("connection", "close"), ("content-length", "0")])
+            self.stream.write(self.http.send(head) + self.http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError:
+            pass  # it was in the middle of something: closing says enough
+        self.stream.close()
+
+    def _data(self, data):
+        try:
+            self.http.receive_data(data)
+            self._events()
+        except h11.RemoteProtocolError as problem:
+            self._refuse(getattr(problem, "error_status_hint", 400) or 400, "malformed")
+
+    def _events(self):
+        while self.stream.open and not self.waiting:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    self.stream.write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
+                return
+            if event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self.head, self.body, self.size = event, [], 0
+                length = dict(event.headers).get(b"content-length", b"0")
+                if int(length) > self.server.body_most:
+                    self._refuse(413, "too large")
+                    return
+            elif isinstance(event, h11.Data):
+                self.size += len(event.data)
+                if self.size > self.server.body_most:
+                    self._refuse(413, "too large")
+                    return
+                self.body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                head, body = self.head, b"".join(self.body)
+                self.head, self.body = None, []
+                headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+                request = Request(head.method.decode(), head.target.decode("latin-1"), headers, body, self)
+                self.waiting = True
+                self.server.counts["requests"] += 1
+                self.server.handle(request)
+            elif isinstance(event, h11.ConnectionClosed):
+                self.stream.close()
+                return
+
+    def _answer(self, status, headers, body):
+        if not self.stream.open:
+            return
+        head = [*headers, ("content-length", str(len(body)))] if status not in (204, 304) else list(headers)
+        data = self.http.send(h11.Response(status_code=status, headers=head))
+        if body and status not in (204, 304):
+            data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        self.stream.write(data)
+        self.waiting = False
+        if self.http.our_state is h11.MUST_CLOSE:
+            self.stream.close()
+        elif self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            self.server.loop.soon(self._more)
+
+    def _more(self):
+        try:
+            self._events()
+        except h11.RemoteProtocolError:
+            self._refuse(400, "malformed")
+
+
+class Server:
+    """See the top of this module. Raises Refused when the address cannot be had."""
+
+    def __init__(self, loop, address, handle, counts=None, body_most=8 << 20, connections_most=4096):
+        self.loop, self.handle, self.body_most = loop, handle, body_most
+        self.counts = Counter() if counts is None else counts
+        self.connections, self.connections_most = set(), connections_most
+        self.listener = loop.listen(address, self._accepted)
+        self.address = self.listener.address
+
+    def _accepted(self, stream):
+        if len(self.connections) >= self.connections_most:
+            self.counts["too many connections"] += 1
+            stream.start(None, None)
+            stream.abort("too many connections")
+            return
+        self.connections.add(Connection(self, stream))
+
+    def close(self):
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+__all__ = ["Refused", "Request", "Server"]
--- /dev/null
+++ b/ospreyrouter/xds/documents.py
@@ -0,0 +1,278 @@
+"""Tables, levels and pushes as xDS documents. Sources: envoy.config.endpoint.v3, envoy.config.route.v3,
+envoy.service.discovery.v3, envoy.service.health.v3, in the proto3 JSON mapping.
+
+A table is a ClusterLoadAssignment named `slice-N`. What that type lacks stands in the metadata of its first
+locality under the key `ospreyrouter`: manager, fencing number, version, and each line's exact weight.
+"""
+
+import math
+from dataclasses import dataclass
+
+import orjson
+
+TYPE = "type.googleapis.com/"
+CLA = TYPE + "envoy.config.endpoint.v3.ClusterLoadAssignment"
+ROUTES = TYPE + "envoy.config.route.v3.RouteConfiguration"
+HEALTH = TYPE + "envoy.service.health.v3.EndpointHealthResponse"
+KEY = "ospreyrouter"
+WEIGHT_UNIT = 10_000  # an integer weight of this much is a share of 1
+LINES_MOST = 10_000  # lines of one table: more is not a table of ours
+RETRY_ON = {"none": None, "proven": ("connect-failure,refused-stream", 1),
+            "once": ("5xx,reset,connect-failure,refused-stream", 1),
+            "twice": ("5xx,reset,connect-failure,refused-stream", 2)}
+ALL_TABLES = "*"  # stands for every table of one manager
+
+
+class BadDocument(Exception):
+    """A document that is not what it should be; the text names the field and the reason."""
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a table: a worker, where it listens, its weight relative to the other lines."""
+
+    worker: str
+    host: str
+    port: int
+    zone: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """One slice's table as one version has it; versions order by (fencing number at writing, count)."""
+
+    slice: int
+    manager: str
+    version: tuple
+    lines: tuple
+
+
+def need(data, field, kind, where):
+    """The value of `field`, of the type asked for. Raises BadDocument."""
+    value = data.get(field) if isinstance(data, dict) else None
+    if not isinstance(value, kind) or isinstance(value, bool) and kind is not bool:
+        raise BadDocument(f"{where}.{field}: {'is missing' if value is None else 'has the wrong type'}")
+    if isinstance(value, float) and not math.isfinite(value):
+        raise BadDocument(f"{where}.{field}: is not finite")
+    return value
+
+
+def load(body, what):
+    """JSON bytes to a value. Raises BadDocument; NaN and infinities are not JSON."""
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError as problem:
+        raise BadDocument(f"{what}: {problem}") from None
+
+
+def dump(value):
+    return orjson.dumps(value)
+
+
+def version_text(version):
+    return f"{version[0]}.{version[1]}"
+
+
+def version_of(text, where="version"):
+    fence, dot, count = text.partition(".") if isinstance(text, str) else ("", "", "")
+    if not (dot and fence.isdigit() and count.isdigit() and len(text) < 40):
+        raise BadDocument(f"{where}: {text!r:.60} is no version")
+    return (int(fence), int(count))
+
+
+def slice_of(name, where="cluster_name"):
+    head, _, number = name.rpartition("-")
+    if head != "slice" or not number.isdigit() or len(number) > 6:
+        raise BadDocument(f"{where}: {name!r:.60} names no slice")
+    return int(number)
+
+
+def address(host, port):
+    return {"socketAddress": {"address": host, "portValue": port}}
+
+
+def address_of(data, where):
+    place = need(need(data, "address", dict, where), "socketAddress", dict, f"{where}.address")
+    port = need(place, "portValue", int, where)
+    if not 0 < port < 65536:
+        raise BadDocument(f"{where}.portValue: {port} is no port")
+    return need(place, "address", str, where), port
+
+
+def table_resource(table, withheld=(), levels=None):
+    """The ClusterLoadAssignment of a table; lines of withheld workers are DRAINING, levels are drop overloads."""
+    zones = {}
+    for line in table.lines:
+        zones.setdefault(line.zone, []).append(line)
+    endpoints = []
+    for zone, lines in sorted(zones.items()) or [("", [])]:
+        endpoints.append({"locality": {"zone": zone}, "lbEndpoints": [{
+            "endpoint": {"address": address(line.host, line.port), "hostname": line.worker},
+            "healthStatus": "DRAINING" if line.worker in withheld else "HEALTHY",
+            "loadBalancingWeight": max(1, round(line.weight * WEIGHT_UNIT)),
+        } for line in lines]})
+    endpoints[0]["metadata"] = {"filterMetadata": {KEY: {
+        "manager": table.manager, "version": version_text(table.version),
+        "weights": {line.worker: line.weight for line in table.lines}}}}
+    resource = {"@type": CLA, "clusterName": f"slice-{table.slice}", "endpoints": endpoints}
+    if levels:
+        resource["policy"] = {"dropOverloads": drops(levels)}
+    return resource
+
+
+def drops(levels):
+    """Levels by class as drop overloads: what is dropped is what is not let in."""
+    return [{"category": name, "dropPercentage": {
+        "numerator": round((1.0 - min(1.0, amount)) * 1_000_000), "denominator": "MILLION"}}
+        for name, (amount, _) in sorted(levels.items())]
+
+
+def levels_of(resource, where):
+    levels = {}
+    for row in (resource.get("policy") or {}).get("dropOverloads", []):
+        part = need(row, "dropPercentage", dict, where)
+        if part.get("denominator") != "MILLION":
+            raise BadDocument(f"{where}.dropPercentage.denominator: is not MILLION")
+        numerator = part.get("numerator", 0)
+        if not isinstance(numerator, int) or not 0 <= numerator <= 1_000_000:
+            raise BadDocument(f"{where}.dropPercentage.numerator: {numerator!r} is no share")
+        levels[need(row, "category", str, where)] = 1.0 - numerator / 1_000_000
+    return levels
+
+
+def table_of(resource, where="table"):
+    """The table of a ClusterLoadAssignment, and the workers that it withholds. Raises BadDocument."""
+    if not isinstance(resource, dict) or resource.get("@type") != CLA:
+        raise BadDocument(f"{where}: is not a ClusterLoadAssignment")
+    item = slice_of(need(resource, "clusterName", str, where), f"{where}.clusterName")
+    where = f"{where} slice-{item}"
+    places = need(resource, "endpoints", list, where)
+    if not places:
+        raise BadDocument(f"{where}.endpoints: is empty: the version is missing")
+    own = need(need(need(places[0], "metadata", dict, where), "filterMetadata", dict, where), KEY, dict, where)
+    weights, lines, withheld = need(own, "weights", dict, where), [], set()
+    for place in places:
+        zone = need(place, "locality", dict, where).get("zone", "")
+        for row in place.get("lbEndpoints", []):
+            worker = need(row, "endpoint", dict, where)
+            name = need(worker, "hostname", str, where)
+            host, port = address_of(worker, where)
+            if need(row, "loadBalancingWeight", int, where) < 1:
+                raise BadDocument(f"{where}.loadBalancingWeight: is below 1")
+            weight = need(weights, name, (int, float), f"{where}.weights")
+            if not weight > 0:
+                raise BadDocument(f"{where}.weights.{name}: is not above 0")
+            lines.append(Line(name, host, port, zone, float(weight)))
+            if row.get("healthStatus") == "DRAINING":
+                withheld.add(name)
+    if len(lines) > LINES_MOST:
+        raise BadDocument(f"{where}: more than {LINES_MOST} lines")
+    if len({line.worker for line in lines}) != len(lines):
+        raise BadDocument(f"{where}: a worker stands twice")
+    version = version_of(need(own, "version", str, where), f"{where}.version")
+    return Table(item, need(own, "manager", str, where), version, tuple(lines)), withheld
+
+
+def response(version, type_url, resources, nonce=""):
+    """A DiscoveryResponse."""
+    return {"versionInfo": version, "typeUrl": type_url, "nonce": nonce, "resources": resources}
+
+
+def resources_of(data, type_url, where):
+    """The resources of a DiscoveryResponse of that type. Raises BadDocument."""
+    if need(data, "typeUrl", str, where) != type_url:
+        raise BadDocument(f"{where}.typeUrl: is not {type_url}")
+    return need(data, "resources", list, where)
+
+
+def routes_resource(manager, levels, withheld):
+    """How a manager's proxies try again, by class; its levels and withheld workers in the metadata."""
+    routes = []
+    for name, (amount, retry) in sorted(levels.items()):
+        way = RETRY_ON[retry]
+        policy = {"retryOn": way[0], "numRetries": way[1]} if way else {"numRetries": 0}
+        routes.append({"match": {"prefix": "/", "headers": [{"name": "x-class", "stringMatch": {"exact": name}}]},
+                       "route": {"clusterHeader": "x-slice", "retryPolicy": policy},
+                       "metadata": {"filterMetadata": {KEY: {"level": amount, "retry": retry}}}})
+    host = {"name": manager, "domains": [manager], "routes": routes,
+            "metadata": {"filterMetadata": {KEY: {"withheld": sorted(withheld)}}}}
+    return {"@type": ROUTES, "name": manager, "virtualHosts": [host]}
+
+
+def routes_of(resource, where="routes"):
+    """(manager, levels by class, withheld workers) of a RouteConfiguration. Raises BadDocument."""
+    if not isinstance(resource, dict) or resource.get("@type") != ROUTES:
+        raise BadDocument(f"{where}: is not a RouteConfiguration")
+    manager, levels = need(resource, "name", str, where), {}
+    host = (need(resource, "virtualHosts", list, where) or [None])[0]
+    for row in need(host, "routes", list, where):
+        header = (need(need(row, "match", dict, where), "headers", list, where) or [None])[0]
+        name = need(need(header, "stringMatch", dict, where), "exact", str, where)
+        own = need(need(need(row, "metadata", dict, where), "filterMetadata", dict, where), KEY, dict, where)
+        amount, retry = need(own, "level", (int, float), where), need(own, "retry", str, where)
+        if amount < 0 or retry not in RETRY_ON:
+            raise BadDocument(f"{where}.{name}: no such level or way to try again")
+        levels[name] = (float(amount), retry)
+    own = need(need(need(host, "metadata", dict, where), "filterMetadata", dict, where), KEY, dict, where)
+    withheld = need(own, "withheld", list, where)
+    if not all(isinstance(name, str) for name in withheld):
+        raise BadDocument(f"{where}.withheld: has the wrong type")
+    return manager, levels, frozenset(withheld)
+
+
+@dataclass(slots=True)
+class Push:
+    """What a manager sends to a proxy at one time: whole tables that changed, workers withheld or let in again,
+    levels in force, and a mark to be answered. `fence` is the sender's fencing number."""
+
+    manager: str
+    fence: int
+    number: int
+    mark: int | None
+    tables: list
+    withheld: dict
+    levels: dict
+
+
+def push_body(push):
+    """The body of a PUT: an array of DiscoveryResponses, one a type."""
+    version = f"{push.fence}.{push.number}"
+    nonce = "" if push.mark is None else str(push.mark)
+    parts = [response(version, CLA, [table_resource(table) for table in push.tables], nonce)]
+    if push.withheld:
+        health = [{"endpoint": {"hostname": name}, "healthStatus": "DRAINING" if out else "HEALTHY"}
+                  for name, out in push.withheld.items()]
+        parts.append(response(version, HEALTH, [{"@type": HEALTH, "endpointsHealth": health}], nonce))
+    if push.levels:
+        parts.append(response(version, ROUTES, [routes_resource(push.manager, push.levels, ())], nonce))
+    return dump(parts)
+
+
+def push_of(body, manager):
+    """The push in a PUT's body. Raises BadDocument."""
+    parts = load(body, "push")
+    if not isinstance(parts, list) or not 1 <= len(parts) <= 3:
+        raise BadDocument("push: is not an array of one to three DiscoveryResponses")
+    fence, number = version_of(need(parts[0], "versionInfo", str, "push"), "push.versionInfo")
+    nonce = need(parts[0], "nonce", str, "push")
+    if nonce and not (nonce.isdigit() and len(nonce) < 10):
+        raise BadDocument(f"push.nonce: {nonce!r:.40} is no mark")
+    push = Push(manager, fence, number, int(nonce) if nonce else None, [], {}, {})
+    push.tables = [table_of(row, "push")[0] for row in resources_of(parts[0], CLA, "push")]
+    for part in parts[1:]:
+        kind = need(part, "typeUrl", str, "push")
+        if kind == HEALTH:
+            for resource in need(part, "resources", list, "push"):
+                for row in need(resource, "endpointsHealth", list, "push"):
+                    status = need(row, "healthStatus", str, "push.endpointsHealth")
+                    if status not in ("DRAINING", "HEALTHY"):
+                        raise BadDocument(f"push.endpointsHealth.healthStatus: {status!r:.40} is not known here")
+                    name = need(need(row, "endpoint", dict, "push"), "hostname", str, "push.endpointsHealth")
+                    push.withheld[name] = status == "DRAINING"
+        elif kind == ROUTES:
+            for resource in need(part, "resources", list, "push"):
+                push.levels.update(routes_of(resource, "push")[1])
+        else:
+            raise BadDocument(f"push.typeUrl: {kind!r:.80} is not known here")
+    return push
