--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,10 +1,11 @@
 #!/bin/sh
-# Makes .venv anew whenever the pinned requirements are not the ones it was made from.
+# Makes .venv anew whenever the pinned requirements or the package's own entry are not those it was made from.
 set -eu
 cd "$(dirname "$0")/.."
-if ! cmp -s requirements.txt .venv/requirements.built; then
+if ! cat requirements.txt pyproject.toml | cmp -s - .venv/built-from; then
     rm -rf .venv
     python3 -m venv .venv
     .venv/bin/python -m pip -q install --disable-pip-version-check -r requirements.txt
-    cp requirements.txt .venv/requirements.built
+    .venv/bin/python -m pip -q install --disable-pip-version-check --no-deps -e .
+    cat requirements.txt pyproject.toml > .venv/built-from
 fi
--- /dev/null
+++ b/ospreyrouter/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m ospreyrouter`: the same as the command `ospreyrouter`."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/ospreyrouter/cli/serve.py
@@ -0,0 +1,54 @@
+"""What the long-running commands share: logs, the loop, orderly stops, one line for bad input."""
+
+import logging
+import signal
+import sys
+
+import click
+import structlog
+
+from ..loop import Loop, Refused
+
+
+class BadInput(click.ClickException):
+    """One line on standard error, exit 2, nothing started."""
+
+    exit_code = 2
+
+    def format_message(self):
+        return self.message
+
+    def show(self, file=None):
+        click.echo(self.format_message(), err=True)
+
+
+def open_log(level="info"):
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+    return structlog.get_logger()
+
+
+def serve(build, log, name):
+    """`build(loop)` makes a service with `close()`; runs until SIGTERM or SIGINT. A port in use is bad input."""
+    loop = Loop()
+    try:
+        service = build(loop)
+    except Refused as problem:
+        raise BadInput(f"{name}: listen: {problem}") from None
+    except OSError as problem:
+        raise BadInput(f"{problem.filename or name}: {problem.strerror}") from None
+
+    def stop():
+        service.close()
+        loop.after(100_000, loop.stop)  # what was said last still goes out
+
+    loop.on_signal(signal.SIGTERM, stop)
+    loop.on_signal(signal.SIGINT, stop)
+    print("ready", flush=True)
+    log.info("started", name=name)
+    loop.run()
+    log.info("stopped", name=name, turns=loop.turns, longest_turn_us=loop.longest_turn_us)
+    return service
--- a/ospreyrouter/rehearse/__init__.py
+++ b/ospreyrouter/rehearse/__init__.py
@@ -3,5 +3,6 @@
 from .audit import audit
 from .day import Day, day_schema
 from .play import play_virtually
+from .processes import play_on_sockets
 
-__all__ = ["Day", "audit", "day_schema", "play_virtually"]
+__all__ = ["Day", "audit", "day_schema", "play_on_sockets", "play_virtually"]
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -1,20 +1,13 @@
-"""Plays a day: in virtual time within one process, or on loopback sockets with a process for each part."""
+"""Plays a day in virtual time, all parts in one process; `Script` also serves the days on sockets."""
 
 import os
 import shutil
-import signal
-import subprocess
-import sys
-import time
-
-import orjson
 
 from ..files import Disk
-from ..loop import Loop, VirtualNetwork
+from ..loop import VirtualNetwork
 from ..manager import ManagerService
 from ..policy import Manager
 from ..standins import Clients, Journal, Proxy, WorkerListService, Workers
-from ..standins.journal import read_journal
 from .audit import audit
 from .day import deployment, worker_specs
 from .watch import Watch
--- a/ospreyrouter/standins/clients.py
+++ b/ospreyrouter/standins/clients.py
@@ -18,6 +18,7 @@
         self.start_us, self.end_us = start_us, start_us + round(traffic.seconds * 1e6)
         self.key_weights = list(accumulate(1 / (rank + 1) ** traffic.zipf for rank in range(traffic.keys)))
         self.open, self.hot = 0, None
+        self.next_at = start_us
         loop.at(start_us, self._arrive)
 
     def control(self, name, **more):
@@ -27,10 +28,12 @@
             raise ValueError(f"unknown trouble of clients: {name}")
 
     def _arrive(self):
-        now = self.loop.now()
+        # From the moment it was due, not from now: a busy process must not thin the traffic.
+        now = self.next_at
         if now >= self.end_us:
             return
-        self.loop.after(max(1, round(self.chance.expovariate(self.traffic.per_s) * 1e6)), self._arrive)
+        self.next_at += max(1, round(self.chance.expovariate(self.traffic.per_s) * 1e6))
+        self.loop.at(self.next_at, self._arrive)
         names = list(self.classes)
         kind = self.classes[self.chance.choices(names, [self.traffic.shares[name] for name in names])[0]]
         self.number += 1
--- a/ospreyrouter/standins/journal.py
+++ b/ospreyrouter/standins/journal.py
@@ -4,8 +4,11 @@
 
 
 class Journal:
-    def __init__(self, loop, path=None):
-        self.loop, self.rows, self.file = loop, [], open(path, "ab", 1 << 16) if path else None
+    """`at_once` for those who may be killed: a row is in the file as soon as it is written."""
+
+    def __init__(self, loop, path=None, at_once=False):
+        self.loop, self.rows = loop, []
+        self.file = open(path, "ab", 0 if at_once else 1 << 16) if path else None
 
     def write(self, what, **fields):
         fields["t"], fields["what"] = self.loop.now(), what
