--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -10,7 +10,6 @@
 import click
 
 from ..deployment import BadDeployment, deployment_schema, read_deployment, read_json
-from ..files import Disk
 from ..manager import ManagerService
 from .serve import BadInput, open_log, serve
 
@@ -47,7 +46,8 @@
     seed = int.from_bytes(Path("/dev/urandom").open("rb").read(4), "big") if seed is None else seed
     log = open_log(log_level)
     folder = str(Path(deployment).parent / setup.store)
-    service = serve(lambda loop: ManagerService(loop, setup, name, folder, Disk(setup.flush), log, seed), log, name)
+    service = serve(lambda loop, calls: ManagerService(loop, setup, name, folder, calls, log, seed), log, name,
+                    setup.flush)
     log.info("figures", manager=name, **service.figures())
 
 
@@ -62,7 +62,7 @@
     place = named(setup.proxies, name, deployment, "proxies")
     log = open_log(log_level)
     folder = str(Path(deployment).parent / place.folder)
-    serve(lambda loop: FileAgent(loop, setup, place, folder, Disk(setup.flush), log), log, name)
+    serve(lambda loop, calls: FileAgent(loop, setup, place, folder, calls, log), log, name, setup.flush)
 
 
 @main.command()
@@ -82,12 +82,12 @@
     log = open_log()
     folder = str(Path(deployment).parent / place.folder)
 
-    def build(loop):
+    def build(loop, calls):
         rows = Journal(loop, journal, at_once=True)
-        one = Proxy(loop, setup, name, folder, ("127.0.0.1", port), rows, TeeLog(rows, log), seed)
+        one = Proxy(loop, setup, name, folder, ("127.0.0.1", port), rows, TeeLog(rows, log), seed, calls)
         return Controlled(loop, one, control, rows)
 
-    serve(build, log, name)
+    serve(build, log, name, setup.flush)
 
 
 @main.group()
--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -7,6 +7,7 @@
 import click
 import structlog
 
+from ..helper import ProcessCalls
 from ..loop import Loop, Refused
 
 
@@ -31,12 +32,15 @@
     return structlog.get_logger()
 
 
-def serve(build, log, name):
-    """`build(loop)` makes a service with `close()`; runs until SIGTERM or SIGINT. A port in use is bad input."""
-    loop = Loop()
+def serve(build, log, name, flush=None):
+    """`build(loop)` makes a service with `close()`; runs until SIGTERM or SIGINT. A port in use is bad input.
+    Where `flush` is given the service gets a disk helper too, which flushes or leaves that to the system."""
+    loop, calls = Loop(), None
     try:
-        service = build(loop)
+        calls = ProcessCalls(loop, flush) if flush is not None else None
+        service = build(loop, calls) if calls else build(loop)
     except Refused as problem:
+        calls and calls.close()
         raise BadInput(f"{name}: listen: {problem}") from None
     except OSError as problem:
         raise BadInput(f"{problem.filename or name}: {problem.strerror}") from None
@@ -50,5 +54,7 @@
     print("ready", flush=True)
     log.info("started", name=name)
     loop.run()
+    if calls is not None:
+        calls.ended()
     log.info("stopped", name=name, turns=loop.turns, longest_turn_us=loop.longest_turn_us)
     return service
--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -1,6 +1,8 @@
 """The file agent beside a proxy: joins managers, takes pushed tables, swaps them in as files, answers.
 
-    agent = FileAgent(loop, setup, place, disk, log, on_swap=proxy.reload, sums=proxy.sums)
+    agent = FileAgent(loop, setup, place, folder, calls, log, on_swap=proxy.reload, sums=proxy.sums)
+
+What changes the files is done one after the other, by `calls` (the disk helper): the loop does not wait for a disk.
 
 Manager to agent: `PUT /v3/tables/MANAGER` (an array of DiscoveryResponses; `Content-Digest`, RFC 9530; `If-Match`
 with the tag of the message before it, RFC 9110) and `PUT /v3/custody/MANAGER`. Agent to manager, on a connection
@@ -9,7 +11,7 @@
 None, or why the proxy could not use it.
 """
 
-from collections import Counter
+from collections import Counter, deque
 from random import Random
 
 from ..loop import Refused
@@ -17,9 +19,8 @@
 from ..xds.documents import (CLA, BadDocument, dump, load, need, push_of, response, routes_resource, table_of,
                              table_resource, version_of)
 from ..xds.documents import ROUTES
-from .ledger import Ledger, Orders, Rejected
+from .ledger import Ledger, Rejected
 from .reader import TableReader, fences_text, parse_fences
-from .sets import FileSet
 
 REDIAL_US = (100_000, 500_000)  # between attempts to join; drawn, so that proxies do not return in step
 REDIAL_MOST_US = 4_000_000
@@ -37,39 +38,67 @@
 class FileAgent:
     """See the top of this module. `place` has name, zone, agent address and usual_per_s."""
 
-    def __init__(self, loop, setup, place, folder, disk, log, on_swap=lambda: None, sums=None, seed=0):
+    def __init__(self, loop, setup, place, folder, calls, log, on_swap=lambda: None, sums=None, seed=0):
         self.loop, self.setup, self.place, self.log, self.on_swap = loop, setup, place, log, on_swap
         self.sums, self.chance, self.counts = sums, Random(f"{place.name}/{seed}"), Counter()
-        self.files, self.ledger = FileSet(folder, disk), Ledger()
+        self.folder, self.calls, self.ledger, self.number = folder, calls, Ledger(), 0
         self.addresses = {row.name: row.listen.pair for row in setup.managers}
         self.joined = {name: Joined() for name in self.addresses}
         self.answer_after_us = 0  # a trouble that rehearsals play: the agent answers that much later
-        self._restore(folder)
+        self.changes, self.changing, self.closed = deque(), True, False
         self.server = Server(loop, place.agent.pair, self._request, self.counts, BODY_MOST)
         self.address = self.server.address
-        for name in self.addresses:
-            loop.soon(lambda name=name: self._dial(name))
-        self.loop.after(self.chance.randint(1, round(setup.reports.period_s * 1e6)), self._report)
+        calls.ask("open_set", (folder,), self._opened)
 
     # What is held, and how it changes.
 
-    def _restore(self, folder):
-        if self.files.cleared:
-            self.log.info("leftovers_cleared", proxy=self.place.name, generations=self.files.cleared)
-        if not self.files.number:
+    def _opened(self, result, problem):
+        if problem is not None:
+            self.log.error("disk_refused", proxy=self.place.name, reason=problem.strerror, in_force=0)
+            self.loop.after(REDIAL_MOST_US, lambda: self.calls.ask("open_set", (self.folder,), self._opened))
             return
-        reader = TableReader(folder)
+        self.number, cleared = result
+        if cleared:
+            self.log.info("leftovers_cleared", proxy=self.place.name, generations=cleared)
+        if self.number:
+            self._restore()
+        self.changing = False
+        for name in self.addresses:
+            self._dial(name)
+        self.loop.after(self.chance.randint(1, round(self.setup.reports.period_s * 1e6)), self._report)
+        self._next_change()
+
+    def _restore(self):
+        reader = TableReader(self.folder)
         if not reader.poll():
             # Files that cannot be read are no tables: all is read from the store again.
             self.log.error("files_unreadable", proxy=self.place.name, problem=reader.problem)
             return
         orders = {name: (levels, reader.withheld[name]) for name, levels in reader.levels.items()}
         self.ledger.restored([row[0] for row in reader.tables.values()], orders, reader.fences)
-        self.log.info("files_taken_up", proxy=self.place.name, generation=self.files.number,
+        self.log.info("files_taken_up", proxy=self.place.name, generation=self.number,
                       tables=len(self.ledger.tables))
+        self.on_swap()
+
+    def _change(self, change):
+        """Run `change(done)` when those before it have ended; it calls `done()` once."""
+        self.changes.append(change)
+        self._next_change()
+
+    def _next_change(self):
+        if self.changing or not self.changes:
+            return
+        self.changing = True
+
+        def done():
+            self.changing = False
+            self.loop.soon(self._next_change)
 
-    def _swap(self, staged, changed, reordered):
-        """Write what changed and swap it in; the ledger follows only then. Raises OSError: the old set stands."""
+        self.changes.popleft()(done)
+
+    def _swap(self, staged, changed, reordered, on_done):
+        """Write what changed and swap it in; the ledger follows only then. `on_done(problem, refused)`: an OSError
+        with which the old set stands, and why the proxy could not use the new one."""
         bodies, size = {}, self.setup.tables_a_file
         for page in sorted({item // size for item in changed}):
             rows = []
@@ -83,28 +112,31 @@
         fences = {item: (staged.fences[item], staged.owners.get(item, "")) for item in staged.fences}
         if reordered or fences != self._fences_written:
             resources = [routes_resource(name, row.levels, row.withheld) for name, row in sorted(staged.orders.items())]
-            data = response(str(self.files.number + 1), ROUTES, resources)
+            data = response(str(self.number + 1), ROUTES, resources)
             data["controlPlane"] = {"identifier": fences_text(fences)}
             bodies["orders.json"] = dump(data)
         if not bodies:
             self.ledger = staged
-            return None
-        self.files.replace(bodies)
-        self.ledger, self._fences_written = staged, fences
-        self.counts["swaps"] += 1
-        problem = self.on_swap()
-        if problem:
-            self.counts["sets the proxy refused"] += 1
-            self.log.error("proxy_refused_set", proxy=self.place.name, problem=problem)
-        return problem
+            on_done(None, None)
+            return
 
-    _fences_written = None
+        def swapped(number, problem):
+            if problem is not None:
+                self.counts["disk refused"] += 1
+                self.log.error("disk_refused", proxy=self.place.name, reason=problem.strerror, in_force=self.number)
+                on_done(problem, None)
+                return
+            self.number, self.ledger, self._fences_written = number, staged, fences
+            self.counts["swaps"] += 1
+            refused = self.on_swap()
+            if refused:
+                self.counts["sets the proxy refused"] += 1
+                self.log.error("proxy_refused_set", proxy=self.place.name, problem=refused)
+            on_done(None, refused)
+
+        self.calls.ask("replace_set", (self.folder, bodies), swapped)
 
-    def _staged(self):
-        copy = Ledger()
-        copy.tables, copy.fences, copy.owners = dict(self.ledger.tables), dict(self.ledger.fences), dict(self.ledger.owners)
-        copy.orders = {name: Orders(dict(row.levels), row.withheld) for name, row in self.ledger.orders.items()}
-        return copy
+    _fences_written = None
 
     # What managers push.
 
@@ -118,42 +150,58 @@
             self._refuse(request, 400, "altered body", f"from {path[3]}")
             request.connection.close()
         else:
-            try:
-                (self._tables if path[2] == "tables" else self._custody)(request, path[3])
-            except BadDocument as problem:
-                self._refuse(request, 400, "malformed body", str(problem))
-                request.connection.close()
-            except Rejected as problem:
-                self._refuse(request, 409, problem.reason, str(problem))
-            except OSError as problem:
-                self.counts["disk refused"] += 1
-                self.log.error("disk_refused", proxy=self.place.name, reason=problem.strerror,
-                               in_force=self.files.number)
-                request.answer(507, [("content-type", "text/plain")], str(problem.strerror).encode())
+            take = self._tables if path[2] == "tables" else self._custody
+            self._change(lambda done: self._guarded(request, take, path[3], done))
+
+    def _guarded(self, request, take, manager, done):
+        try:
+            take(request, manager, done)
+        except BadDocument as problem:
+            self._refuse(request, 400, "malformed body", str(problem))
+            request.connection.close()
+            done()
+        except Rejected as problem:
+            self._refuse(request, 409, problem.reason, str(problem))
+            done()
+
+    @staticmethod
+    def _no_room(request, problem):
+        request.answer(507, [("content-type", "text/plain")], str(problem.strerror).encode())
 
     def _refuse(self, request, status, reason, text):
         self.counts[reason] += 1
         self.log.warning("push_refused", proxy=self.place.name, reason=reason, detail=text)
         request.answer(status, [("content-type", "text/plain")], text.encode())
 
-    def _tables(self, request, manager):
+    def _tables(self, request, manager, done):
         joined = self.joined[manager]
         if request.headers.get("if-match") != f'"{joined.session}.{joined.tag}"':
             # A message was lost or comes from a stream that is no more: what it builds on is not held here.
             self._refuse(request, 412, "precondition", f"{manager}: {request.headers.get('if-match', '-'):.60}")
+            done()
             return
         push = push_of(request.body, manager)
         self.log.debug("pushed", proxy=self.place.name, manager=manager, tables=len(push.tables),
                        ordered=request.headers.get("x-ordered-us"), lines=request.headers.get("x-lines"))
-        staged = self._staged()
+        staged = self.ledger.copy()
         changed, reordered = staged.push(push)
-        problem = self._swap(staged, changed, reordered)
-        joined.tag = push.number
-        tag = ("etag", f'"{joined.session}.{joined.tag}"')
-        if self.answer_after_us:
-            self.loop.after(self.answer_after_us, lambda: self._taken(request, manager, push, tag, problem))
-        else:
-            self._taken(request, manager, push, tag, problem)
+        session = joined.session
+
+        def swapped(problem, refused):
+            done()
+            if problem is not None:
+                self._no_room(request, problem)
+                return
+            if joined.session != session:
+                return  # the stream broke meanwhile: what was taken is told when it joins again
+            joined.tag = push.number
+            tag = ("etag", f'"{joined.session}.{joined.tag}"')
+            if self.answer_after_us:
+                self.loop.after(self.answer_after_us, lambda: self._taken(request, manager, push, tag, refused))
+            else:
+                self._taken(request, manager, push, tag, refused)
+
+        self._swap(staged, changed, reordered, swapped)
 
     def _taken(self, request, manager, push, tag, problem):
         request.answer(204, [tag])
@@ -165,22 +213,31 @@
                 answer["errorDetail"] = {"code": 3, "message": problem}
             joined.client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
 
-    def _custody(self, request, manager):
+    def _custody(self, request, manager, done):
         data = load(request.body, "custody")
         fence, items = need(data, "fence", int, "custody"), need(data, "slices", list, "custody")
         if not all(isinstance(item, int) and 0 <= item < self.setup.slices for item in items):
             raise BadDocument("custody.slices: names no slice")
-        staged = self._staged()
+        staged = self.ledger.copy()
         staged.custody(manager, fence, items)
         touched = {item for item in items if item in staged.tables and staged.owner(item) != self.ledger.owner(item)}
-        self._swap(staged, touched, False)
-        request.answer(204)
-        if self.joined[manager].up:
-            self._read(manager, f"custody-{fence}", items)
+
+        def swapped(problem, refused):
+            done()
+            if problem is not None:
+                self._no_room(request, problem)
+                return
+            request.answer(204)
+            if self.joined[manager].up:
+                self._read(manager, f"custody-{fence}", items)
+
+        self._swap(staged, touched, False, swapped)
 
     # What it asks of managers.
 
     def _dial(self, manager):
+        if self.closed:
+            return
         joined = self.joined[manager]
         joined.session, joined.tag, joined.up = "", 0, False
         client = joined.client = Client(self.loop, self.addresses[manager],
@@ -220,41 +277,49 @@
                 self.counts["joins put off"] += 1
                 client.close()
             return
+        self._change(lambda done: self._take_read(manager, client, answer.body, done))
+
+    def _take_read(self, manager, client, body, done):
+        joined = self.joined[manager]
+        if joined.client is not client:
+            done()
+            return
         try:
-            self._take_read(manager, answer.body)
-        except (BadDocument, Rejected) as problem:
+            data = load(body, "answer")
+            if need(data, "typeUrl", str, "answer") != CLA:
+                raise BadDocument("answer.typeUrl: is not that of tables")
+            fence, _ = version_of(need(data, "systemVersionInfo", str, "answer"), "answer.systemVersionInfo")
+            tables = [table_of(need(row, "resource", dict, "answer"), "answer")[0]
+                      for row in need(data, "resources", list, "answer")]
+            given = parse_fences(need(need(data, "controlPlane", dict, "answer"), "identifier", str, "answer"))
+            nonce = need(data, "nonce", str, "answer")
+        except BadDocument as problem:
             self.counts["malformed answer"] += 1
             self.log.warning("answer_refused", proxy=self.place.name, manager=manager, detail=str(problem))
             client.abort("malformed answer")
-        except OSError as problem:
-            self.counts["disk refused"] += 1
-            self.log.error("disk_refused", proxy=self.place.name, reason=problem.strerror, in_force=self.files.number)
-            client.close()
-
-    def _take_read(self, manager, body):
-        joined, data = self.joined[manager], load(body, "answer")
-        if need(data, "typeUrl", str, "answer") != CLA:
-            raise BadDocument("answer.typeUrl: is not that of tables")
-        fence, _ = version_of(need(data, "systemVersionInfo", str, "answer"), "answer.systemVersionInfo")
-        tables = [table_of(need(row, "resource", dict, "answer"), "answer")[0]
-                  for row in need(data, "resources", list, "answer")]
-        given = parse_fences(need(need(data, "controlPlane", dict, "answer"), "identifier", str, "answer"))
-        staged = self._staged()
-        changed = staged.read(manager, fence, tables)
-        for item in given:
-            if fence >= staged.fence(item):
-                staged.fences[item], staged.owners[item] = fence, manager
-                if item in staged.tables and self.ledger.owner(item) != manager:
-                    changed.add(item)
-        self._swap(staged, changed, False)
-        nonce = need(data, "nonce", str, "answer")
-        if not joined.up:
-            joined.session, joined.tag, joined.up, joined.failures = nonce, 0, True, 0
-            self.log.info("joined_manager", proxy=self.place.name, manager=manager, tables=len(changed))
-        answer = {"node": {"id": self.place.name}, "versionInfo": "", "typeUrl": CLA, "responseNonce": nonce}
-        joined.client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
+            done()
+            return
+        staged = self.ledger.copy()
+        changed = staged.read(manager, fence, tables, given)
+
+        def swapped(problem, refused):
+            done()
+            if joined.client is not client:
+                return
+            if problem is not None:
+                client.close()
+                return
+            if not joined.up:
+                joined.session, joined.tag, joined.up, joined.failures = nonce, 0, True, 0
+                self.log.info("joined_manager", proxy=self.place.name, manager=manager, tables=len(changed))
+            answer = {"node": {"id": self.place.name}, "versionInfo": "", "typeUrl": CLA, "responseNonce": nonce}
+            client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
+
+        self._swap(staged, changed, False, swapped)
 
     def _report(self):
+        if self.closed:
+            return
         self.loop.after(round(self.setup.reports.period_s * 1e6), self._report)
         for manager, joined in self.joined.items():
             # A manager that does not answer gets no more sums; they add up at the proxy.
@@ -266,7 +331,9 @@
         return self.ledger.owner(item)
 
     def close(self):
+        self.closed = True
         self.server.close()
+        self.calls.close()
         for joined in self.joined.values():
             if joined.client is not None:
                 client, joined.client = joined.client, None
--- a/ospreyrouter/files/disk.py
+++ b/ospreyrouter/files/disk.py
@@ -13,14 +13,21 @@
     def make_folder(self, path):
         os.mkdir(path)
 
-    def write_new(self, path, body):
+    def append(self, handle, body):
+        view = memoryview(body)
+        while view:
+            view = view[os.write(handle, view):]
+        if self.flush:
+            os.fdatasync(handle)
+
+    def write_new(self, path, body, flush=True):
         """A new file with this content; never an edit of one that is there."""
         handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o644)
         try:
             view = memoryview(body)
             while view:
                 view = view[os.write(handle, view):]
-            if self.flush:
+            if self.flush and flush:
                 os.fsync(handle)
         finally:
             os.close(handle)
--- a/ospreyrouter/files/ledger.py
+++ b/ospreyrouter/files/ledger.py
@@ -77,19 +77,29 @@
         # From a newer owner any version counts: what an older one wrote after losing the slice must go.
         return held is None or fence > self.fence(table.slice) or table.version > held.version
 
-    def read(self, manager, fence, tables):
-        """Tables of the store, through the manager in charge: those of slices that are fenced off are left."""
+    def read(self, manager, fence, tables, given=()):
+        """Tables of the store through the manager in charge, and the slices given to it: those of slices that are
+        fenced off are left as they are. Returns slices whose files are to change."""
         changed = set()
+        before = {item: self.owner(item) for item in given}
         for table in tables:
             if fence < self.fence(table.slice):
                 continue
             if self._newer(table, fence) and table != self.tables.get(table.slice):
                 self.tables[table.slice] = table
                 changed.add(table.slice)
-            if self.owners.get(table.slice) != manager:
-                changed.add(table.slice)
-            self.fences[table.slice], self.owners[table.slice] = fence, manager
-        return changed
+        for item in [*given, *(table.slice for table in tables)]:
+            if fence >= self.fence(item):
+                self.fences[item], self.owners[item] = fence, manager
+        # Another owner has other levels and withholds other workers: the table is shown in a new light.
+        return changed | {item for item, owner in before.items() if item in self.tables and owner != self.owner(item)}
+
+    def copy(self):
+        """A ledger to try a change on: it counts only once the files hold it."""
+        other = Ledger()
+        other.tables, other.fences, other.owners = dict(self.tables), dict(self.fences), dict(self.owners)
+        other.orders = {name: Orders(dict(row.levels), row.withheld) for name, row in self.orders.items()}
+        return other
 
     def owner(self, item):
         table = self.tables.get(item)
--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -33,7 +33,8 @@
         super().__init__(peer)
         self.loop, self.sock, self.out, self.out_size = loop, sock, [], 0
         self.closing, self.flush_due = False, False
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.mask = selectors.EVENT_READ
         loop.selector.register(sock, self.mask, self._ready)
 
@@ -156,6 +157,8 @@
 
     def _ready(self, mask):
         for _ in range(64):
+            if self.sock.fileno() < 0:
+                return
             try:
                 sock, peer = self.sock.accept()
             except (BlockingIOError, InterruptedError):
@@ -278,9 +281,7 @@
         events = self.selector.select(wait)
         began = self.clock()
         for key, mask in events:
-            # An earlier callback of this turn may have closed it.
-            if key.fileobj in self.selector.get_map() and self.selector.get_key(key.fileobj).data == key.data:
-                key.data(mask)
+            key.data(mask)  # each minds by itself that an earlier callback of this turn may have closed it
         self.timers.due(self.clock(), TIMERS_A_TURN)
         ready, self.ready = self.ready, []
         for callback in ready:
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -46,7 +46,8 @@
         self.sums, self.intake, self.effects = Sums(setup.reports.lines_per_s), [], []
         self.marks = {}
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
-        self.now, self.unsupported, self.lines, self.fences = 0, 0, 0, {}
+        self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
+        self.missed = set()
 
     # What happened.
 
@@ -120,7 +121,7 @@
         """Slices this manager is in charge of by the newest epoch: {slice: fence}; `stored` has their tables."""
         if epoch < self.epoch:
             return
-        self.epoch = epoch
+        self.epoch, self.giving = epoch, frozenset()
         fences = self.fences
         for item in sorted(self.tables.keys() - mine.keys()):
             del self.tables[item]
@@ -135,7 +136,6 @@
                 continue  # only fenced anew: nothing about it changed
             table = stored.get(item)
             self.tables[item] = {}
-            self.intake.append(("charged", item, True))
             if table is not None:
                 self.written[item] = table
                 for line in table.lines:
@@ -144,11 +144,25 @@
                     if not row.host:
                         row.host, row.port, row.zone = line.host, line.port, line.zone
                     self.tables[item][place] = line.weight
-                    self.intake.append(("stored", item, place, line.weight))
+            self._hand(item)
         self.fences = dict(mine)
         if given:
             self.effects.append(("read", given))
 
+    def give(self, items):
+        """Slices that are being given to another manager: nothing of them is published any more. None: they stay
+        after all; the module is handed anew those of which it ordered lines meanwhile."""
+        self.giving = frozenset(items)
+        if not items:
+            for item in sorted(self.missed & self.tables.keys()):
+                self.intake.append(("charged", item, False))
+                self._hand(item)
+        self.missed = set()
+
+    def _hand(self, item):
+        self.intake.append(("charged", item, True))
+        self.intake += [("stored", item, place, weight) for place, weight in sorted(self.tables[item].items())]
+
     # One turn of the module.
 
     def turn(self, now):
@@ -196,8 +210,9 @@
     # The module's orders.
 
     def line(self, table, worker, weight):
-        if table not in self.tables:
-            return  # a slice that another manager has by now
+        if table not in self.tables or table in self.giving:
+            self.missed.add(table)
+            return  # a slice that another manager has by now, or soon
         self.lines += 1
         if weight > 0:
             self.tables[table][worker] = weight
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -1,18 +1,20 @@
 """The manager's sockets and files round `ManagerCore`: proxies, the worker list, probes, the store, the clock.
 
-    service = ManagerService(loop, setup, "manager-0", store_folder, disk, log, seed)
+    service = ManagerService(loop, setup, "manager-0", store_folder, calls, log, seed)
 
 Effects are carried out in their order, and none while the own lease has run out: a process that stood still renews
-it and reads who is in charge first. A table is in the store before any proxy gets it.
+it and reads who is in charge first. Disk work is done by `calls` (the helper), in order and off the loop; pushes do
+not wait for it: a successor that finds an older table in the store has the newer fence, so all return to that one.
 """
 
+import os
 from collections import Counter, deque
 
 from ..channel import PacedChannel
 from ..files.reader import fences_text
 from ..interface import Outcome
 from ..policy import Manager
-from ..store import Custody, EpochFiles, ListFile, TableStore
+from ..store import Custody, TableStore, list_path, read_list
 from ..web import Client, Server, content_digest
 from ..xds.documents import CLA, BadDocument, dump, load, need, push_body, table_resource, version_text
 from ..xds.reports import ORCA_HEADER, orca_report, sums_of
@@ -38,7 +40,7 @@
 class ManagerService:
     """See the top of this module."""
 
-    def __init__(self, loop, setup, name, folder, disk, log, seed, module=Manager):
+    def __init__(self, loop, setup, name, folder, calls, log, seed, module=Manager):
         self.loop, self.setup, self.name, self.log = loop, setup, name, log
         names = [row.name for row in setup.managers]
         self.me, self.counts = names.index(name), Counter()
@@ -49,17 +51,17 @@
         self.reads = ReadBudget(channel.lines_per_s)
         self.lease_us = round(setup.custody.lease_s * 1e6)
         self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
-        self.epochs = EpochFiles(folder, self.me, names, disk)
-        self.tables, self.lists = TableStore(folder, name, disk), ListFile(folder, name, disk)
-        if self.tables.cut:
-            self.log.warning("store_tail_cut", manager=name, bytes=self.tables.cut)
+        self.folder, self.names, self.calls = folder, names, calls
+        self.life, self.beats = f"{os.getpid()}-{os.urandom(4).hex()}", 0
+        self.beating = self.looking = self.proposing = False
+        self.tables = TableStore(folder, name, calls, self._log_opened)
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
-        self.unsaved, self.behind = {}, False
+        self.unsaved, self.saving, self.behind = {}, False, False
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
         self.stopped = False
-        cached = self.lists.read()
+        cached = read_list(folder, name)
         if cached is not None:
             self._use_list(cached, cached=True)
         self.server = Server(loop, setup.managers[self.me].listen.pair, self._request, self.counts)
@@ -67,6 +69,12 @@
         self._mind_custody()
         self._follow_list()
 
+    def _log_opened(self, cut, problem):
+        if problem is not None:
+            self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=0)
+        elif cut:
+            self.log.warning("store_tail_cut", manager=self.name, bytes=cut)
+
     # Custody: who is in charge, as the store has it.
 
     def _mind_custody(self):
@@ -75,43 +83,71 @@
         self.loop.after(self.lease_us // 4, self._mind_custody)
         self._renew()
         self._look()
-        proposal = self.custody.proposal(self.loop.now())
+        proposal = None if self.proposing else self.custody.proposal(self.loop.now())
         if proposal is not None:
             self._propose(proposal)
         if self.unsaved:
             self._save([])
 
     def _renew(self):
-        began = self.loop.now()
-        try:
-            self.epochs.write_beat()
-            self.custody.beat_written(began)
-        except OSError as problem:
-            self.counts["lease not renewed"] += 1
-            self.log.error("lease_not_renewed", manager=self.name, reason=problem.strerror)
+        if self.beating:
+            return  # the store has not taken the last one: it is late, and another would only queue behind
+        self.beating, began, self.beats = True, self.loop.now(), self.beats + 1
+
+        def done(_, problem):
+            self.beating = False
+            if problem is None:
+                # The lease runs from before the sign was written: others count from when they see it.
+                self.custody.beat_written(began)
+            else:
+                self.counts["lease not renewed"] += 1
+                self.log.error("lease_not_renewed", manager=self.name, reason=problem.strerror)
+
+        self.calls.ask("beat", (self.folder, self.me, self.names, self.life, self.beats), done)
 
     def _look(self):
-        now = self.loop.now()
-        try:
-            for manager, beat in self.epochs.beats().items():
-                self.custody.beat_seen(now, manager, beat)
-            self.custody.epoch_seen(self.epochs.newest())
-        except OSError as problem:
-            self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
+        if self.looking:
             return
-        self._take_custody()
+        self.looking = True
+        known = self.custody.epoch.number if self.custody.epoch else 0
+
+        def done(found, problem):
+            self.looking = False
+            if self.stopped:
+                return
+            if problem is not None:
+                self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
+                return
+            for manager, beat in found[0].items():
+                self.custody.beat_seen(self.loop.now(), manager, beat)
+            self.custody.epoch_seen(found[1])
+            self.looked = True
+            self._take_custody()
+
+        self.calls.ask("look", (self.folder, self.me, self.names, known), done)
+
+    looked = False
 
     def _propose(self, epoch):
+        # What is given away is published no more from here on, whether or not the number can be had.
         giving = {item for item in self.custody.mine() if epoch.owners[item] != self.me}
-        try:
-            written = self.epochs.create(epoch)
-        except OSError as problem:
-            self.log.error("custody_not_written", manager=self.name, reason=problem.strerror)
-            return
-        if written:
-            self.custody.wrote(epoch)
-            self.log.info("custody_proposed", manager=self.name, epoch=epoch.number, given_away=len(giving))
-        self._look()
+        self.core.give(giving)
+        self.proposing = True
+
+        def done(written, problem):
+            self.proposing = False
+            if problem is not None:
+                self.log.error("custody_not_written", manager=self.name, reason=problem.strerror)
+                self.core.give(())
+            elif written:
+                self.custody.wrote(epoch)
+                self.log.info("custody_proposed", manager=self.name, epoch=epoch.number, given_away=len(giving))
+                self._take_custody()
+            else:
+                self.core.give(())
+                self._look()
+
+        self.calls.ask("create_epoch", (self.folder, self.me, self.names, epoch), done)
 
     def _take_custody(self):
         epoch = self.custody.epoch
@@ -123,7 +159,8 @@
         except OSError as problem:
             self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
         before = len(self.core.tables)
-        self.core.custody(epoch.number, mine, self.tables.newest)
+        self.core.custody(epoch.number, mine, self.tables.newest | {
+            item: table for item, table in self.unsaved.items() if item in mine})
         self.log.info("custody", manager=self.name, epoch=epoch.number, slices=len(mine), before=before)
         self._soon()
 
@@ -168,20 +205,27 @@
         self._soon()
 
     def _save(self, tables):
-        """Into the store before any proxy has it. A store that refuses does not stop drains: it is caught up."""
+        """Into the store. A store that refuses does not stop drains: what it lacks is kept and tried again."""
         self.unsaved.update((table.slice, table) for table in tables)
-        try:
-            self.tables.append(list(self.unsaved.values()))
-        except OSError as problem:
-            self.counts["store refused"] += 1
-            if not self.behind:
-                self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=len(self.unsaved))
-            self.behind = True
+        if self.saving or not self.unsaved:
             return
-        self.unsaved = {}
-        if self.behind:
-            self.behind = False
-            self.log.info("store_caught_up", manager=self.name)
+        self.saving, rows = True, dict(self.unsaved)
+
+        def done(problem):
+            self.saving = False
+            if problem is not None:
+                self.counts["store refused"] += 1
+                if not self.behind:
+                    self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=len(rows))
+                self.behind = True
+                return
+            self.unsaved = {item: table for item, table in self.unsaved.items() if rows.get(item) is not table}
+            if self.behind:
+                self.behind = False
+                self.log.info("store_caught_up", manager=self.name)
+            self._save([])
+
+        self.tables.append(list(rows.values()), done)
 
     # The channel to proxies.
 
@@ -294,7 +338,7 @@
             wait = self.reads.wait_us(lines) / 1e6
             request.answer(503, [("retry-after", str(max(1, round(wait)))), ("connection", "close")])
             return
-        nonce = session.nonce if session is not None else f"{self.epochs.life}.{self.joins}"
+        nonce = session.nonce if session is not None else f"{self.life}.{self.joins}"
         fences = {item: (self.core.epoch, self.name) for item in items}
         answer = {"systemVersionInfo": f"{self.core.epoch}.{self.core.number}", "typeUrl": CLA, "nonce": nonce,
                   "resources": [{"name": f"slice-{table.slice}", "version": version_text(table.version),
@@ -374,15 +418,16 @@
             return
         if not cached:
             self.list_version = version
-            try:
-                self.lists.write(body)
-            except OSError as problem:
-                self.log.error("list_not_kept", manager=self.name, reason=problem.strerror)
+            self.calls.ask("write_file", (list_path(self.folder, self.name), body), self._list_kept)
         self.log.info("list", manager=self.name, version=version, workers=len(rows), cached=cached,
                       draining=sum(row[6] == "draining" for row in rows))
         self.core.listed(self.loop.now(), rows)
         self._soon()
 
+    def _list_kept(self, _, problem):
+        if problem is not None:
+            self.log.error("list_not_kept", manager=self.name, reason=problem.strerror)
+
     def _probe(self, worker, host, port):
         if worker in self.probing:
             return  # the last one has not ended; another would only add to its load
@@ -416,7 +461,7 @@
         for proxy in list(self.sessions):
             self._drop(proxy, "stopped")
         self.server.close()
-        self.tables.close()
+        self.calls.close()
 
 
 def outcome_of(answer):
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -4,6 +4,7 @@
 import shutil
 
 from ..files import Disk
+from ..helper import InlineCalls
 from ..loop import VirtualNetwork
 from ..manager import ManagerService
 from ..policy import Manager
@@ -162,16 +163,17 @@
 
     def start(self, name):
         self.lives += 1
-        host, disk = self.network.host(name), Disk(flush=False)
+        host = self.network.host(name)
+        calls = InlineCalls(host, Disk(flush=False))
         log = TeeLog(self.journal, self.log)
         if name.startswith("manager"):
-            self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), disk, log,
+            self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), calls, log,
                                               self.day.seed * 1000 + self.lives, self.module)
         else:
             place = int(name.rpartition("-")[2])
             self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
                                      ("127.0.0.1", self.ports["proxies"][place]), self.journal, log,
-                                     f"{self.day.seed}/{self.lives}", disk)
+                                     f"{self.day.seed}/{self.lives}", calls)
         self.hosts[name] = host
 
     def kill(self, name):
--- a/ospreyrouter/standins/control.py
+++ b/ospreyrouter/standins/control.py
@@ -28,3 +28,4 @@
 
     def close(self):
         self.journal.flush()
+        getattr(self.part, "close", lambda: None)()
--- a/ospreyrouter/standins/proxy.py
+++ b/ospreyrouter/standins/proxy.py
@@ -7,7 +7,7 @@
 from collections import defaultdict
 from random import Random
 
-from ..files import Disk, FileAgent, TableReader
+from ..files import FileAgent, TableReader
 from ..web import Client, Server
 from ..xds.reports import ORCA_HEADER, orca_report, sums_request
 
@@ -36,15 +36,15 @@
 
 
 class Proxy:
-    def __init__(self, loop, setup, name, folder, address, journal, log, seed, disk=None):
+    def __init__(self, loop, setup, name, folder, address, journal, log, seed, calls):
         self.loop, self.setup, self.name, self.journal = loop, setup, name, journal
         self.place = next(row for row in setup.proxies if row.name == name)
         self.chance = Random(f"{name}/{seed}")
         self.reader = TableReader(folder)
         self.reader.poll()
-        self.met, self.demand, self.summed_at = defaultdict(dict), defaultdict(dict), defaultdict(loop.now)
+        self.met, self.demand, self.summed_at = defaultdict(dict), defaultdict(dict), {}
         self.pools, self.failed, self.away, self.held = defaultdict(list), defaultdict(int), {}, []
-        self.agent = FileAgent(loop, setup, self.place, folder, disk or Disk(setup.flush), log, self.reload, self.sums, seed)
+        self.agent = FileAgent(loop, setup, self.place, folder, calls, log, self.reload, self.sums, seed)
         self.server = Server(loop, address, self._request, connections_most=8192)
         self.address = self.server.address
         self.home = dict(self.agent.addresses)
@@ -160,6 +160,10 @@
     def sums(self, manager):
         """What was met and asked for since the last call, for one manager's slices."""
         now = self.loop.now()
-        span, self.summed_at[manager] = now - self.summed_at[manager], now
+        span = now - self.summed_at.get(manager, now)
+        self.summed_at[manager] = now
         met, demand = self.met.pop(manager, {}), self.demand.pop(manager, {})
         return sums_request(self.name, self.place.zone, met, demand, span)
+
+    def close(self):
+        self.agent.close()
--- a/ospreyrouter/store/epochs.py
+++ b/ospreyrouter/store/epochs.py
@@ -19,18 +19,17 @@
     def __init__(self, folder, me, managers, disk):
         self.folder, self.me, self.managers, self.disk = os.path.join(folder, "custody"), me, managers, disk
         os.makedirs(self.folder, exist_ok=True)
-        self.beat, self.bad = 0, 0
-        self.life = f"{os.getpid()}-{os.urandom(4).hex()}"
+        self.bad, self.life = 0, ""
 
     def _path(self, name):
         return os.path.join(self.folder, name)
 
-    def write_beat(self):
-        """Raises OSError."""
-        self.beat += 1
-        beside = self._path(f".alive-{self.managers[self.me]}-{self.life}")
+    def write_beat(self, life, number):
+        """`life` names the process. Not flushed: a sign of life is worth nothing after a power cut. Raises OSError."""
+        self.life = life
+        beside = self._path(f".alive-{self.managers[self.me]}-{life}")
         self.disk.remove(beside)
-        self.disk.write_new(beside, f"{self.life}/{self.beat}".encode())
+        self.disk.write_new(beside, f"{life}/{number}".encode(), flush=False)
         self.disk.rename(beside, self._path(f"alive-{self.managers[self.me]}"))
 
     def beats(self):
@@ -45,10 +44,12 @@
                     pass
         return beats
 
-    def newest(self):
-        """The newest epoch that can be read, or None."""
+    def newest(self, known=0):
+        """The newest epoch that can be read, or None where there is none after number `known`."""
         for name in sorted((name for name in os.listdir(self.folder) if name.endswith(".json")
                             and name[:-5].isdigit()), reverse=True)[:5]:
+            if int(name[:-5]) <= known:
+                return None
             epoch = self._read(name)
             if epoch is not None:
                 return epoch
