Hard cases of the running manager as tests: faults at every write, fences, stand-stills, liars

Each hard case of the running manager is caused and met: writes that fail, stop half way or are the last; a store that hangs; a manager past its lease, which now also looks whose its slices are before it publishes; agents that stop answering; altered, truncated and misplaced pushes; sixty proxies joining under the read budget; restarts with and without files.

--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -108,7 +108,7 @@
     def _look(self):
         if self.looking:
             return
-        self.looking = True
+        self.looking, began = True, self.loop.now()
         known = self.custody.epoch.number if self.custody.epoch else 0
 
         def done(found, problem):
@@ -121,13 +121,11 @@
             for manager, beat in found[0].items():
                 self.custody.beat_seen(self.loop.now(), manager, beat)
             self.custody.epoch_seen(found[1])
-            self.looked = True
+            self.custody.looked(began)
             self._take_custody()
 
         self.calls.ask("look", (self.folder, self.me, self.names, known), done)
 
-    looked = False
-
     def _propose(self, epoch):
         # What is given away is published no more from here on, whether or not the number can be had.
         giving = {item for item in self.custody.mine() if epoch.owners[item] != self.me}
--- a/ospreyrouter/standins/proxy.py
+++ b/ospreyrouter/standins/proxy.py
@@ -14,6 +14,7 @@
 EJECT_AFTER, EJECT_US = 8, 3_000_000  # tries in a row that fail, and for how long it keeps away
 HOLD_US = 500_000  # a transaction whose slice has no worker waits for so long
 POOL_MOST = 64
+AGAIN = {"none": 0, "proven": 1, "once": 1, "twice": 2}  # tries that may follow the first
 
 
 def slice_of_key(key, slices):
@@ -117,8 +118,15 @@
         client = client or Client(self.loop, (line.host, line.port), 300_000)
         headers = [(name, head[name]) for name in ("x-class", "x-key", "x-work-us", "x-try", "x-transaction")]
         headers += [("x-proxy", self.name), ("x-slice", str(passing.item)), ("x-sent-us", str(began))]
+        way = self._way(passing)
+        if way in ("once", "twice") and passing.attempt <= AGAIN[way]:
+            # A try that may be followed by another is given up early enough to leave time for it.
+            quoted = next(row.quoted_s for row in self.setup.classes if row.name == head["x-class"])
+            passing_until = min(passing.deadline, began + round(quoted * 1.2e6))
+        else:
+            passing_until = passing.deadline
         client.ask("POST", "/t", headers, b"", lambda answer: self._answered(passing, line, client, began, answer),
-                   max(1000, passing.deadline - began))
+                   max(1000, passing_until - began))
         # A try that the client gave up is cancelled: nothing is sent on for one who no longer waits.
         passing.client = client
         passing.request.connection.on_closed = lambda _: passing.client.closed or passing.client.abort("cancelled")
@@ -142,16 +150,20 @@
             self.pools[line.worker].append(client)
         if good:
             passing.request.answer(200)
-        elif self._may_try_again(passing, answer, owner) and passing.request.connection.open:
+        elif self._may_try_again(passing, answer) and passing.request.connection.open:
             self._try(passing)
         else:
             if passing.request.connection.open:
                 self.demand[owner].setdefault((passing.item, passing.head["x-class"]), [0, 0])[1] += 1
             passing.request.answer(504 if answer.status == 0 else answer.status)
 
-    def _may_try_again(self, passing, answer, owner):
-        way = self.reader.levels.get(owner, {}).get(passing.head["x-class"], (1.0, self.setup.retry))[1]
-        if self.loop.now() >= passing.deadline or passing.attempt > {"none": 0, "proven": 1, "once": 1, "twice": 2}[way]:
+    def _way(self, passing):
+        owner = self.agent.owner(passing.item)
+        return self.reader.levels.get(owner, {}).get(passing.head["x-class"], (1.0, self.setup.retry))[1]
+
+    def _may_try_again(self, passing, answer):
+        way = self._way(passing)
+        if self.loop.now() >= passing.deadline or passing.attempt > AGAIN[way]:
             return False
         never_ran = answer.status == 0 and not answer.sent \
             or answer.status == 503 and not self.setup.rules.full_may_have_run
--- a/ospreyrouter/store/custody.py
+++ b/ospreyrouter/store/custody.py
@@ -4,6 +4,7 @@
     custody.beat_written(at)            # own sign of life is in the store; `at` is from before it was written
     custody.beat_seen(now, other, beat) # another's sign of life as read: a changed one proves that it lives
     custody.epoch_seen(epoch)           # the newest division in the store
+    custody.looked(began)               # the store was looked at, beginning at `began`
     if custody.may_publish(now): ...    # checked before every effect
     epoch = custody.proposal(now)       # a division to be written as the next one, or None
 
@@ -33,9 +34,12 @@
         self.me, self.managers, self.slices = me, managers, slices
         self.lease_us, self.patience_us = lease_us, round(lease_us * (1 + drift))
         self.renewed_at, self.seen, self.epoch = None, {}, None
-        self.fenced_anew, self.started_at = False, None
+        self.fenced_anew, self.started_at, self.look_from = False, None, 0
 
     def beat_written(self, at):
+        if self.renewed_at is None or at - self.renewed_at >= self.lease_us:
+            # The lease had run out: slices may be another's by now, whatever the new lease says.
+            self.look_from = at
         self.renewed_at = at if self.renewed_at is None else max(self.renewed_at, at)
         self.started_at = at if self.started_at is None else self.started_at
 
@@ -53,6 +57,10 @@
         if epoch is not None and (self.epoch is None or epoch.number > self.epoch.number):
             self.epoch = epoch
 
+    def looked(self, began):
+        if self.look_from is not None and began >= self.look_from:
+            self.look_from = None
+
     def alive(self, manager, now):
         if manager == self.me:
             return self.may_publish(now)
@@ -66,8 +74,9 @@
         return self.alive(manager, now) and now - self.seen[manager][2] >= self.lease_us
 
     def may_publish(self, now):
-        """Whether the own lease still runs: a process that stood still must renew before it writes anything."""
-        return self.renewed_at is not None and now - self.renewed_at < self.lease_us
+        """Whether the own lease runs: a process that stood still must renew, and look whose the slices are by now,
+        before it writes anything."""
+        return self.renewed_at is not None and self.look_from is None and now - self.renewed_at < self.lease_us
 
     def mine(self):
         return {} if self.epoch is None else {
--- /dev/null
+++ b/tests/stage.py
@@ -0,0 +1,73 @@
+"""Short days in virtual time, and a disk that fails or dies at a chosen call."""
+
+import errno
+import os
+import shutil
+import tempfile
+import unittest
+
+from ospreyrouter.files import Disk
+from ospreyrouter.rehearse.day import Day
+from ospreyrouter.rehearse.play import VirtualStage
+
+CLASSES = [
+    {"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 2.0, "utility": 1.0, "late_utility": 0.2, "repeat": "safe"},
+    {"name": "order", "quoted_s": 1.0, "client_timeout_s": 3.0, "utility": 3.0, "late_utility": 0.1, "repeat": "keyed",
+     "dedup_scope": "cell", "dedup_s": 3.0, "writes": True}]
+
+
+def short_day(seconds=10, troubles=(), fleet=None, traffic=None, slices=12, **more):
+    return Day.model_validate({
+        "name": "short", "seconds": seconds, "seed": 3, "slices": slices, "classes": CLASSES, "flush": False,
+        "fleet": {"zones": ["a", "b"], "managers": 2, "proxies": 3, "workers": 6, "cells": 3, "cold_s": 6.0,
+                  "list_notice_s": 0.3} | (fleet or {}),
+        "traffic": {"per_s": 40.0, "shares": {"look-up": 0.6, "order": 0.4}, "retries": 1,
+                    "work_ms": {"look-up": 100.0, "order": 100.0}, "keys": 200} | (traffic or {}),
+        "rules": {"bare_s": 1.5, "drain_grace_s": 1.5, "cold_share": 0.2, "cold_s": 8.0, "fall_s": 1.0},
+        "channel": {"lines_per_s": 2000.0, "queue_lines": 2000.0, "transit_s": 0.02, "transit_most_s": 0.3},
+        "custody": {"lease_s": 0.6}, "troubles": list(troubles)} | more)
+
+
+class StageCase(unittest.TestCase):
+    def setUp(self):
+        # In memory where that can be had: what these tests check does not depend on the disk, their time does.
+        self.folder = tempfile.mkdtemp(prefix="stage-", dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None)
+        self.addCleanup(shutil.rmtree, self.folder, True)
+
+    def stage(self, day=None, **more):
+        return VirtualStage(day or short_day(), self.folder, **more)
+
+
+class Killed(BaseException):
+    """The process dies at this call: nothing after it happens."""
+
+
+class FailingDisk(Disk):
+    """Lets `calls` calls pass; the next ones fail, or kill, or write half and kill."""
+
+    def __init__(self, calls, how):
+        super().__init__(flush=False)
+        self.calls, self.how, self.made = calls, how, 0
+
+    def _count(self):
+        self.made += 1
+        return self.made > self.calls
+
+    def _fail(self):
+        raise OSError(errno.ENOSPC, "No space left on device") if self.how == "full" else Killed()
+
+
+def failing(name):
+    def call(self, *values, **more):
+        if self._count():
+            if self.how == "half" and name == "write_new":
+                Disk.write_new(self, values[0], values[1][:len(values[1]) // 2])
+            if self.how == "after":
+                getattr(Disk, name)(self, *values, **more)
+            self._fail()
+        return getattr(Disk, name)(self, *values, **more)
+    return call
+
+
+for call_name in ("make_folder", "write_new", "link", "flush_folder", "point", "append", "rename"):
+    setattr(FailingDisk, call_name, failing(call_name))
--- /dev/null
+++ b/tests/test_custody.py
@@ -0,0 +1,122 @@
+"""Custody among managers that cannot speak: any order of beats, stand-stills and proposals."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyrouter.store import Custody, Epoch
+
+LEASE = 1_000_000
+
+
+class Shelf:
+    """The store: signs of life, and epochs whose numbers can be created once."""
+
+    def __init__(self, count, slices=12):
+        self.beats, self.epochs, self.now, self.count = [0] * count, [], 0, count
+        self.managers = [Custody(k, count, slices, LEASE, 0.05) for k in range(count)]
+        self.awake = [True] * count
+
+    def newest(self):
+        return self.epochs[-1] if self.epochs else None
+
+    def step(self, us=250_000):
+        self.now += us
+        for k, one in enumerate(self.managers):
+            if not self.awake[k]:
+                continue
+            self.beats[k] += 1
+            one.beat_written(self.now)
+            for other in range(self.count):
+                if other != k:
+                    one.beat_seen(self.now, other, self.beats[other])
+            one.epoch_seen(self.newest())
+            one.looked(self.now)
+            epoch = one.proposal(self.now)
+            if epoch is not None and epoch.number == len(self.epochs) + 1:
+                self.epochs.append(epoch)
+                one.wrote(epoch)
+
+    def run(self, seconds):
+        for _ in range(int(seconds * 4)):
+            self.step()
+
+    def owners(self):
+        return [len([1 for owner in self.newest().owners if owner == k]) for k in range(self.count)]
+
+    def restart(self, k):
+        self.managers[k], self.awake[k] = Custody(k, self.count, 12, LEASE, 0.05), True
+
+
+class Dealing(unittest.TestCase):
+    def test_deaths_spread_over_all_and_returns_give_back(self):
+        shelf = Shelf(3)
+        shelf.run(4)
+        self.assertEqual(shelf.owners(), [4, 4, 4])
+        shelf.awake[1] = False
+        shelf.run(3)
+        self.assertEqual(shelf.owners()[1], 0)
+        self.assertGreater(min(shelf.owners()[0], shelf.owners()[2]), 4)
+        shelf.restart(1)
+        shelf.run(5)
+        self.assertEqual(shelf.owners(), [4, 4, 4])
+
+    def test_a_restart_fences_off_the_process_before_it(self):
+        shelf = Shelf(2)
+        shelf.run(4)
+        before = dict(shelf.managers[0].mine())
+        shelf.restart(0)
+        shelf.run(2)
+        self.assertEqual(shelf.managers[0].mine().keys(), before.keys())
+        self.assertTrue(all(fence > before[item] for item, fence in shelf.managers[0].mine().items()))
+
+    def test_one_that_stood_still_publishes_nothing_until_it_renewed(self):
+        shelf = Shelf(2)
+        shelf.run(4)
+        shelf.awake[0] = False
+        shelf.run(3)
+        self.assertFalse(shelf.managers[0].may_publish(shelf.now))
+        self.assertEqual(shelf.owners(), [0, 12])
+        shelf.managers[0].beat_written(shelf.now)  # renewed, but it does not know yet whose the slices are
+        self.assertFalse(shelf.managers[0].may_publish(shelf.now))
+        shelf.managers[0].looked(shelf.now - 1)
+        self.assertFalse(shelf.managers[0].may_publish(shelf.now))
+        shelf.managers[0].looked(shelf.now)
+        self.assertTrue(shelf.managers[0].may_publish(shelf.now))
+
+    def test_no_epoch_for_the_dead_from_a_manager_alone_in_its_first_lease(self):
+        one = Custody(0, 2, 4, LEASE, 0.05)
+        one.epoch_seen(Epoch(7, (1, 1, 0, 0), (7, 7, 7, 7)))
+        one.beat_written(0)
+        one.looked(0)
+        self.assertIsNone(one.proposal(LEASE // 2))
+
+    @settings(deadline=None, max_examples=120)
+    @given(st.lists(st.tuples(st.sampled_from(["step", "sleep", "wake", "restart"]), st.integers(0, 2),
+                              st.integers(50_000, 700_000)), max_size=60))
+    def test_a_live_slice_never_has_two_publishers(self, moves):
+        shelf = Shelf(3)
+        for what, k, us in moves:
+            if what == "sleep":
+                shelf.awake[k] = False
+            elif what == "wake":
+                shelf.awake[k] = True
+            elif what == "restart":
+                shelf.restart(k)
+            shelf.step(us)
+            for item in range(12):
+                # Whoever may publish holds a fence; only the newest one counts, and only one manager has it.
+                rows = [(one.mine()[item], k) for k, one in enumerate(shelf.managers)
+                        if one.may_publish(shelf.now) and item in one.mine()]
+                fences = [fence for fence, _ in rows]
+                self.assertEqual(len(fences), len(set(fences)))
+            numbers = [epoch.number for epoch in shelf.epochs]
+            self.assertEqual(numbers, sorted(set(numbers)))
+        shelf.awake = [True] * 3
+        shelf.run(6)
+        self.assertEqual(shelf.owners(), [4, 4, 4])
+
+
+if __name__ == "__main__":
+    unittest.main()
