--- /dev/null
+++ b/Makefile
@@ -0,0 +1,7 @@
+.PHONY: run test build
+build:
+	sh deploy/build.sh
+run: build
+	.venv/bin/ospreyrouter rehearse
+test: build
+	.venv/bin/python -m unittest discover -s tests -t .
--- a/ospreyrouter/channel/paced.py
+++ b/ospreyrouter/channel/paced.py
@@ -106,7 +106,3 @@
             row.lost = True
             self.waiting -= row.lines
         self.written.pop(proxy, None)
-
-    def slowed(self, factor):
-        """The channel sends so many times slower from now on (a trouble that rehearsals play)."""
-        self.lines_per_s /= factor
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -1,6 +1,7 @@
 """`ospreyrouter manager | proxy | standin | rehearse | deployment`."""
 
 import json
+import os
 import shutil
 import sys
 import tempfile
@@ -43,7 +44,7 @@
     """Run one manager of a deployment."""
     setup = checked(read_deployment, deployment)
     named(setup.managers, name, deployment, "managers")
-    seed = int.from_bytes(Path("/dev/urandom").open("rb").read(4), "big") if seed is None else seed
+    seed = int.from_bytes(os.urandom(4), "big") if seed is None else seed
     log = open_log(log_level)
     folder = str(Path(deployment).parent / setup.store)
     service = serve(lambda loop, calls: ManagerService(loop, setup, name, folder, calls, log, seed), log, name,
@@ -111,9 +112,10 @@
         def build(loop):
             rows = Journal(loop, journal)
             if name == "workers":
-                part = Workers(loop, setup, specs, rows, day.seed)
+                part = Workers(loop, setup, specs, rows, day.seed, day.fleet.spare)
             elif name == "list":
-                part = WorkerListService(loop, setup, specs, rows, round(day.fleet.list_notice_s * 1e6))
+                part = WorkerListService(loop, setup, specs, rows, round(day.fleet.list_notice_s * 1e6),
+                                         day.fleet.spare)
             else:
                 proxies = [(row.name, row.zone, ("127.0.0.1", ports["proxies"][k]))
                            for k, row in enumerate(setup.proxies)]
--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -40,7 +40,8 @@
         calls = ProcessCalls(loop, flush) if flush is not None else None
         service = build(loop, calls) if calls else build(loop)
     except Refused as problem:
-        calls and calls.close()
+        if calls is not None:
+            calls.ended()
         raise BadInput(f"{name}: listen: {problem}") from None
     except OSError as problem:
         raise BadInput(f"{problem.filename or name}: {problem.strerror}") from None
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -151,8 +151,11 @@
             for where, address in [*addresses, ("worker_list.listen", self.worker_list.listen)]:
                 if not address.is_loopback():
                     raise ValueError(f"{where}.host: {address.host!r} is not loopback; set open_network to allow it")
-        if self.channel.message_head + 1 > self.channel.queue_lines:
-            raise ValueError("channel.queue_lines: not even one message fits")
+        # Below this the module waits for room that never comes, and nothing is ever published.
+        least = 2 * len(self.proxies) * (self.channel.message_head + 2 + len(self.classes))
+        if self.channel.queue_lines < least:
+            raise ValueError(f"channel.queue_lines: {self.channel.queue_lines:g} is too short: two messages to each of "
+                             f"{len(self.proxies)} proxies take {least:g} lines")
         return self
 
     def interface(self, me):
--- a/ospreyrouter/helper/calls.py
+++ b/ospreyrouter/helper/calls.py
@@ -91,8 +91,9 @@
             self.stream.close()
 
     def ended(self, seconds=5):
-        """Wait for the child, once the loop has stopped; one that hangs on a disk is ended."""
-        self.stream.close()
+        """Wait for the child, once the loop has stopped; one that hangs on a disk is ended. What was not written to
+        it by then is not done."""
+        self.stream.abort("ended")
         try:
             self.process.wait(seconds)
         except subprocess.TimeoutExpired:
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -14,6 +14,7 @@
     managers: int = Field(ge=1, le=16)
     proxies: int = Field(ge=1, le=500)
     workers: int = Field(ge=1, le=1000)
+    spare: int = Field(0, ge=0, description="workers at the end of the numbers that do not run at the start")
     cells: int = Field(3, ge=1, description="groups of workers that drop a repeated key together")
     cores: int = Field(4, ge=1, le=256, description="cores of a worker")
     speeds: list[float] = Field(default=[1.0], min_length=1, description="core speeds, dealt out in turn")
@@ -52,7 +53,7 @@
 
 
 class WorkersTrouble(Trouble):
-    what: Literal["worker_crash", "worker_hang", "worker_vanish", "drain", "hidden"]
+    what: Literal["worker_crash", "worker_hang", "worker_vanish", "drain", "hidden", "retire", "add"]
     workers: list[int] = Field(min_length=1, description="numbers of workers, from 0")
 
 
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -91,6 +91,20 @@
             self.stage.control("workers", "start", workers=names)
             self.stage.control("list", "state", workers=names, state="ready", fresh=True)
 
+    def _retire(self, row, on):
+        """Workers drain for that long, then stop and stay away."""
+        names = self._names(row)
+        if on:
+            self.stage.control("list", "state", workers=names, state="draining", now=True)
+        else:
+            self.stage.control("workers", "stop", workers=names)
+            self.stage.control("list", "state", workers=names, state="gone")
+
+    def _add(self, row, on):
+        if on:
+            self.stage.control("workers", "start", workers=self._names(row))
+            self.stage.control("list", "state", workers=self._names(row), state="ready", fresh=True)
+
     def _hidden(self, row, on):
         if on:
             self.stage.control("list", "hide", workers=self._names(row))
@@ -142,9 +156,9 @@
         self.journal, self.hosts, self.parts, self.lives = Journal(self.host), {}, {}, 0
         self.journal.rows = self.rows
         specs = worker_specs(day, self.ports["workers"])
-        self.parts["workers"] = Workers(self.host, self.setup, specs, self.journal, day.seed)
+        self.parts["workers"] = Workers(self.host, self.setup, specs, self.journal, day.seed, fleet.spare)
         self.parts["list"] = WorkerListService(self.network.host("list"), self.setup, specs, self.journal,
-                                               round(fleet.list_notice_s * 1e6))
+                                               round(fleet.list_notice_s * 1e6), fleet.spare)
         for row in [*self.setup.managers, *self.setup.proxies]:
             self.start(row.name)
         proxies = [(row.name, row.zone, ("127.0.0.1", self.ports["proxies"][k]))
--- a/ospreyrouter/rehearse/processes.py
+++ b/ospreyrouter/rehearse/processes.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 import orjson
 
@@ -29,11 +30,18 @@
 
 
 def free_ports(count):
-    """Ports that were free just now; they stay reserved until all are found."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Ports that were free just now, below those that the system gives to outgoing connections: one of these would
+    be taken by a dialling process before the listener is up."""
+    sockets, place = [], Random().randrange(10_000, 28_000)
     try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
+        while len(sockets) < count:
+            one = socket.socket()
+            try:
+                one.bind(("127.0.0.1", place))
+                sockets.append(one)
+            except OSError:
+                one.close()
+            place = place + 1 if place < 31_900 else 10_000
         return [one.getsockname()[1] for one in sockets]
     finally:
         for one in sockets:
--- a/ospreyrouter/standins/worker_list.py
+++ b/ospreyrouter/standins/worker_list.py
@@ -8,10 +8,10 @@
 class WorkerListService:
     """Holds questions open until something changes. `rows` are worker specs in the order of the day."""
 
-    def __init__(self, loop, setup, rows, journal, notice_us=600_000):
+    def __init__(self, loop, setup, rows, journal, notice_us=600_000, spare=0):
         self.loop, self.setup, self.journal, self.notice_us = loop, setup, journal, notice_us
         self.specs = {row.name: row for row in rows}
-        self.state = {row.name: "ready" for row in rows}
+        self.state = {row.name: "ready" if place < len(rows) - spare else "gone" for place, row in enumerate(rows)}
         self.lives = {row.name: (1, None) for row in rows}  # incarnation, started
         self.hidden, self.ghosts, self.version, self.waiting = set(), {}, 1, []
         self.server = Server(loop, setup.worker_list.listen.pair, self._request)
--- a/ospreyrouter/standins/workers.py
+++ b/ospreyrouter/standins/workers.py
@@ -11,13 +11,14 @@
 class Worker:
     """One worker. Work is in microseconds of a core of speed 1; nothing is really computed."""
 
-    def __init__(self, fleet, spec):
+    def __init__(self, fleet, spec, runs):
         self.fleet, self.spec, self.name = fleet, spec, spec.name
         self.loop, self.chance = fleet.loop, Random(f"{fleet.seed}/{spec.name}")
         self.server, self.port, self.up, self.starts = None, spec.port, False, 0
         self.hung = self.silent = self.fallen = False
         self.errors = self.lost = 0.0
-        self.start(cold=False)
+        if runs:
+            self.start(cold=False)
 
     def start(self, cold):
         self.up, self.hung, self.fallen, self.started = True, False, False, self.loop.now() if cold else None
@@ -135,12 +136,12 @@
 class Workers:
     """All workers of a day. `specs` have name, host, port, zone, cell, cores, speed, queue and the costs."""
 
-    def __init__(self, loop, setup, specs, journal, seed, warm_gain=0.4, warm_us=15_000_000):
+    def __init__(self, loop, setup, specs, journal, seed, spare=0, warm_gain=0.4, warm_us=15_000_000):
         self.loop, self.setup, self.journal, self.seed = loop, setup, journal, seed
         self.rules, self.warm_gain, self.warm_us = setup.rules, warm_gain if setup.warm_keys else 0.0, warm_us
         self.classes = {row.name: row for row in setup.classes}
         self.memories = {}
-        self.workers = {spec.name: Worker(self, spec) for spec in specs}
+        self.workers = {spec.name: Worker(self, spec, place < len(specs) - spare) for place, spec in enumerate(specs)}
 
     def keyed(self, kind):
         return kind in self.classes and self.classes[kind].repeat == "keyed"
