--- /dev/null
+++ b/ospreyrouter/digest/digest.py
@@ -0,0 +1,121 @@
+"""Reports in, lines for the module out. No I/O; one instance a manager.
+
+    digest = Digest(facts, handover)
+    reason = digest.take_in(now, report)     # None, or why the report was dropped
+    lines = digest.lines(now)                # for the module
+    estimates = digest.estimates(now)        # by worker: for people, and for measurements
+
+It feeds what the module decides from; it does not judge health.
+"""
+
+import math
+from collections import Counter
+from random import Random
+
+from ddsketch import DDSketch
+
+from .estimates import FADE_US, WorkerSums
+
+SKETCH = 0.02  # relative accuracy of delays by quantile
+PLAUSIBLE_PER_S = 1_000_000  # tries a second from one reporter at one worker: more is a counter that wrapped
+SPAN_MOST_US = 60_000_000  # a report that says it covers more is not one of ours
+
+
+class Digest:
+    """See the top of this module. `workers` gives a worker's index and its start by name, `None` where unknown."""
+
+    def __init__(self, reporters, handover, zones, classes, slices, seed=0):
+        self.reporters, self.handover, self.zones, self.classes, self.slices = reporters, handover, zones, classes, slices
+        self.rows, self.dropped, self.chance = {}, Counter(), Random(f"digest/{seed}")
+        self.demand_total = self.late_us = 0
+        self.sample, self.detail = 1.0, True
+        self.started, self.indices, self.own = {}, {}, set()
+
+    def worker_started(self, name, index, started_us):
+        """The list says so: `started_us` None for long past. What was reported of a process before it is forgotten."""
+        self.indices[name] = index
+        if self.started.get(name) != started_us:
+            self.started[name] = started_us
+            if name in self.rows and started_us is not None:
+                self.rows[name].forget(started_us)
+
+    def settled_us(self):
+        """How long after its end a span is taken to be wholly reported: reports' spans and ways, as seen."""
+        return self.late_us
+
+    def take_in(self, now, report):
+        reason = self._implausible(report) or self.reporters.admit(now, report)
+        if reason is not None:
+            self.dropped[reason] += 1
+            return reason
+        if self.sample < 1.0:
+            if self.chance.random() >= self.sample:
+                self.dropped["sampled out"] += 1
+                return "sampled out"
+            report.weight /= self.sample
+        self._add(now, report)
+        return None
+
+    def _implausible(self, report):
+        if not 0 < report.span_us <= SPAN_MOST_US or not 0 <= report.sent_us < 1 << 62:
+            return "implausible"
+        most = PLAUSIBLE_PER_S * max(1.0, report.span_us / 1e6)
+        for _, tries, lost, delay, _, _ in report.met:
+            if not 0 <= lost <= tries <= most or not 0 <= delay < math.inf:
+                return "implausible"
+        for _, _, came, lost in report.demand:
+            if not 0 <= lost or not 0 <= came <= most:
+                return "implausible"
+        return None
+
+    def _add(self, now, report):
+        begin, end, weight, zone = report.begin, report.end, report.weight, self.zones.get(report.zone, 0)
+        # Half the span on average, and the way: the slowest of late, falling slowly.
+        late = now - begin
+        self.late_us = max(late, self.late_us - (self.late_us >> 10)) if late < FADE_US else self.late_us
+        rows, indices, started, handover = self.rows, self.indices, self.started, self.handover
+        for worker, tries, lost, delay, load, buckets in report.met:
+            index = indices.get(worker)
+            if index is None:
+                self.dropped["unknown worker"] += 1
+                continue
+            begun = started.get(worker)
+            if begun is not None and begin < begun:
+                self.dropped["before its start"] += 1
+                continue
+            row = rows.get(worker)
+            if row is None:
+                row = rows[worker] = WorkerSums()
+            row.add(now, begin, end, tries, lost, delay, weight)
+            if load and end >= row.load_at:
+                row.load, row.load_at = load, end
+            if self.detail and buckets:
+                if row.sketch is None:
+                    row.sketch = DDSketch(SKETCH)
+                for value, count in buckets:
+                    row.sketch.add(value, count * weight)
+            # A load report that is older than one already handed over is no news.
+            handover.met(now, zone, index, tries * weight, lost * weight, delay * weight, begin,
+                         load if load and end >= row.load_at else None)
+        for item, kind, came, lost in report.demand:
+            place = self.classes.get(kind)
+            if place is None or item >= self.slices:
+                self.dropped["unknown class or slice"] += 1
+            elif item in self.own:
+                self.demand_total += came * weight
+                handover.demand(now, item, place, came * weight, lost * weight, begin)
+            else:
+                self.dropped["not in charge"] += 1
+
+    def lines(self, now):
+        return self.handover.take(now)
+
+    def estimates(self, now):
+        """By worker's name, of all that the list or a report named; one never heard of has no confidence."""
+        settled = self.settled_us()
+        return {name: self.rows.setdefault(name, WorkerSums()).estimate(now, settled) for name in self.indices}
+
+    def delay_quantile(self, worker, part):
+        """The delay in microseconds below which that part of a worker's good answers lies, or None."""
+        row = self.rows.get(worker)
+        return None if row is None or row.sketch is None else row.sketch.get_quantile_value(part)
--- /dev/null
+++ b/ospreyrouter/digest/estimates.py
@@ -0,0 +1,108 @@
+"""What each worker did of late, from all reporters, with how much it can be trusted.
+
+    rows = WorkerSums(worker)
+    rows.add(now, begin, end, tries, lost, delay, weight)     # in any order of arrival: the same end
+    estimate = rows.estimate(now, settled_us)                 # value, age, tries behind it, spread, confidence
+
+Counts are placed in the buckets of the time they were counted in. The newest buckets are incomplete while reports
+are under way; an estimate is of the newest span that is settled, and says how old that is.
+"""
+
+import math
+from dataclasses import dataclass
+
+BUCKET_US = 500_000
+BUCKETS = 32  # of 0.5 s: 16 s of history, longer than any report is useful
+SPAN_BUCKETS = 4  # an estimate is over so many settled buckets
+FADE_US = 10_000_000  # after so long without a report nothing is known any more; until then trust falls evenly
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """Tries a second, part lost, mean delay in us, with age in us, tries behind it, relative spread, confidence."""
+
+    rate: float
+    lost: float
+    delay_us: float
+    age_us: int
+    tries: float
+    spread: float
+    confidence: float
+    contradiction: float
+
+
+class WorkerSums:
+    """Rings of one worker: tries, lost, delay, and squared weights for the spread that sampling adds."""
+
+    __slots__ = ("at", "rows", "heard_at", "newest", "total", "total_lost", "load", "load_at", "sketch", "started_us")
+
+    def __init__(self):
+        self.at, self.rows = 0, [[0.0, 0.0, 0.0, 0.0] for _ in range(BUCKETS)]
+        self.heard_at, self.newest, self.total, self.total_lost = None, 0, 0.0, 0.0
+        self.load, self.load_at, self.sketch, self.started_us = {}, 0, None, None
+
+    def forget(self, started_us):
+        """Another process has its place: what the one before did says nothing of it."""
+        self.__init__()
+        self.started_us = started_us
+
+    def _turn(self, bucket):
+        for step in range(max(self.at + 1, bucket - BUCKETS + 1), bucket + 1):
+            self.rows[step % BUCKETS] = [0.0, 0.0, 0.0, 0.0]
+        self.at = max(self.at, bucket)
+
+    def add(self, now, begin, end, tries, lost, delay, weight=1.0):
+        """Counts of [begin, end), spread evenly; what is older than the ring counts in the totals only."""
+        self._turn(now // BUCKET_US)
+        tries_w, lost_w, delay_w = tries * weight, lost * weight, delay * weight
+        self.total += tries_w
+        self.total_lost += lost_w
+        self.heard_at = now if self.heard_at is None else max(self.heard_at, now)
+        self.newest = max(self.newest, end)
+        end = min(end, now)
+        begin = min(begin, end - 1)
+        first, last, span = begin // BUCKET_US, (end - 1) // BUCKET_US, end - begin
+        square = tries * weight * weight
+        if first == last:
+            if first > self.at - BUCKETS:
+                row = self.rows[first % BUCKETS]
+                row[0] += tries_w
+                row[1] += lost_w
+                row[2] += delay_w
+                row[3] += square
+            return
+        for bucket in range(max(first, self.at - BUCKETS + 1), last + 1):
+            part = (min(end, (bucket + 1) * BUCKET_US) - max(begin, bucket * BUCKET_US)) / span
+            row = self.rows[bucket % BUCKETS]
+            row[0] += tries_w * part
+            row[1] += lost_w * part
+            row[2] += delay_w * part
+            row[3] += square * part
+
+    def estimate(self, now, settled_us):
+        """Over the newest SPAN_BUCKETS whole buckets that ended `settled_us` ago or more."""
+        self._turn(now // BUCKET_US)
+        last = (now - settled_us) // BUCKET_US - 1
+        tries = lost = delay = square = 0.0
+        for bucket in range(last - SPAN_BUCKETS + 1, last + 1):
+            if bucket > self.at - BUCKETS:
+                row = self.rows[bucket % BUCKETS]
+                tries, lost, delay, square = tries + row[0], lost + row[1], delay + row[2], square + row[3]
+        seconds = SPAN_BUCKETS * BUCKET_US / 1e6
+        # Age is that of the middle of what was counted; without any report, of the last one.
+        age = now - ((last + 1) * BUCKET_US - SPAN_BUCKETS * BUCKET_US // 2)
+        silence = now - self.heard_at if self.heard_at is not None else FADE_US
+        # Of a worker that nobody tries nothing new is known, however many reports come from elsewhere.
+        quiet = max(0, silence - settled_us)
+        confidence = max(0.0, 1.0 - quiet / FADE_US) * (1.0 - 1.0 / (1.0 + tries))
+        spread = math.sqrt(square) / tries if tries > 0 else 1.0
+        lost_part = lost / tries if tries > 0 else 0.0
+        return Estimate(tries / seconds, lost_part, delay / (tries - lost) if tries - lost > 0 else 0.0,
+                        max(age, silence) if quiet else age, tries, spread, confidence, self._contradiction(lost_part, now))
+
+    def _contradiction(self, lost_part, now):
+        """The worker says that it is at ease, proxies met losses: 0 no contradiction, 1 a full one."""
+        busy = self.load.get("utilization")
+        if busy is None or now - self.load_at > FADE_US:
+            return 0.0
+        return max(0.0, lost_part - min(1.0, busy))
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -1,7 +1,7 @@
 """What happened, turned into calls of the module; its orders, turned into effects. No I/O; the clock is an argument.
 
     core = ManagerCore(setup, me, seed)
-    core.listed(now, rows); core.joined(now, proxy, fresh); core.swept(...)   # whatever happened
+    core.listed(now, rows); core.joined(now, proxy, fresh)   # whatever happened
     for effect in core.turn(now): ...                                         # to be carried out in this order
 
 Effects are tuples: ("store", tables), ("send", proxies, lines, push), ("probe", worker name, host, port),
@@ -9,10 +9,10 @@
 Nothing is decided here that the module decides: a table's content, when it is sent, who is withheld, levels.
 """
 
+from ..digest import Digest, Handover, Reporters
 from ..interface import ALL_TABLES, Entry, Outcome, Retry, State
 from ..policy import Manager
 from ..xds.documents import Line, Push, Table
-from .sums import Sums
 
 RETRY_NAMES = {Retry.NONE: "none", Retry.PROVEN: "proven", Retry.ONCE: "once", Retry.TWICE: "twice"}
 STATES = {"ready": State.READY, "draining": State.DRAINING}
@@ -31,7 +31,7 @@
 class ManagerCore:
     """See the top of this module. `setup` is a DeploymentFile, `me` this manager's number."""
 
-    def __init__(self, setup, me, seed, module=Manager):
+    def __init__(self, setup, me, seed, module=Manager, handover=Handover):
         self.setup, self.me, self.name = setup, me, setup.managers[me].name
         self.facts = setup.interface(me)
         self.module = module(self.facts, seed)
@@ -41,9 +41,11 @@
         self.workers, self.rows, self.kinds = {}, [], {}
         self.tables = {}  # {slice: {worker index: weight}} of slices in charge, as ordered
         self.written = {}  # {slice: Table} as last published or read from the store
-        self.epoch, self.counts, self.number = 0, {}, 0
+        self.epoch, self.number = 0, 0
         self.levels, self.withheld, self.joined_now = {}, set(), set()
-        self.sums, self.intake, self.effects = Sums(setup.reports.lines_per_s), [], []
+        self.digest = Digest(Reporters(setup.reports.reporters_most), handover(setup.reports.lines_per_s), self.zones,
+                             self.classes, setup.slices, seed)
+        self.intake, self.effects = [], []
         self.marks = {}
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
@@ -70,6 +72,7 @@
                 # seem to tell of another start.
                 row.incarnation, row.started_us = incarnation, None if age is None else now - age
             row.host, row.port, row.zone = host, port, zone
+            self.digest.worker_started(name, place, row.started_us)
             out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
                              STATES[state], weight, row.started_us))
         self.intake.append(("listed", True, out))
@@ -98,25 +101,6 @@
     def probed(self, worker, outcome, delay_us, report):
         self.intake.append(("probed", self.workers[worker], outcome, delay_us, report))
 
-    def reported(self, zone, met, demand):
-        """Sums of one proxy, as `xds.reports.sums_of` gives them; unknown names are counted, not guessed."""
-        if zone not in self.zones:
-            self._count("unknown zone")
-            return
-        for worker, tries, lost, delay, span, report in met:
-            if worker not in self.workers:
-                self._count("unknown worker")
-            elif tries:
-                self.sums.met(self.zones[zone], self.workers[worker], tries, lost, delay, span, report)
-        for item, kind, came, lost, span in demand:
-            if kind not in self.classes or item >= self.setup.slices:
-                self._count("unknown class or slice")
-            elif item in self.tables:
-                self.sums.demand(item, self.classes[kind], came, lost, span)
-
-    def _count(self, what):
-        self.counts[what] = self.counts.get(what, 0) + 1
-
     def custody(self, epoch, mine, stored):
         """Slices this manager is in charge of by the newest epoch: {slice: fence}; `stored` has their tables."""
         if epoch < self.epoch:
@@ -143,9 +127,11 @@
                     row = self.rows[place]
                     if not row.host:
                         row.host, row.port, row.zone = line.host, line.port, line.zone
+                        self.digest.worker_started(line.worker, place, None)
                     self.tables[item][place] = line.weight
             self._hand(item)
         self.fences = dict(mine)
+        self.digest.own = set(self.tables)
         if given:
             self.effects.append(("read", given))
 
@@ -169,7 +155,7 @@
         """Tell the module what happened and return the effects of what it orders."""
         self.now = now
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
-        intake, self.intake = self.intake + self.sums.take(now), []
+        intake, self.intake = self.intake + self.digest.lines(now), []
         self.lines = 0
         self.module.round(now, intake, self)
         self._publish(now)
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -12,12 +12,13 @@
 
 from ..channel import PacedChannel
 from ..files.reader import fences_text
+from ..intake import Intake
 from ..interface import Outcome
 from ..policy import Manager
 from ..store import Custody, TableStore, list_path, read_list
 from ..web import Client, Server, content_digest
 from ..xds.documents import CLA, BadDocument, dump, load, need, push_body, table_resource, version_text
-from ..xds.reports import ORCA_HEADER, orca_report, sums_of
+from ..xds.reports import ORCA_HEADER, orca_report
 from ..xds.worker_list import NAME, list_of
 from .admission import ReadBudget
 from .core import ManagerCore
@@ -58,6 +59,10 @@
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.unsaved, self.saving, self.behind = {}, False, False
+        reports = setup.reports
+        self.intake = Intake(loop, self.core.digest, log, name, round(reports.period_s * 1e6),
+                             round(reports.waiting_mb * 1e6))
+        self.intake.on_fed = self._soon
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
         self.stopped = False
@@ -299,8 +304,10 @@
     # What proxies ask.
 
     def _request(self, request):
-        routes = {"/v3/delta_discovery:endpoints": self._read_store, "/v3/discovery:endpoints": self._answered,
-                  "/v3/load_stats": self._load_stats}
+        if request.path == "/v3/load_stats" and request.method == "POST":
+            self.intake.post(request)
+            return
+        routes = {"/v3/delta_discovery:endpoints": self._read_store, "/v3/discovery:endpoints": self._answered}
         handler = routes.get(request.path)
         if request.method != "POST" or handler is None:
             self.counts["unknown request"] += 1
@@ -380,13 +387,6 @@
             self.core.answered(self.loop.now(), proxy, int(nonce))
             self._soon()
 
-    def _load_stats(self, request, proxy, data):
-        zone, met, demand = sums_of(data)
-        self.core.reported(zone, met, demand)
-        self.counts["sums"] += 1
-        request.answer(204)
-        self._soon()
-
     # The worker list, and probes.
 
     def _follow_list(self):
@@ -446,7 +446,7 @@
         """What the manager counts, for its last log line and for measurements."""
         return {"lines_sent": self.channel.lines_sent, "lines_longest": self.channel.longest,
                 "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
-                **self.counts}
+                **self.counts, "reports": self.intake.figures()}
 
     def close(self):
         """Stop: slices go to those who live, proxies are let go."""
@@ -458,6 +458,7 @@
         self.stopped = True
         for proxy in list(self.sessions):
             self._drop(proxy, "stopped")
+        self.intake.close()
         self.server.close()
         self.calls.close()
 
--- a/ospreyrouter/standins/proxy.py
+++ b/ospreyrouter/standins/proxy.py
@@ -48,6 +48,7 @@
         self.agent = FileAgent(loop, setup, self.place, folder, calls, log, self.reload, self.sums, seed)
         self.server = Server(loop, address, self._request, connections_most=8192)
         self.address = self.server.address
+        self.sequence, self.life = 0, f"{seed}"
         self.home = dict(self.agent.addresses)
 
     def reload(self):
@@ -175,7 +176,8 @@
         span = now - self.summed_at.get(manager, now)
         self.summed_at[manager] = now
         met, demand = self.met.pop(manager, {}), self.demand.pop(manager, {})
-        return sums_request(self.name, self.place.zone, met, demand, span)
+        self.sequence += 1
+        return sums_request(self.name, self.place.zone, met, demand, max(1, span), self.life, self.sequence, now)
 
     def close(self):
         self.agent.close()
--- a/ospreyrouter/xds/reports.py
+++ b/ospreyrouter/xds/reports.py
@@ -6,7 +6,7 @@
 
 import math
 
-from .documents import BadDocument, need, slice_of
+from .documents import BadDocument
 
 ORCA_HEADER = "endpoint-load-metrics"
 # ORCA's names for what workers report, and the module's.
@@ -51,7 +51,7 @@
     return round(value * 1_000_000)
 
 
-def sums_request(proxy, zone, met, demand, span_us):
+def sums_request(proxy, zone, met, demand, span_us, life="1", sequence=0, sent_us=0):
     """`met` by worker: (tries, lost, total delay of the good in us, report); `demand` by (slice, class): (came, lost)."""
     endpoints = []
     for worker, (tries, lost, delay, report) in sorted(met.items()):
@@ -70,48 +70,5 @@
     stats += [{"clusterName": f"slice-{item}", "loadReportInterval": interval(span_us),
                "upstreamLocalityStats": [{"locality": {"zone": zone}, "loadMetricStats": rows}]}
               for item, rows in slices.items()]
-    return {"node": {"id": proxy, "locality": {"zone": zone}}, "clusterStats": stats}
-
-
-def whole(data, field, where, most=10**12):
-    """A count: the JSON mapping writes 64-bit numbers as text, and takes numbers."""
-    value = data.get(field, 0)
-    if isinstance(value, str) and value.isdigit() and len(value) < 16:
-        value = int(value)
-    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= most:
-        raise BadDocument(f"{where}.{field}: {value!r:.40} is no count")
-    return value
-
-
-def sums_of(data, where="sums"):
-    """(zone, met, demand) of a LoadStatsRequest: lists of (worker, tries, lost, delay, span, report) and of
-    (slice, class, came, lost, span). Raises BadDocument."""
-    node = need(data, "node", dict, where)
-    zone, met, demand = need(need(node, "locality", dict, where), "zone", str, where), [], []
-    for cluster in need(data, "clusterStats", list, where):
-        name = need(cluster, "clusterName", str, where)
-        span = interval_us(cluster.get("loadReportInterval", "0s"), f"{where}.loadReportInterval")
-        for place in need(cluster, "upstreamLocalityStats", list, where):
-            if name == "workers":
-                for row in place.get("upstreamEndpointStats", []):
-                    worker = need(need(row, "metadata", dict, where), "worker", str, where)
-                    tries, lost = whole(row, "totalIssuedRequests", where), whole(row, "totalErrorRequests", where)
-                    delay, report = 0.0, {}
-                    for metric in row.get("loadMetricStats", []):
-                        label, value = need(metric, "metricName", str, where), metric.get("totalMetricValue", 0)
-                        if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e15:
-                            raise BadDocument(f"{where}.{label:.40}: {value!r:.40} is no measure")
-                        if label == DELAY:
-                            delay = value
-                        else:
-                            report[label] = float(value)
-                    if lost > tries:
-                        raise BadDocument(f"{where}.{worker:.40}: more lost than tried")
-                    met.append((worker, tries, lost, delay, span, report))
-            else:
-                item = slice_of(name, f"{where}.clusterName")
-                for metric in place.get("loadMetricStats", []):
-                    kind = need(metric, "metricName", str, where)
-                    came = whole(metric, "numRequestsFinishedWithMetric", where)
-                    demand.append((item, kind, came, round(metric.get("totalMetricValue", 0)), span))
-    return zone, met, demand
+    about = {"life": life, "sequence": sequence, "sent_us": sent_us}
+    return {"node": {"id": proxy, "locality": {"zone": zone}, "metadata": about}, "clusterStats": stats}
