--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -175,7 +175,7 @@
         return {"proxies": proxies, "slices": slices, "workers": workers, "cpu_part": round(cpu, 3), "rss_mb": memory,
                 "longest_turn_ms": stopped["longest_turn_us"] / 1000, "mb_pushed": round(figures.get("bytes pushed", 0) / 1e6, 2),
                 "pushes": figures.get("pushes", 0), "lines_longest": figures["lines_longest"], "all_tables_s": round(full_at, 1),
-                "drain_ms": drained, "joins_put_off": figures.get("joins put off", 0), "sums": figures.get("sums", 0)}
+                "drain_ms": drained, "joins_put_off": figures.get("joins put off", 0), "reports": figures["reports"].get("reports", 0)}
     finally:
         for process in processes:
             if process.poll() is None:
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -133,7 +133,7 @@
     levels: Literal["share", "none"] = Field("share", description="whether proxies obey levels")
     retry: Literal["none", "proven", "once", "twice"] = Field("proven", description="how proxies try again unless told")
     warm_keys: bool = Field(False, description="whether a worker works faster on keys that it met lately")
-    tables_a_file: int = Field(32, ge=1, le=1000, description="tables that share one file beside a proxy")
+    tables_a_file: int = Field(8, ge=1, le=1000, description="tables that share one file beside a proxy")
     flush: bool = Field(True, description="whether written files are flushed to the disk before they are swapped in")
     open_network: bool = Field(False, description="allows addresses that are not loopback")
 
--- a/ospreyrouter/digest/handover.py
+++ b/ospreyrouter/digest/handover.py
@@ -11,6 +11,7 @@
 
 OLDEST_PART = 0.25  # of the lines go by age alone
 DUE_US = 4_000_000  # what has waited so long goes before all that only changed
+TAKE_US = 50_000  # lines are chosen this often: choosing costs a look at all that waits
 BURST_S = 1.0  # lines that were not used are saved up for so long at most
 
 
@@ -47,6 +48,7 @@
 
     def __init__(self, lines_per_s):
         self.budget, self.rows, self.waiting, self.told, self.merged = Budget(lines_per_s), {}, {}, 0, 0
+        self.taken_at = None
 
     def met(self, now, zone, worker, tries, lost, delay, begin, report):
         row = self._row(("met", worker), now, begin)
@@ -83,7 +85,10 @@
         return change * sure * (now - row.since + 100_000)
 
     def take(self, now):
-        """Lines for the module, worked out only where not all that waits can go."""
+        """Lines for the module, worked out only where not all that waits can go, and not for each turn of the loop."""
+        if self.taken_at is not None and now - self.taken_at < TAKE_US:
+            return []
+        self.taken_at = now
         lines = self.budget.grant(now)
         if not self.waiting or lines < 1:
             return []
--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -16,9 +16,8 @@
 
 from ..loop import Refused
 from ..web import Client, Server, digest_matches
-from ..xds.documents import (CLA, BadDocument, dump, load, need, push_of, response, routes_resource, table_of,
-                             table_resource, version_of)
-from ..xds.documents import ROUTES
+from ..xds.documents import (CLA, ROUTES, BadDocument, Rendered, dump, load, need, push_of, response, routes_resource,
+                             table_of, version_of)
 from .ledger import Ledger, Rejected
 from .reader import TableReader, fences_text, parse_fences
 
@@ -42,6 +41,7 @@
         self.loop, self.setup, self.place, self.log, self.on_swap = loop, setup, place, log, on_swap
         self.sums, self.chance, self.counts = sums, Random(f"{place.name}/{seed}"), Counter()
         self.folder, self.calls, self.ledger, self.number = folder, calls, Ledger(), 0
+        self.rendered = Rendered()
         self.addresses = {row.name: row.listen.pair for row in setup.managers}
         self.joined = {name: Joined() for name in self.addresses}
         self.answer_after_us = 0  # a trouble that rehearsals play: the agent answers that much later
@@ -106,7 +106,7 @@
                 table = staged.tables.get(item)
                 if table is not None:
                     orders = staged.ordered(staged.owner(item))
-                    rows.append(table_resource(table, orders.withheld, orders.levels))
+                    rows.append(self.rendered.table(table, orders.withheld, orders.levels))
             version = max(staged.tables[item].version for item in changed if item // size == page)
             bodies[f"tables-{page:04d}.json"] = dump(response(f"{version[0]}.{version[1]}", CLA, rows))
         fences = {item: (staged.fences[item], staged.owners.get(item, "")) for item in staged.fences}
--- a/ospreyrouter/intake/service.py
+++ b/ospreyrouter/intake/service.py
@@ -31,6 +31,7 @@
         self.queue, self.pressure, self.slice_us = FairQueue(queue_bytes), Pressure(interval_us), slice_us
         self.counts, self.offences, self.bytes_in = Counter(), {}, Counter()
         self.working = self.closed = False
+        self.senders = 0
         self.waits = {}  # by sender: the longest that a body of it waited since pressure was last weighed
         self.spent_us, self.weighed_at, self.longest_slice_us = 0, loop.now(), 0
         self.on_fed, self.answer = (lambda: None), b""
@@ -39,9 +40,10 @@
 
     def post(self, request):
         connection = request.connection
-        sender = id(connection)
-        if connection.context is None:
-            connection.context = "reports"
+        if not isinstance(connection.context, int):
+            self.senders += 1
+            connection.context = self.senders  # a number of its own: an object's address is used again
+        sender = connection.context
         self.bytes_in[sender] += len(request.body)
         self.counts["bodies"] += 1
         self.counts["bytes"] += len(request.body)
@@ -92,7 +94,7 @@
     def _offence(self, request, problem):
         """Counted by kind and sender; one log line a sender and minute; after so many its stream is closed."""
         self.counts[problem.reason] += 1
-        now, sender = self.loop.now(), id(request.connection)
+        now, sender = self.loop.now(), request.connection.context
         row = self.offences.get(sender)
         if row is None or now - row[0] > LOG_US:
             if len(self.offences) >= SENDERS_MOST:
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -17,7 +17,7 @@
 from ..policy import Manager
 from ..store import Custody, TableStore, list_path, read_list
 from ..web import Client, Server, content_digest
-from ..xds.documents import CLA, BadDocument, dump, load, need, push_body, table_resource, version_text
+from ..xds.documents import CLA, BadDocument, Rendered, dump, load, need, push_body, version_text
 from ..xds.reports import ORCA_HEADER, orca_report
 from ..xds.worker_list import NAME, list_of
 from .admission import ReadBudget
@@ -58,6 +58,7 @@
         self.tables = TableStore(folder, name, calls, self._log_opened)
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
+        self.rendered = Rendered()
         self.unsaved, self.saving, self.behind = {}, False, False
         reports = setup.reports
         self.intake = Intake(loop, self.core.digest, log, name, round(reports.interval_s * 1e6),
@@ -350,7 +351,7 @@
         fences = {item: (self.core.epoch, self.name) for item in items}
         answer = {"systemVersionInfo": f"{self.core.epoch}.{self.core.number}", "typeUrl": CLA, "nonce": nonce,
                   "resources": [{"name": f"slice-{table.slice}", "version": version_text(table.version),
-                                 "resource": table_resource(table)} for table in tables],
+                                 "resource": self.rendered.table(table)} for table in tables],
                   "controlPlane": {"identifier": fences_text(fences)}}
         if session is None:
             self._join(request, proxy, data, nonce)
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -89,6 +89,12 @@
     count: int = Field(ge=1, le=1000, description="workers listed that do not exist")
 
 
+class ReportFlood(Trouble):
+    what: Literal["report_flood"]
+    streams: int = Field(ge=1, le=1000, description="streams on which one box sends as fast as it is answered")
+    reports: int = Field(100, ge=1, le=2000, description="reports in each body")
+
+
 class HotKey(Trouble):
     what: Literal["hot_key"]
     keys: int = Field(ge=1)
@@ -96,7 +102,7 @@
 
 
 AnyTrouble = Annotated[Union[WorkersTrouble, SharedTrouble, ManagerTrouble, ProxyTrouble, LoseManager, SlowChannel,
-                             Ghosts, HotKey], Field(discriminator="what")]
+                             Ghosts, HotKey, ReportFlood], Field(discriminator="what")]
 
 
 class Day(Strict):
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -137,6 +137,9 @@
         for k in range(self.day.fleet.proxies):
             self.stage.control(f"proxy-{k}", "slow", us=round(row.ms * 1000) if on else 0)
 
+    def _report_flood(self, row, on):
+        self.stage.control("clients", "report_flood", on=on, streams=row.streams, reports=row.reports)
+
     def _hot_key(self, row, on):
         self.stage.control("clients", "hot_key", keys=row.keys, share=row.share, on=on)
 
--- a/ospreyrouter/standins/clients.py
+++ b/ospreyrouter/standins/clients.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from ..web import Client
+from .reporters import Flood
 
 
 class Clients:
@@ -17,13 +18,20 @@
         self.pools, self.number, self.down = defaultdict(list), 0, {}
         self.start_us, self.end_us = start_us, start_us + round(traffic.seconds * 1e6)
         self.key_weights = list(accumulate(1 / (rank + 1) ** traffic.zipf for rank in range(traffic.keys)))
-        self.open, self.hot = 0, None
+        self.open, self.hot, self.floods = 0, None, []
         self.next_at = start_us
         loop.at(start_us, self._arrive)
 
     def control(self, name, **more):
         if name == "hot_key":
             self.hot = (more["keys"], more["share"]) if more["on"] else None
+        elif name == "report_flood":
+            # Not a client's doing, but of a box beside them: as many streams to each manager.
+            if more["on"]:
+                self.floods = [Flood(self.loop, row.listen.pair, more["reports"], more["streams"], 1)
+                               for row in self.setup.managers]
+            for flood in self.floods:
+                flood.control("flood", more["on"])
         else:
             raise ValueError(f"unknown trouble of clients: {name}")
 
--- a/ospreyrouter/xds/documents.py
+++ b/ospreyrouter/xds/documents.py
@@ -121,6 +121,21 @@
     return resource
 
 
+class Rendered:
+    """Tables as JSON, kept from one time to the next: most tables of a page or an answer did not change."""
+
+    def __init__(self):
+        self.kept = {}
+
+    def table(self, table, withheld=frozenset(), levels=None):
+        out = frozenset(line.worker for line in table.lines if line.worker in withheld)
+        key = tuple(sorted(levels.items())) if levels else ()
+        held = self.kept.get(table.slice)
+        if held is None or held[0] is not table or held[1] != out or held[2] != key:
+            held = self.kept[table.slice] = (table, out, key, orjson.Fragment(dump(table_resource(table, out, levels))))
+        return held[3]
+
+
 def drops(levels):
     """Levels by class as drop overloads: what is dropped is what is not let in."""
     return [{"category": name, "dropPercentage": {
