Versions by digest and parent; changes pushed on an exact base, whole tables read where it is missing

A push carried every changed table whole. Tables now have a digest of their canonical form (RFC 8785) that names the parent's; a push carries the change where that is smaller, agents apply it only on the exact base and check where it leads, and read whole what they lack, once, spread over 0.2 s and within the manager's budget; the mark is answered after that.

--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -134,6 +134,7 @@
     retry: Literal["none", "proven", "once", "twice"] = Field("proven", description="how proxies try again unless told")
     warm_keys: bool = Field(False, description="whether a worker works faster on keys that it met lately")
     tables_a_file: int = Field(8, ge=1, le=1000, description="tables that share one file beside a proxy")
+    deltas: bool = Field(True, description="whether changes are pushed instead of whole tables where they are smaller")
     flush: bool = Field(True, description="whether written files are flushed to the disk before they are swapped in")
     open_network: bool = Field(False, description="allows addresses that are not loopback")
 
--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -17,7 +17,7 @@
 from ..loop import Refused
 from ..web import Client, Server, digest_matches
 from ..xds.documents import (CLA, ROUTES, BadDocument, Rendered, dump, load, need, push_of, response, routes_resource,
-                             table_of, version_of)
+                             version_of, whole_table_of)
 from .ledger import Ledger, Rejected
 from .reader import TableReader, fences_text, parse_fences
 
@@ -25,6 +25,7 @@
 REDIAL_MOST_US = 4_000_000
 ANSWER_US = 5_000_000  # what a manager may take to answer
 BODY_MOST = 16 << 20
+FETCH_SPREAD_US = 200_000  # over which proxies spread their reads of whole tables
 
 
 class Joined:
@@ -32,6 +33,7 @@
 
     def __init__(self):
         self.client, self.session, self.tag, self.failures, self.up = None, "", 0, 0, False
+        self.missing, self.reading, self.marks_held = set(), False, []
 
 
 class FileAgent:
@@ -184,7 +186,7 @@
         self.log.debug("pushed", proxy=self.place.name, manager=manager, tables=len(push.tables),
                        ordered=request.headers.get("x-ordered-us"), lines=request.headers.get("x-lines"))
         staged = self.ledger.copy()
-        changed, reordered = staged.push(push)
+        changed, reordered, missing = staged.push(push)
         session = joined.session
 
         def swapped(problem, refused):
@@ -195,6 +197,11 @@
             if joined.session != session:
                 return  # the stream broke meanwhile: what was taken is told when it joins again
             joined.tag = push.number
+            if missing:
+                self.counts["changes without their base"] += len(missing)
+                self.log.info("base_missing", proxy=self.place.name, manager=manager, slices=len(missing))
+                joined.missing |= missing
+                self._fetch_missing(manager)
             tag = ("etag", f'"{joined.session}.{joined.tag}"')
             if self.answer_after_us:
                 self.loop.after(self.answer_after_us, lambda: self._taken(request, manager, push, tag, refused))
@@ -203,14 +210,32 @@
 
         self._swap(staged, changed, reordered, swapped)
 
-    def _taken(self, request, manager, push, tag, problem):
+    def _taken(self, request, manager, push, tag, refused):
         request.answer(204, [tag])
+        joined = self.joined[manager]
+        if joined.missing:
+            # What the mark asks is whether all of it is in force: that is so once the whole tables were read.
+            joined.marks_held.append((push, refused))
+        else:
+            self._answer_mark(manager, push, refused)
+
+    def _fetch_missing(self, manager):
+        """Whole tables where a change had no base: once, after a drawn time, so that a fleet does not ask in step."""
+        joined = self.joined[manager]
+        if joined.reading or not joined.missing:
+            return
+        joined.reading, client = True, joined.client
+        wait = self.chance.randint(0, FETCH_SPREAD_US)
+        self.loop.after(wait, lambda: joined.client is client and joined.up and self._read(
+            manager, "missing", sorted(joined.missing)))
+
+    def _answer_mark(self, manager, push, refused):
         joined = self.joined[manager]
         if push.mark is not None and joined.up:
             answer = {"node": {"id": self.place.name}, "versionInfo": f"{push.fence}.{push.number}",
                       "typeUrl": CLA, "responseNonce": str(push.mark)}
-            if problem:
-                answer["errorDetail"] = {"code": 3, "message": problem}
+            if refused:
+                answer["errorDetail"] = {"code": 3, "message": refused}
             joined.client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
 
     def _custody(self, request, manager, done):
@@ -240,6 +265,7 @@
             return
         joined = self.joined[manager]
         joined.session, joined.tag, joined.up = "", 0, False
+        joined.missing, joined.reading, joined.marks_held = set(), False, []
         client = joined.client = Client(self.loop, self.addresses[manager],
                                         on_closed=lambda reason: self._left(manager, client, reason))
         self._read(manager, "", None)
@@ -266,12 +292,18 @@
             data["resourceNamesSubscribe"] = [f"slice-{item}" for item in items]
         client = joined.client
         client.ask("POST", "/v3/delta_discovery:endpoints", JSON, dump(data),
-                   lambda answer: self._was_read(manager, client, answer), ANSWER_US)
+                   lambda answer: self._was_read(manager, client, answer, nonce, items), ANSWER_US)
 
-    def _was_read(self, manager, client, answer):
+    def _was_read(self, manager, client, answer, nonce, items):
         joined = self.joined[manager]
         if joined.client is not client:
             return
+        if answer.status == 503 and joined.up:
+            # Joined already: the manager only has no room for so large an answer now.
+            self.counts["reads put off"] += 1
+            self.loop.after(self.chance.randint(*REDIAL_US), lambda: joined.client is client and joined.up and
+                            self._read(manager, nonce, items))
+            return
         if answer.status != 200:
             if answer.status:
                 self.counts["joins put off"] += 1
@@ -289,18 +321,21 @@
             if need(data, "typeUrl", str, "answer") != CLA:
                 raise BadDocument("answer.typeUrl: is not that of tables")
             fence, _ = version_of(need(data, "systemVersionInfo", str, "answer"), "answer.systemVersionInfo")
-            tables = [table_of(need(row, "resource", dict, "answer"), "answer")[0]
+            tables = [whole_table_of(need(row, "resource", dict, "answer"), "answer")[0]
                       for row in need(data, "resources", list, "answer")]
             given = parse_fences(need(need(data, "controlPlane", dict, "answer"), "identifier", str, "answer"))
             nonce = need(data, "nonce", str, "answer")
         except BadDocument as problem:
-            self.counts["malformed answer"] += 1
-            self.log.warning("answer_refused", proxy=self.place.name, manager=manager, detail=str(problem))
-            client.abort("malformed answer")
+            self._refuse_answer(manager, client, problem)
             done()
             return
         staged = self.ledger.copy()
-        changed = staged.read(manager, fence, tables, given)
+        try:
+            changed = staged.read(manager, fence, tables, given)
+        except Rejected as problem:
+            self._refuse_answer(manager, client, problem)
+            done()
+            return
 
         def swapped(problem, refused):
             done()
@@ -312,11 +347,21 @@
             if not joined.up:
                 joined.session, joined.tag, joined.up, joined.failures = nonce, 0, True, 0
                 self.log.info("joined_manager", proxy=self.place.name, manager=manager, tables=len(changed))
+            if joined.reading:
+                joined.reading, joined.missing = False, set()
+                held, joined.marks_held = joined.marks_held, []
+                for push, was_refused in held:
+                    self._answer_mark(manager, push, was_refused or refused)
             answer = {"node": {"id": self.place.name}, "versionInfo": "", "typeUrl": CLA, "responseNonce": nonce}
             client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
 
         self._swap(staged, changed, False, swapped)
 
+    def _refuse_answer(self, manager, client, problem):
+        self.counts["malformed answer"] += 1
+        self.log.warning("answer_refused", proxy=self.place.name, manager=manager, detail=str(problem))
+        client.abort("malformed answer")
+
     def _report(self):
         if self.closed:
             return
--- a/ospreyrouter/files/ledger.py
+++ b/ospreyrouter/files/ledger.py
@@ -1,7 +1,7 @@
 """What a file agent holds and which pushes it accepts. No I/O; the same calls in any order of arrival end alike.
 
     ledger = Ledger()
-    changed = ledger.push(push)              # a set of slices whose table is another now, or raises Rejected
+    changed, reordered, missing = ledger.push(push)   # slices with another table; those whose change had no base here
     changed = ledger.read(manager, tables)   # tables read from the store, as a joining proxy gets them
 
 Fences: a slice's tables are taken only from a sender whose fencing number is no older than the newest that was
@@ -10,6 +10,9 @@
 
 from dataclasses import dataclass, field
 
+from ..versions import Altered, WrongBase, apply, verify
+from ..xds.documents import Delta, Table
+
 
 class Rejected(Exception):
     """A push that is not taken; `reason` is one of a few words that are counted, the text says more."""
@@ -49,16 +52,35 @@
             raise Rejected("fenced", f"{manager} has fence {fence}, slice {late[0]} has {self.fence(late[0])}")
 
     def push(self, push):
-        """Take a push as a whole or not at all; returns what changed: slices, and whether orders did."""
+        """Take a push: slices that changed, whether orders did, and slices whose change is from a version that is not
+        held here (their table stays and has to be read whole; the rest of the push counts). Raises Rejected, having
+        changed nothing, where a fence is older or a content is not what its digest says."""
         items = [table.slice for table in push.tables]
         if len(set(items)) != len(items):
             raise Rejected("malformed", "a slice stands twice in one push")
         self._unfenced(push.manager, push.fence, items)
-        changed = set()
+        changed, missing, taken = set(), set(), []
         for table in push.tables:
+            try:
+                if isinstance(table, Delta):
+                    held = self.tables.get(table.slice)
+                    if held is not None and held.digest == table.target:
+                        continue  # repeated: it is what stands
+                    table = apply(table, held)
+                else:
+                    verify(table)
+            except WrongBase:
+                if self._newer(table, push.fence):
+                    missing.add(table.slice)
+                continue
+            except Altered as problem:
+                raise Rejected("altered", str(problem)) from None
+            taken.append(table)
+        for table in taken:
             if self._newer(table, push.fence):
                 self.tables[table.slice] = table
                 changed.add(table.slice)
+        for table in push.tables:
             self.fences[table.slice], self.owners[table.slice] = push.fence, push.manager
         orders = self.orders.setdefault(push.manager, Orders())
         levels = orders.levels | push.levels
@@ -70,18 +92,26 @@
                         or any((line.worker in withheld) != (line.worker in orders.withheld)
                                for line in table.lines))} if reordered else set()
         orders.levels, orders.withheld = levels, withheld
-        return changed | touched, reordered
+        return changed | touched, reordered, missing
 
     def _newer(self, table, fence):
         held = self.tables.get(table.slice)
         # From a newer owner any version counts: what an older one wrote after losing the slice must go.
-        return held is None or fence > self.fence(table.slice) or table.version > held.version
+        if held is None or fence > self.fence(table.slice) or table.version > held.version:
+            return True
+        # One number, two contents: a fork, as after a store restored from a backup. Whoever is in charge is right.
+        return table.version == held.version and isinstance(table, Table) and table.digest != held.digest
 
     def read(self, manager, fence, tables, given=()):
         """Tables of the store through the manager in charge, and the slices given to it: those of slices that are
         fenced off are left as they are. Returns slices whose files are to change."""
         changed = set()
         before = {item: self.owner(item) for item in given}
+        for table in tables:
+            try:
+                verify(table)
+            except Altered as problem:
+                raise Rejected("altered", str(problem)) from None
         for table in tables:
             if fence < self.fence(table.slice):
                 continue
--- a/ospreyrouter/files/reader.py
+++ b/ospreyrouter/files/reader.py
@@ -10,7 +10,7 @@
 import os
 from collections import Counter
 
-from ..xds.documents import CLA, ROUTES, BadDocument, levels_of, load, need, resources_of, routes_of, table_of
+from ..xds.documents import CLA, ROUTES, BadDocument, levels_of, load, need, resources_of, routes_of, whole_table_of
 
 
 class TableReader:
@@ -88,7 +88,7 @@
     kind = need(data, "typeUrl", str, name)
     if kind == CLA:
         for resource in resources_of(data, CLA, name):
-            table, withheld = table_of(resource, name)
+            table, withheld = whole_table_of(resource, name)
             content[table.slice] = (table, withheld, levels_of(resource, name))
     elif kind == ROUTES:
         for resource in resources_of(data, ROUTES, name):
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -12,7 +12,8 @@
 from ..digest import Digest, Handover, Reporters
 from ..interface import ALL_TABLES, Entry, Outcome, Retry, State
 from ..policy import Manager
-from ..xds.documents import Line, Push, Table
+from ..versions import between, successor, worth
+from ..xds.documents import Line, Push
 
 RETRY_NAMES = {Retry.NONE: "none", Retry.PROVEN: "proven", Retry.ONCE: "once", Retry.TWICE: "twice"}
 STATES = {"ready": State.READY, "draining": State.DRAINING}
@@ -49,7 +50,7 @@
         self.marks = {}
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
-        self.missed = set()
+        self.missed, self.deltas = set(), setup.deltas
 
     # What happened.
 
@@ -165,22 +166,23 @@
     def _publish(self, now):
         if not (self.changed or self.withhold_lines or self.mark_asked is not None):
             return
-        tables = []
+        tables, sent = [], []
         for item in sorted(self.changed):
             if item not in self.tables:
                 continue
             held = self.written.get(item)
-            count = held.version[1] + 1 if held is not None and held.version[0] == self.epoch else 1
             rows = [self.rows[place] for place in sorted(self.tables[item])]
             lines = tuple(Line(row.name, row.host, row.port, row.zone, self.tables[item][self.workers[row.name]])
                           for row in rows)
-            table = self.written[item] = Table(item, self.name, (self.epoch, count), lines)
+            table = self.written[item] = successor(held, item, self.name, self.epoch, lines)
             tables.append(table)
+            delta = between(held, table) if held is not None and self.deltas else None
+            sent.append(delta if delta is not None and worth(delta, table) else table)
         if tables:
             self.effects.append(("store", tables))
         if self.mark_asked is not None:
             self.number += 1
-            push = Push(self.name, self.epoch, self.number, self.mark_asked, tables, dict(self.withhold_lines),
+            push = Push(self.name, self.epoch, self.number, self.mark_asked, sent, dict(self.withhold_lines),
                         dict(self.levels))
             # Levels for all tables ride along with every message; the mark is a line of its own.
             lines = self.lines + len(self.levels) + 1
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -342,10 +342,11 @@
                   held.get(f"slice-{item}") != version_text(self.core.written[item].version)]
         lines = 1 + sum(len(table.lines) for table in tables)
         now = self.loop.now()
-        if session is None and (self.custody.epoch is None or not self.reads.admit(now, lines)):
+        if session is None and self.custody.epoch is None or not self.reads.admit(now, lines):
             self.counts["joins put off"] += 1
             wait = self.reads.wait_us(lines) / 1e6
-            request.answer(503, [("retry-after", str(max(1, round(wait)))), ("connection", "close")])
+            close = [] if session is not None else [("connection", "close")]
+            request.answer(503, [("retry-after", str(max(1, round(wait)))), *close])
             return
         nonce = session.nonce if session is not None else f"{self.life}.{self.joins}"
         fences = {item: (self.core.epoch, self.name) for item in items}
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -120,6 +120,7 @@
     reports: Reports = Field(default_factory=lambda: Reports())
     custody: Custody = Field(default_factory=lambda: Custody())
     flush: bool = True
+    deltas: bool = True
     warm_keys: bool = True
     troubles: list[AnyTrouble] = Field(default_factory=list)
 
@@ -177,4 +178,4 @@
                   "folder": f"proxy-{k}", "usual_per_s": day.traffic.per_s / fleet.proxies}
                  for k in range(fleet.proxies)],
         worker_list={"listen": {"port": ports["list"][0]}, "wait_s": 2.0}, store="store", channel=day.channel,
-        rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush)
+        rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush, deltas=day.deltas)
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -15,7 +15,7 @@
 
 import orjson
 
-from ..xds.documents import BadDocument, table_of, table_resource
+from ..xds.documents import BadDocument, table_resource, whole_table_of
 
 COMPACT_AT = 8 << 20  # bytes of a log at which it is weighed whether to write it anew
 
@@ -95,7 +95,7 @@
             checksum, _, body = line.partition(b" ")
             if int(checksum, 16) != zlib.crc32(body):
                 raise BadDocument("its checksum is wrong")
-            table, _ = table_of(orjson.loads(body), name)
+            table, _ = whole_table_of(orjson.loads(body), name)
         except (ValueError, BadDocument) as problem:
             self.damaged.append(f"{name} at byte {place}: {problem}")
             return
--- /dev/null
+++ b/ospreyrouter/versions/history.py
@@ -0,0 +1,117 @@
+"""Chains of versions by slice: what there was, what is in force, what may be pruned, where two histories part.
+
+    history = History(keep_count, keep_us)
+    history.add(table, at_us)            # in any order; a digest that is there already is no news
+    history.find(slice, "3.12")          # a version, a digest's beginning (8 or more), or a time in us
+    history.prunable(now_us)             # digests that retention no longer keeps
+"""
+
+from dataclasses import dataclass
+
+from ..xds.documents import Table
+
+
+class Unknown(Exception):
+    """No such version, or one that was pruned; `reason` says which."""
+
+    def __init__(self, reason, text):
+        super().__init__(text)
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class Kept:
+    """One version of a slice, with when it was published (us since 1970, of the publisher's clock) and its cause."""
+
+    table: Table
+    at_us: int
+    cause: str = ""
+
+
+class History:
+    """See the top of this module. The newest version of a slice is kept whatever its age."""
+
+    def __init__(self, keep_count=64, keep_us=7 * 86_400_000_000):
+        self.keep_count, self.keep_us = keep_count, keep_us
+        self.by_digest, self.slices, self.forks, self.pruned = {}, {}, [], 0
+        self.oldest_gone = {}  # by slice: the highest version that retention dropped
+
+    def add(self, table, at_us, cause=""):
+        """Whether it was new. A second table with the same number is a fork and is noted."""
+        if table.digest in self.by_digest:
+            return False
+        row = Kept(table, at_us, cause)
+        self.by_digest[table.digest] = row
+        rows = self.slices.setdefault(table.slice, [])
+        place = len(rows)
+        while place and rows[place - 1].table.version > table.version:
+            place -= 1
+        if place and rows[place - 1].table.version == table.version:
+            self.forks.append((table.slice, table.version, rows[place - 1].table.digest, table.digest))
+        rows.insert(place, row)
+        return True
+
+    def newest(self, item):
+        rows = self.slices.get(item)
+        return rows[-1] if rows else None
+
+    def find(self, item, which):
+        """Raises Unknown. `which`: "FENCE.COUNT", a digest's beginning, or an int: the version in force at that time."""
+        rows = self.slices.get(item, [])
+        if isinstance(which, int):
+            then = [row for row in rows if row.at_us <= which]
+            if not then:
+                raise Unknown("pruned" if item in self.oldest_gone else "unknown", f"slice {item}: nothing from that time")
+            return max(then, key=lambda row: (row.at_us, row.table.version))
+        if "." in which:
+            fence, _, count = which.partition(".")
+            version = (int(fence), int(count)) if fence.isdigit() and count.isdigit() else None
+            found = [row for row in rows if row.table.version == version]
+            if version is None:
+                raise Unknown("malformed", f"{which!r:.60} is no version")
+            if not found and version <= self.oldest_gone.get(item, (0, 0)):
+                raise Unknown("pruned", f"slice {item}: version {which} was pruned")
+        else:
+            if len(which) < 8 or set(which) - set("0123456789abcdef"):
+                raise Unknown("malformed", f"{which!r:.60} is no digest: eight or more hexadecimal digits")
+            found = [row for row in rows if row.table.digest.startswith(which)]
+        if not found:
+            raise Unknown("unknown", f"slice {item}: no version {which:.60}")
+        if len(found) > 1:
+            raise Unknown("ambiguous", f"slice {item}: {which:.60} names {len(found)} versions; give the digest")
+        return found[0]
+
+    def prunable(self, now_us):
+        """Versions that neither count nor age keeps, as (slice, digest), oldest first."""
+        out = []
+        for item, rows in sorted(self.slices.items()):
+            for place, row in enumerate(rows[:-1]):
+                if len(rows) - place > self.keep_count or now_us - row.at_us > self.keep_us:
+                    out.append((item, row.table.digest))
+        return out
+
+    def prune(self, now_us):
+        """Forget what is prunable; returns how many."""
+        gone = self.prunable(now_us)
+        dropped = {digest for _, digest in gone}
+        for item in {item for item, _ in gone}:
+            rows = self.slices[item]
+            self.oldest_gone[item] = max(self.oldest_gone.get(item, (0, 0)), max(
+                row.table.version for row in rows if row.table.digest in dropped))
+            self.slices[item] = [row for row in rows if row.table.digest not in dropped]
+        for digest in dropped:
+            del self.by_digest[digest]
+        self.pruned += len(gone)
+        return len(gone)
+
+    def problems(self):
+        """What does not hold together: forks, and versions whose parent is neither kept nor pruned."""
+        out = [f"slice {item}: two versions {version[0]}.{version[1]}: {one[:12]} and {other[:12]}"
+               for item, version, one, other in self.forks]
+        for item, rows in sorted(self.slices.items()):
+            for place, row in enumerate(rows):
+                if row.table.parent and row.table.parent not in self.by_digest and place \
+                        and row.table.version > self.oldest_gone.get(item, (0, 0)):
+                    out.append(f"slice {item}: version {row.table.version[0]}.{row.table.version[1]} follows "
+                               f"{row.table.parent[:12]}, which is not in the history")
+        return out
--- /dev/null
+++ b/ospreyrouter/versions/rollback.py
@@ -0,0 +1,42 @@
+"""An earlier version comes back as a new one. Decisions only.
+
+    lines, left_out = lines_to_return(old, states, now)
+    answer = rollbacks.known(key)            # of a command that was carried out before
+    rollbacks.done(key, answer)
+"""
+
+from collections import OrderedDict
+
+KEYS_MOST = 10_000  # commands remembered by key; the oldest goes
+
+
+def lines_to_return(old, usable, present):
+    """The old lines minus workers that now drain, are gone or are cold beyond their bound.
+
+    `usable(worker)` says so; `present` has the lines now in force, whose places (host, port) are the newer knowledge.
+    Returns (lines, names left out); no lines where nothing of the old table is usable: it then cannot come back.
+    """
+    places = {line.worker: line for line in present}
+    lines, left_out = [], []
+    for line in old.lines:
+        if not usable(line.worker):
+            left_out.append(line.worker)
+            continue
+        now = places.get(line.worker, line)
+        lines.append(type(line)(line.worker, now.host, now.port, now.zone, line.weight))
+    return tuple(lines), left_out
+
+
+class Rollbacks:
+    """Commands by key: a repeated one is answered as the first was, and has no second effect."""
+
+    def __init__(self, most=KEYS_MOST):
+        self.answers, self.most = OrderedDict(), most
+
+    def known(self, key):
+        return self.answers.get(key)
+
+    def done(self, key, answer):
+        self.answers[key] = answer
+        if len(self.answers) > self.most:
+            self.answers.popitem(last=False)
--- a/ospreyrouter/xds/documents.py
+++ b/ospreyrouter/xds/documents.py
@@ -40,12 +40,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Table:
-    """One slice's table as one version has it; versions order by (fencing number at writing, count)."""
+    """One slice's table as one version has it; versions order by (fencing number at writing, count). `digest` is of
+    the canonical form, which names the parent's (see `versions/identity.py`)."""
 
     slice: int
     manager: str
     version: tuple
     lines: tuple
+    parent: str = ""
+    digest: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Delta:
+    """From the version with digest `base` to the one with digest `target`, whose parent is the base."""
+
+    slice: int
+    manager: str
+    version: tuple
+    base: str
+    target: str
+    changed: tuple
+    removed: tuple
+
+    @property
+    def cost(self):
+        return len(self.changed) + len(self.removed)
 
 
 def need(data, field, kind, where):
@@ -113,8 +133,8 @@
             "loadBalancingWeight": max(1, round(line.weight * WEIGHT_UNIT)),
         } for line in lines]})
     endpoints[0]["metadata"] = {"filterMetadata": {KEY: {
-        "manager": table.manager, "version": version_text(table.version),
-        "weights": {line.worker: line.weight for line in table.lines}}}}
+        "manager": table.manager, "version": version_text(table.version), "parent": table.parent,
+        "digest": table.digest, "weights": {line.worker: line.weight for line in table.lines}}}}
     resource = {"@type": CLA, "clusterName": f"slice-{table.slice}", "endpoints": endpoints}
     if levels:
         resource["policy"] = {"dropOverloads": drops(levels)}
@@ -157,7 +177,7 @@
 
 
 def table_of(resource, where="table"):
-    """The table of a ClusterLoadAssignment, and the workers that it withholds. Raises BadDocument."""
+    """The table or change in a ClusterLoadAssignment, and the workers that it withholds. Raises BadDocument."""
     if not isinstance(resource, dict) or resource.get("@type") != CLA:
         raise BadDocument(f"{where}: is not a ClusterLoadAssignment")
     item = slice_of(need(resource, "clusterName", str, where), f"{where}.clusterName")
@@ -186,7 +206,34 @@
     if len({line.worker for line in lines}) != len(lines):
         raise BadDocument(f"{where}: a worker stands twice")
     version = version_of(need(own, "version", str, where), f"{where}.version")
-    return Table(item, need(own, "manager", str, where), version, tuple(lines)), withheld
+    manager, digest = need(own, "manager", str, where), need(own, "digest", str, where)
+    if "base" in own:
+        removed = need(own, "removed", list, where)
+        if not all(isinstance(name, str) for name in removed):
+            raise BadDocument(f"{where}.removed: has the wrong type")
+        return Delta(item, manager, version, need(own, "base", str, where), digest, tuple(lines), tuple(removed)), withheld
+    return Table(item, manager, version, tuple(lines), need(own, "parent", str, where), digest), withheld
+
+
+def delta_resource(delta):
+    """A change as a ClusterLoadAssignment of its changed lines; base and removed lines in the metadata."""
+    whole = Table(delta.slice, delta.manager, delta.version, delta.changed, delta.base, delta.target)
+    resource = table_resource(whole)
+    own = resource["endpoints"][0]["metadata"]["filterMetadata"][KEY]
+    own["base"], own["removed"] = delta.base, list(delta.removed)
+    return resource
+
+
+def resource_of(item):
+    return delta_resource(item) if isinstance(item, Delta) else table_resource(item)
+
+
+def whole_table_of(resource, where="table"):
+    """Like `table_of`, where a change has no place."""
+    table, withheld = table_of(resource, where)
+    if isinstance(table, Delta):
+        raise BadDocument(f"{where} slice-{table.slice}: is a change, not a table")
+    return table, withheld
 
 
 def response(version, type_url, resources, nonce=""):
@@ -238,7 +285,7 @@
 
 @dataclass(slots=True)
 class Push:
-    """What a manager sends to a proxy at one time: whole tables that changed, workers withheld or let in again,
+    """What a manager sends to a proxy at one time: tables that changed, each whole or as a Delta, workers withheld or let in again,
     levels in force, and a mark to be answered. `fence` is the sender's fencing number."""
 
     manager: str
@@ -254,7 +301,7 @@
     """The body of a PUT: an array of DiscoveryResponses, one a type."""
     version = f"{push.fence}.{push.number}"
     nonce = "" if push.mark is None else str(push.mark)
-    parts = [response(version, CLA, [table_resource(table) for table in push.tables], nonce)]
+    parts = [response(version, CLA, [resource_of(table) for table in push.tables], nonce)]
     if push.withheld:
         health = [{"endpoint": {"hostname": name}, "healthStatus": "DRAINING" if out else "HEALTHY"}
                   for name, out in push.withheld.items()]
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -9,13 +9,15 @@
 from ospreyrouter.files import FileSet, Ledger, Rejected, TableReader
 from ospreyrouter.helper.work import Work
 from ospreyrouter.store import TableStore
+from ospreyrouter.versions import digest_of
 from ospreyrouter.xds.documents import CLA, Line, Push, Table, dump, response, table_resource
 
 from .stage import FailingDisk, Killed, StageCase
 
 
 def table(item, count, fence=1, manager="manager-0", workers=("w-0",)):
-    return Table(item, manager, (fence, count), tuple(Line(w, "127.0.0.1", 9000, "a", 1.0) for w in workers))
+    lines = tuple(Line(w, "127.0.0.1", 9000, "a", 1.0) for w in workers)
+    return Table(item, manager, (fence, count), lines, "", digest_of(item, manager, (fence, count), "", lines))
 
 
 def page(count, fence=1):
