Versions: exhaustive interleavings, each check taken out once, a relay that tampers

Proxies must end on the intended table whatever happens to changes on the way. Every life of a proxy of up to four events (send, lose, repeat, reorder, alter, crash, takeover; two stored states) ends right; without the base, either digest, the fence or the newer version the search finds a fault, and without the rule that a missing base costs only its own slice.

--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -121,6 +121,7 @@
     custody: Custody = Field(default_factory=lambda: Custody())
     flush: bool = True
     deltas: bool = True
+    tampered: Part = Field(0.0, description="part of all pushes that a relay alters, repeats, delays or loses")
     warm_keys: bool = True
     troubles: list[AnyTrouble] = Field(default_factory=list)
 
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -2,6 +2,7 @@
 
 import os
 import shutil
+from collections import Counter
 
 from ..files import Disk
 from ..helper import InlineCalls
@@ -9,6 +10,7 @@
 from ..manager import ManagerService
 from ..policy import Manager
 from ..standins import Clients, Journal, Proxy, WorkerListService, Workers
+from ..standins.tamper import TamperingRelay
 from .audit import audit
 from .day import deployment, worker_specs
 from .watch import Watch
@@ -149,7 +151,7 @@
 
     def __init__(self, day, folder, module=Manager, log=None):
         self.day, self.folder, self.module, self.log = day, folder, module, log
-        self.network = VirtualNetwork(day.seed)
+        self.network, self.tampered = VirtualNetwork(day.seed), Counter()
         fleet = day.fleet
         self.ports = {"managers": range(11_000, 11_000 + fleet.managers), "agents": range(12_000, 12_000 + fleet.proxies),
                       "proxies": range(14_000, 14_000 + fleet.proxies), "list": [10_000],
@@ -191,8 +193,16 @@
             self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
                                      ("127.0.0.1", self.ports["proxies"][place]), self.journal, log,
                                      f"{self.day.seed}/{self.lives}", calls)
+            if self.day.tampered:
+                self._tamper(host, name, place)
         self.hosts[name] = host
 
+    def _tamper(self, host, name, place):
+        """Pushes reach this proxy's agent through a relay that is not to be trusted."""
+        agent, listen = self.parts[name].agent, ("127.0.0.1", 18_000 + place)
+        relay = TamperingRelay(host, listen, agent.address, self.day.tampered, f"{self.day.seed}/{self.lives}", self.tampered)
+        agent.address = relay.server.address
+
     def kill(self, name):
         self.hosts[name].kill()
         self._down(name)
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,249 @@
+"""Versions, changes on an exact base, rollback: every short interleaving, and each check taken out once."""
+
+import itertools
+import os
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyrouter.files import Ledger, Rejected, TableReader, ledger
+from ospreyrouter.rehearse import audit
+from ospreyrouter.versions import (Altered, History, Rollbacks, Unknown, WrongBase, apply, between, lines_to_return,
+                                   successor, verify)
+from ospreyrouter.versions import delta as delta_module
+from ospreyrouter.xds.documents import Delta, Line, Push, push_body, push_of
+
+from .stage import StageCase, short_day
+
+SECOND = 1_000_000
+
+
+def lines(*names, weight=1.0):
+    return tuple(Line(name, "127.0.0.1", 9000, "a", weight) for name in names)
+
+
+class Model:
+    """Two owners, two proxies, three versions of one slice; what the store lacks is the second owner's to choose."""
+
+    def __init__(self, stored):
+        self.v1 = successor(None, 0, "A", 1, lines("a", "b", "c"))
+        self.v2 = successor(self.v1, 0, "A", 1, lines("a", "c", "d"))
+        base = (self.v1, self.v2)[stored]
+        self.v3 = successor(base, 0, "B", 2, lines("a", "d") if stored else lines("a", "b", "e"))
+        self.published = {self.v1, self.v2, self.v3}
+        self.base = base
+        self.messages = [
+            Push("A", 1, 1, 1, [self.v1], {}, {}),
+            Push("A", 1, 2, 2, [between(self.v1, self.v2)], {}, {}),
+            Push("B", 2, 1, 3, [between(base, self.v3)], {"x": True}, {}),
+        ]
+        self.altered = [self._altered(message) for message in self.messages]
+
+    @staticmethod
+    def _altered(message):
+        table = message.tables[0]
+        rows = table.changed if isinstance(table, Delta) else table.lines
+        rows = tuple(Line(row.worker, row.host, row.port, row.zone, row.weight + 1) for row in rows)
+        if isinstance(table, Delta):
+            table = Delta(table.slice, table.manager, table.version, table.base, table.target, rows, table.removed)
+        else:
+            table = type(table)(table.slice, table.manager, table.version, rows, table.parent, table.digest)
+        return Push(message.manager, message.fence, message.number, message.mark, [table], {}, {})
+
+    def deliver(self, proxy, message):
+        """Whether the proxy has to read the slice whole after it, as a rejected or baseless change makes it."""
+        try:
+            return bool(proxy.push(message)[2])
+        except Rejected as problem:
+            return problem.reason == "altered"
+
+    def read(self, proxy):
+        """From whoever is in charge at the end."""
+        try:
+            proxy.read("B", 2, [self.v3], [0])
+        except Rejected:
+            pass
+
+    def play(self, moves):
+        """One proxy's life; moves are (message, "crash" or "take"; altered). Returns what went wrong, or None."""
+        proxy, needs, kept, taken = Ledger(), False, None, False
+        for number, altered in moves:
+            if number == "crash":
+                # It comes up from its files: what was in force, nothing else.
+                fresh = Ledger()
+                fresh.restored(list(proxy.tables.values()), {name: (row.levels, row.withheld) for name, row in
+                                                             proxy.orders.items()},
+                               {item: (fence, proxy.owners.get(item, "")) for item, fence in proxy.fences.items()})
+                proxy = fresh
+                continue
+            if number == "take":
+                # The second owner is given the slice; proxies read what the store has, and it counts from there.
+                proxy.read("B", 2, [self.base], [0])
+                taken = True
+                kept = None
+                continue
+            needs |= self.deliver(proxy, (self.altered if altered else self.messages)[number])
+            table = proxy.tables.get(0)
+            if table is not None and table not in self.published:
+                return "a table in force that nobody published"
+            if taken and table not in (self.base, self.v3):
+                return "a former owner's table after the slice was given away"
+            if kept is not None and table is not None and table.version < kept:
+                return "an older version came back"
+            kept = table.version if table is not None else kept
+            if number == 2 and not altered and "x" not in proxy.ordered("B").withheld:
+                return "what a push withholds was lost with its change"
+        # A lost message shows by the tag of the next or the stream's end, and makes the proxy read.
+        if needs or (2, False) not in moves:
+            self.read(proxy)
+        for message in (*self.messages, *self.altered):
+            self.deliver(proxy, message)  # late and repeated ones
+            if proxy.tables.get(0) not in (self.v3,):
+                return "not on the intended table"
+        return None
+
+
+def every_life(most=4):
+    events = [(number, altered) for number in range(3) for altered in (False, True)]
+    events += [("crash", False), ("take", False)]
+    for length in range(most + 1):
+        yield from itertools.product(events, repeat=length)
+
+
+def first_fault(most=4):
+    for stored in (0, 1):
+        model = Model(stored)
+        for moves in every_life(most):
+            fault = model.play(moves)
+            if fault:
+                return moves, fault
+    return None
+
+
+class Exhaustive(unittest.TestCase):
+    # Two proxies do not meet: each life of one stands for each pair.
+
+    def test_every_interleaving_ends_on_the_intended_table(self):
+        self.assertIsNone(first_fault())
+
+    def test_each_check_is_needed(self):
+        def no_base(change, held):
+            held = held or successor(None, 0, "A", 1, ())
+            rows = {row.worker: row for row in held.lines if row.worker not in change.removed}
+            rows |= {row.worker: row for row in change.changed}
+            return delta_module.Table(0, change.manager, change.version, tuple(rows[k] for k in sorted(rows)), change.base,
+                                      change.target)
+
+        def base_refuses_all(change, held):
+            try:
+                return apply(change, held)
+            except WrongBase as problem:
+                raise Altered(str(problem)) from None
+        checks = [
+            ("the base", mock.patch.object(ledger, "apply", no_base)),
+            ("a change without base loses no more than itself", mock.patch.object(ledger, "apply", base_refuses_all)),
+            ("the digest of a whole table", mock.patch.object(ledger, "verify", lambda table: None)),
+            ("the digest that a change leads to", mock.patch.object(delta_module, "digest_of", lambda *values: AnyDigest())),
+            ("the fence", mock.patch.object(Ledger, "_unfenced", lambda *values: None)),
+            ("the newer version", mock.patch.object(Ledger, "_newer", lambda *values: True)),
+        ]
+        for name, patch in checks:
+            with self.subTest(without=name), patch:
+                self.assertIsNotNone(first_fault(3))
+
+
+class AnyDigest(str):
+    def __eq__(self, other):
+        return True
+
+    def __ne__(self, other):
+        return False
+
+    __hash__ = str.__hash__
+
+
+class Changes(unittest.TestCase):
+    @settings(deadline=None, max_examples=150)
+    @given(st.lists(st.dictionaries(st.sampled_from("abcdefgh"), st.integers(1, 9), max_size=8), min_size=1, max_size=8))
+    def test_changes_lead_where_whole_tables_do(self, tables):
+        held = None
+        for number, rows in enumerate(tables):
+            new = successor(held, 3, "m", 1 + number // 3, [Line(name, "127.0.0.1", 80, "z", weight / 10)
+                                                            for name, weight in sorted(rows.items())])
+            verify(new)
+            if held is not None:
+                change = between(held, new)
+                sent = push_of(push_body(Push("m", 9, 1, 1, [change], {}, {})), "m").tables[0]
+                self.assertEqual(apply(sent, held), new)
+                for other in (None, new):
+                    with self.assertRaises(WrongBase):
+                        apply(sent, other)
+            held = new
+
+    def test_one_number_with_two_contents_is_a_fork(self):
+        first = successor(None, 0, "A", 1, lines("a"))
+        one, other = successor(first, 0, "A", 1, lines("b")), successor(first, 0, "A", 1, lines("c"))
+        history = History()
+        for table in (first, one, other):
+            history.add(table, 1)
+        self.assertEqual(len(history.problems()), 1)
+        with self.assertRaises(Unknown) as caught:
+            history.find(0, "1.2")
+        self.assertEqual(caught.exception.reason, "ambiguous")
+        self.assertEqual(history.find(0, one.digest[:10]).table, one)
+        proxy = Ledger()
+        proxy.read("A", 1, [one], [0])
+        self.assertEqual(proxy.read("A", 1, [other], [0]), {0})  # as a store restored from a backup has it
+
+    def test_history_finds_prunes_and_says_which(self):
+        history, held = History(keep_count=3, keep_us=100 * SECOND), None
+        for number in range(6):
+            held = successor(held, 0, "A", 1, lines("a", weight=number + 1.0))
+            history.add(held, number * 10 * SECOND)
+        self.assertFalse(history.add(held, 0))
+        self.assertEqual(history.find(0, 25 * SECOND).table.version, (1, 3))
+        self.assertEqual(history.prune(60 * SECOND), 3)
+        for which, reason in (("1.1", "pruned"), ("9.9", "unknown"), ("x.y", "malformed"), ("abc", "malformed"), (5, "pruned")):
+            with self.subTest(which=which), self.assertRaises(Unknown) as caught:
+                history.find(0, which)
+            self.assertEqual(caught.exception.reason, reason)
+        self.assertEqual(history.prune(10_000 * SECOND), 2)
+        self.assertEqual(history.newest(0).table, held)
+        self.assertEqual(history.problems(), [])
+
+    def test_what_returns_leaves_out_who_may_not_be_used(self):
+        old = successor(None, 0, "A", 1, lines("a", "b", "c"))
+        present = (Line("b", "127.0.0.1", 9999, "a", 0.2),)
+        found, left_out = lines_to_return(old, lambda name: name != "c", present)
+        self.assertEqual([(row.worker, row.port, row.weight) for row in found], [("a", 9000, 1.0), ("b", 9999, 1.0)])
+        self.assertEqual(left_out, ["c"])
+        self.assertEqual(lines_to_return(old, lambda name: False, present)[0], ())
+        keys = Rollbacks(most=2)
+        for key in "abc":
+            keys.done(key, key.upper())
+        self.assertEqual([keys.known(key) for key in "abc"], [None, "B", "C"])
+
+
+class OnTheWay(StageCase):
+    def test_tampered_pushes_never_put_a_wrong_table_in_force(self):
+        day = short_day(14, [{"what": "worker_crash", "at_s": 3, "for_s": 3, "workers": [0]},
+                             {"what": "drain", "at_s": 6, "for_s": 6, "workers": [2]},
+                             {"what": "manager_kill", "at_s": 8, "for_s": 1, "manager": 1}], tampered=0.6)
+        stage = self.stage(day)
+        account = audit(day, stage.run())
+        self.assertEqual(account["broken"], {})
+        self.assertGreaterEqual(len([way for way, count in stage.tampered.items() if count]), 4)
+        written = {}
+        for k in range(2):
+            written |= {item: table for item, table in stage.parts[f"manager-{k}"].core.written.items()}
+        for k in range(3):
+            reader = TableReader(os.path.join(self.folder, f"proxy-{k}"))
+            reader.poll()
+            self.assertEqual({item: row[0].digest for item, row in reader.tables.items()},
+                             {item: table.digest for item, table in written.items()})
+
+
+if __name__ == "__main__":
+    unittest.main()
