History, rollback as a new version, and the tables command

A wrong list hurt and there was no quick way back. The store's logs keep versions with time and cause, as long as retention says; 'tables list | show | history | diff | verify | export' read them; 'tables rollback' brings an earlier version back as a new one, minus workers that drain, are gone or cold: the module is handed the slices anew with their lines, and again within each window while they are held. The key is the new version's cause, so a repeated command has no second effect, also after a restart. A store held by another process or of a newer format is refused.

--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -13,6 +13,7 @@
 from ..deployment import BadDeployment, deployment_schema, read_deployment, read_json
 from ..manager import ManagerService
 from .serve import BadInput, open_log, serve
+from .tables import tables
 
 
 def checked(read, *values):
@@ -190,6 +191,9 @@
             click.echo(f"  ! {name}: {text}")
 
 
+main.add_command(tables)
+
+
 @main.group()
 def deployment():
     """Check a deployment file, or print its schema."""
--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -9,6 +9,7 @@
 
 from ..helper import ProcessCalls
 from ..loop import Loop, Refused
+from ..store.tables import NewerFormat
 
 
 class BadInput(click.ClickException):
@@ -43,6 +44,10 @@
         if calls is not None:
             calls.ended()
         raise BadInput(f"{name}: listen: {problem}") from None
+    except NewerFormat as problem:
+        if calls is not None:
+            calls.ended()
+        raise BadInput(str(problem)) from None
     except OSError as problem:
         raise BadInput(f"{problem.filename or name}: {problem.strerror}") from None
 
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -68,6 +68,7 @@
 
 class Channel(Strict):
     lines_per_s: float = Field(8000.0, gt=0, le=1e9, description="lines a second that leave a manager")
+    read_lines_per_s: float = Field(50_000.0, gt=0, le=1e9, description="lines a second that proxies read of the store")
     message_head: float = Field(16.0, ge=0, le=1e6, description="lines that each message counts beside its own")
     queue_lines: float = Field(8000.0, gt=0, le=1e12, description="lines that may wait in a manager's channel")
     messages_most: int = Field(0, ge=0, description="messages to one proxy within messages_over_s; 0: any number")
@@ -95,6 +96,11 @@
     waiting_mb: float = Field(32.0, gt=0, le=4096, description="megabytes of bodies that may wait to be decoded")
 
 
+class History(Strict):
+    keep_count: int = Field(64, ge=2, le=100_000, description="versions of each slice that are kept")
+    keep_s: Seconds = Field(86_400.0, description="seconds after which a version that is not in force may go")
+
+
 class Custody(Strict):
     lease_s: Seconds = Field(1.0, description="seconds; a manager that did not renew for so long stops publishing")
     drift: Part = Field(0.05, description="part by which others wait longer, for clocks that run apart")
@@ -127,6 +133,7 @@
     rules: Rules = Field(default_factory=lambda: Rules())
     reports: Reports = Field(default_factory=lambda: Reports())
     custody: Custody = Field(default_factory=lambda: Custody())
+    history: History = Field(default_factory=lambda: History())
     probes: bool = Field(True, description="whether managers may probe workers")
     probe_timeout_s: Seconds = Field(0.6, description="seconds after which a probe has timed out")
     weights_listed: bool = Field(False, description="whether the worker list gives sizes")
--- a/ospreyrouter/helper/work.py
+++ b/ospreyrouter/helper/work.py
@@ -1,7 +1,9 @@
 """What the helper does, by name. Used by the child process and, inline, in virtual time. Plain blocking calls."""
 
+import errno
 import fcntl
 import os
+import time
 
 from ..files.disk import Disk
 from ..files.sets import FileSet
@@ -9,8 +11,7 @@
 from ..store.log import LogWriter
 
 
-class Locked(OSError):
-    """Another process still has the folder."""
+LOCK_TRIES = 30  # tenths of a second: a killed process's helper ends by then
 
 
 class Work:
@@ -25,7 +26,15 @@
         os.makedirs(folder, exist_ok=True)
         if self.lock and folder not in self.locks:
             handle = os.open(os.path.join(folder, ".lock"), os.O_RDWR | os.O_CREAT, 0o644)
-            fcntl.flock(handle, fcntl.LOCK_EX)
+            for attempt in range(LOCK_TRIES):
+                try:
+                    fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                    break
+                except BlockingIOError:
+                    if attempt + 1 == LOCK_TRIES:
+                        os.close(handle)
+                        raise OSError(errno.EBUSY, f"{folder}: another process holds it") from None
+                    time.sleep(0.1)
             self.locks[folder] = handle
 
     def set_flush(self, flush):
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -51,6 +51,7 @@
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
+        self.states, self.held = {}, {}
 
     # What happened.
 
@@ -63,6 +64,7 @@
     def listed(self, now, entries):
         """A whole list: rows of (name, host, port, zone, kind, cell, state, weight, incarnation, age_us or None)."""
         out, moved = [], set()
+        self.states = {row[0]: row[6] for row in entries}
         for name, host, port, zone, kind, cell, state, weight, incarnation, age in entries:
             place = self.worker(name)
             row = self.rows[place]
@@ -150,6 +152,36 @@
         self.intake.append(("charged", item, True))
         self.intake += [("stored", item, place, weight) for place, weight in sorted(self.tables[item].items())]
 
+    def usable(self, worker, now):
+        """Whether a worker may be in a table that is brought back: listed as ready, and warm by the stated time."""
+        place = self.workers.get(worker)
+        row = self.rows[place] if place is not None else None
+        return row is not None and self.states.get(worker) == "ready" and (
+            row.started_us is None or now - row.started_us >= self.facts.cold_us)
+
+    def roll_back(self, now, returning, hold_until):
+        """{slice: lines} come into force as new versions; the module is handed these slices anew with their lines.
+        Proxies read them from the store, as they do after a takeover. Returns the new tables."""
+        tables = []
+        for item, lines in sorted(returning.items()):
+            table = self.written[item] = successor(self.written.get(item), item, self.name, self.epoch, lines)
+            tables.append(table)
+            self.tables[item] = {self.worker(line.worker): line.weight for line in lines}
+            self.intake.append(("charged", item, False))
+            self._hand(item)
+            if hold_until > now:
+                self.held[item] = hold_until
+        self.effects.append(("read", sorted(returning)))
+        return tables
+
+    def hold(self, now):
+        """What is held is handed over anew within each window: to the module it is just inherited, and stays."""
+        self.held = {item: until for item, until in self.held.items() if until > now and item in self.tables}
+        for item in sorted(self.held):
+            self.intake.append(("charged", item, False))
+            self._hand(item)
+        return bool(self.held)
+
     # One turn of the module.
 
     def turn(self, now):
--- /dev/null
+++ b/ospreyrouter/manager/operators.py
@@ -0,0 +1,109 @@
+"""What operators order of a running manager: tables brought back. Sockets only; what comes back is decided elsewhere.
+
+`POST /v3/rollback` with `{"to": VERSION or time in us, "slices": [..] or null, "hold_s": 0, "key": TEXT}`; the answer
+says for each slice what became of it. The same key again is answered as before and has no second effect, also after
+a restart: the versions that a command made carry its key as their cause.
+"""
+
+import orjson
+
+from ..versions import Rollbacks, Unknown, lines_to_return
+
+HOLD_US = 1_000_000  # how often what is held is handed to the module anew; less than its window
+HOLD_MOST_S = 86_400
+CAUSE = "rollback "
+
+
+class Operators:
+    def __init__(self, service):
+        self.service, self.commands, self.holding = service, Rollbacks(), False
+        for row in sorted(service.tables.history.by_digest.values(), key=lambda row: row.at_us):
+            if row.cause.startswith(CAUSE):
+                key = row.cause[len(CAUSE):]
+                answer = self.commands.known(key) or {"key": key, "slices": {}}
+                answer["slices"][str(row.table.slice)] = made(row.table)
+                self.commands.done(key, answer)
+
+    def roll_back(self, request):
+        service = self.service
+        try:
+            order = self._order(orjson.loads(request.body))
+        except (ValueError, TypeError, KeyError) as problem:
+            self._answer(request, 400, {"error": "malformed", "detail": str(problem)})
+            return
+        to, items, hold_s, key = order
+        known = self.commands.known(key)
+        if known is not None:
+            self._answer(request, 200, known | {"repeated": True})
+            return
+        if not service.custody.may_publish(service.loop.now()):
+            self._answer(request, 503, {"error": "no lease", "detail": "this manager may not publish now"})
+            return
+        strange = [item for item in items or () if item not in service.core.tables]
+        if strange:
+            self._answer(request, 409, {"error": "not in charge", "detail": f"slice {strange[0]} is not this manager's"})
+            return
+        self._carry_out(request, to, sorted(items if items is not None else service.core.tables), hold_s, key,
+                        given=items is not None)
+
+    def _order(self, data):
+        to, items, hold_s, key = data["to"], data.get("slices"), data.get("hold_s", 0), data["key"]
+        if not (isinstance(to, str) and 0 < len(to) < 100 or type(to) is int):
+            raise ValueError("to: is no version, digest or time")
+        if items is not None and not (isinstance(items, list) and all(type(item) is int for item in items)):
+            raise ValueError("slices: is no list of numbers")
+        if type(hold_s) not in (int, float) or not 0 <= hold_s <= HOLD_MOST_S:
+            raise ValueError("hold_s: is no number of seconds up to a day")
+        if not (isinstance(key, str) and 0 < len(key) < 200 and key.isprintable()):
+            raise ValueError("key: is missing or too long")
+        return to, items, hold_s, key
+
+    def _carry_out(self, request, to, items, hold_s, key, given):
+        service, core, now = self.service, self.service.core, self.service.loop.now()
+        found, answer = {}, {"key": key, "slices": {}}
+        for item in items:
+            try:
+                found[item] = service.tables.history.find(item, to)
+            except Unknown as problem:
+                if given or problem.reason == "malformed":
+                    # Named by hand: nothing is done by half.
+                    self._answer(request, 404, {"error": problem.reason, "detail": str(problem)})
+                    return
+                answer["slices"][str(item)] = {"left": str(problem)}
+        returning = {}
+        for item, row in found.items():
+            present = core.written.get(item)
+            lines, left_out = lines_to_return(row.table, lambda name: core.usable(name, now), present.lines if present else ())
+            if not lines:
+                answer["slices"][str(item)] = {"left": "none of its workers may be used now"}
+            elif present is not None and {(l.worker, l.weight) for l in lines} == {(l.worker, l.weight) for l in present.lines}:
+                answer["slices"][str(item)] = {"left": "it is in force"}
+            else:
+                returning[item] = lines
+                answer["slices"][str(item)] = {"without": left_out} if left_out else {}
+        if returning:
+            tables = core.roll_back(now, returning, now + round(hold_s * 1e6))
+            service._save(tables, CAUSE + key)
+            for table in tables:
+                answer["slices"][str(table.slice)] |= made(table)
+            service.log.info("rolled_back", manager=service.name, key=key, slices=len(tables), hold_s=hold_s)
+            service._soon()
+            if hold_s and not self.holding:
+                self.holding = True
+                service.loop.after(HOLD_US, self._hold)
+        self.commands.done(key, answer)
+        self._answer(request, 200, answer)
+
+    def _hold(self):
+        self.holding = self.service.core.hold(self.service.loop.now())
+        if self.holding and not self.service.stopped:
+            self.service._soon()
+            self.service.loop.after(HOLD_US, self._hold)
+
+    @staticmethod
+    def _answer(request, status, data):
+        request.answer(status, [("content-type", "application/json")], orjson.dumps(data))
+
+
+def made(table):
+    return {"version": f"{table.version[0]}.{table.version[1]}", "digest": table.digest}
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -7,6 +7,7 @@
 not wait for it: a successor that finds an older table in the store has the newer fence, so all return to that one.
 """
 
+import errno
 import os
 from collections import Counter, deque
 
@@ -16,12 +17,14 @@
 from ..interface import Outcome
 from ..policy import Manager
 from ..store import Custody, TableStore, list_path, read_list
+from ..versions import History
 from ..web import Client, Server, content_digest
 from ..xds.documents import CLA, BadDocument, Rendered, dump, load, need, push_body, version_text
 from ..xds.reports import ORCA_HEADER, orca_report
 from ..xds.worker_list import NAME, list_of
 from .admission import ReadBudget
 from .core import ManagerCore
+from .operators import Operators
 
 TURN_US = 5_000  # what happens within so long is told to the module in one round
 PUT_US = 3_000_000  # a proxy that has not answered a push for so long has lost this manager
@@ -49,21 +52,24 @@
         channel = setup.channel
         self.channel = PacedChannel(channel.lines_per_s, channel.message_head, channel.queue_lines,
                                     channel.messages_most, round(channel.messages_over_s * 1e6))
-        self.reads = ReadBudget(channel.lines_per_s)
+        self.reads = ReadBudget(channel.read_lines_per_s)
         self.lease_us = round(setup.custody.lease_s * 1e6)
         self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
         self.folder, self.names, self.calls = folder, names, calls
         self.life, self.beats = f"{os.getpid()}-{os.urandom(4).hex()}", 0
-        self.beating = self.looking = self.proposing = False
-        self.tables = TableStore(folder, name, calls, self._log_opened)
+        self.beating = self.looking = self.proposing = self.held_by_another = False
+        kept = setup.history
+        self.tables = TableStore(folder, name, calls, self._log_opened,
+                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)))
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.rendered = Rendered()
-        self.unsaved, self.saving, self.behind = {}, False, False
+        self.unsaved, self.saving, self.behind, self.causes = {}, False, False, {}
         reports = setup.reports
         self.intake = Intake(loop, self.core.digest, log, name, round(reports.interval_s * 1e6),
                              round(reports.waiting_mb * 1e6))
         self.intake.on_fed = self._soon
+        self.operators = Operators(self)
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
         self.stopped = False
@@ -78,6 +84,8 @@
     def _log_opened(self, cut, problem):
         if problem is not None:
             self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=0)
+            if problem.errno == errno.EBUSY:
+                self.held_by_another = True  # it writes nothing and publishes nothing: the other one does
         elif cut:
             self.log.warning("store_tail_cut", manager=self.name, bytes=cut)
 
@@ -96,7 +104,7 @@
             self._save([])
 
     def _renew(self):
-        if self.beating:
+        if self.beating or self.held_by_another:
             return  # the store has not taken the last one: it is late, and another would only queue behind
         self.beating, began, self.beats = True, self.loop.now(), self.beats + 1
 
@@ -208,8 +216,9 @@
         self.core.woke()
         self._soon()
 
-    def _save(self, tables):
+    def _save(self, tables, cause=""):
         """Into the store. A store that refuses does not stop drains: what it lacks is kept and tried again."""
+        self.causes.update((table.slice, cause) for table in tables)
         self.unsaved.update((table.slice, table) for table in tables)
         if self.saving or not self.unsaved:
             return
@@ -229,7 +238,11 @@
                 self.log.info("store_caught_up", manager=self.name)
             self._save([])
 
-        self.tables.append(list(rows.values()), done)
+        # One write for each cause; the last one's end is the end of all, as they are done in order.
+        causes = sorted({self.causes.get(item, "") for item in rows})
+        for place, cause in enumerate(causes):
+            some = [table for item, table in rows.items() if self.causes.get(item, "") == cause]
+            self.tables.append(some, done if place + 1 == len(causes) else lambda problem: None, cause)
 
     # The channel to proxies.
 
@@ -308,6 +321,9 @@
         if request.path == "/v3/load_stats" and request.method == "POST":
             self.intake.post(request)
             return
+        if request.path == "/v3/rollback" and request.method == "POST":
+            self.operators.roll_back(request)
+            return
         if request.path == "/v3/estimates" and request.method == "GET":
             self._tell_estimates(request)
             return
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -1,48 +1,84 @@
-"""Tables as last published: one log a manager, which only that manager writes and all managers read.
+"""Tables as published, with their history: one log a manager, which only that manager writes and all managers read.
 
     store = TableStore(folder, "manager-0", calls)
     store.append(tables, on_done)   # one write, one flush; on_done(problem or None)
     store.refresh()                 # what others wrote since
     store.newest                    # {slice: table}: of all logs, the table with the highest version
+    store.history                   # versions by slice, as far as retention keeps them
 
-A record is a line: checksum, space, JSON. A torn tail is cut when the owner opens its log; a record that is damaged
-elsewhere is counted and named, and an older version of its slice or another log's stands in. Once a log holds
-mostly records that newer ones replaced, it is written anew beside and renamed.
+A record is a line: checksum, space, JSON with format, time, cause and table. A torn tail is cut when the owner opens
+its log; a record that is damaged elsewhere is counted and named, and an older version of its slice or another log's
+stands in. Now and then a log is written anew beside and renamed, without what retention no longer keeps. A log of a
+newer format is refused as a whole: `NewerFormat`.
 """
 
 import os
+import time
 import zlib
 
 import orjson
 
+from ..versions import Altered, History, verify
 from ..xds.documents import BadDocument, table_resource, whole_table_of
 
 COMPACT_AT = 8 << 20  # bytes of a log at which it is weighed whether to write it anew
+FORMAT = 2
 
 
-def record(table):
-    body = orjson.dumps(table_resource(table))
+class NewerFormat(Exception):
+    """A log that a newer program wrote; the text names the file."""
+
+
+def record(table, at_us=0, cause=""):
+    body = orjson.dumps({"v": FORMAT, "at": at_us, "cause": cause, "table": table_resource(table)})
     return b"%08x %s\n" % (zlib.crc32(body), body)
 
 
+def record_of(line, name):
+    """(table, time, cause) of a record. Raises BadDocument or NewerFormat."""
+    checksum, _, body = line.partition(b" ")
+    try:
+        good = int(checksum, 16) == zlib.crc32(body)
+    except ValueError:
+        good = False
+    if not good:
+        raise BadDocument("its checksum is wrong")
+    data = orjson.loads(body)
+    if not isinstance(data, dict) or not isinstance(data.get("v"), int):
+        raise BadDocument("it names no format")
+    if data["v"] > FORMAT:
+        raise NewerFormat(f"{name}: has format {data['v']}, this program reads up to {FORMAT}")
+    table, _ = whole_table_of(data["table"], name)
+    verify(table)
+    return table, data["at"], data["cause"]
+
+
+def wall_us():
+    """Time of day: for people who ask what was in force when. Nothing is decided by it."""
+    return time.time_ns() // 1000
+
+
 class TableStore:
-    """See the top of this module. `calls` does the writing, off the loop."""
+    """See the top of this module. `calls` does the writing, off the loop; without it the store is read only."""
 
-    def __init__(self, folder, manager, calls, on_open=lambda cut, problem: None, compact_at=COMPACT_AT):
+    def __init__(self, folder, manager, calls, on_open=lambda cut, problem: None, compact_at=COMPACT_AT, history=None,
+                 wall=wall_us):
         self.folder, self.manager, self.calls, self.compact_at = os.path.join(folder, "tables"), manager, calls, compact_at
-        os.makedirs(self.folder, exist_ok=True)
         self.path = os.path.join(self.folder, f"{manager}.log")
         self.newest, self.offsets, self.damaged, self.own = {}, {}, [], {}
+        self.history, self.wall = history if history is not None else History(), wall
         self.compacted_size, self.compacting = 0, False
-        calls.ask("open_log", (self.path,), on_open)
+        if calls is not None:
+            os.makedirs(self.folder, exist_ok=True)
+            calls.ask("open_log", (self.path,), on_open)
         self.refresh()
 
-    def append(self, tables, on_done):
+    def append(self, tables, on_done, cause=""):
         """Write tables; the log is cut back to what it was where that fails."""
+        at = self.wall()
         for table in tables:
-            self.own[table.slice] = table
-            self._take(table)
-        body = b"".join(record(table) for table in tables)
+            self._take(table, at, cause, own=True)
+        body = b"".join(record(table, at, cause) for table in tables)
 
         def done(size, problem):
             on_done(problem)
@@ -52,9 +88,13 @@
         self.calls.ask("append_log", (self.path, body), done)
 
     def compact(self):
-        """Write the own log anew with each slice's newest table only; the old log stands where that fails."""
+        """Write the own log anew with what retention keeps; the old log stands where that fails."""
         self.compacting = True
-        body = b"".join(record(table) for _, table in sorted(self.own.items()))
+        self.history.prune(self.wall())
+        rows = sorted((row for row in self.history.by_digest.values() if row.table.digest in self.own),
+                      key=lambda row: (row.at_us, row.table.version, row.table.slice))
+        self.own = {row.table.digest: None for row in rows}
+        body = b"".join(record(row.table, row.at_us, row.cause) for row in rows)
 
         def done(size, problem):
             self.compacting = False
@@ -63,13 +103,16 @@
 
         self.calls.ask("rewrite_log", (self.path, body), done)
 
-    def _take(self, table):
+    def _take(self, table, at, cause, own):
+        self.history.add(table, at, cause)
+        if own:
+            self.own[table.digest] = None
         held = self.newest.get(table.slice)
         if held is None or table.version > held.version:
             self.newest[table.slice] = table
 
     def refresh(self):
-        """Read what was written to any log since the last call."""
+        """Read what was written to any log since the last call. Raises NewerFormat."""
         for name in sorted(os.listdir(self.folder)):
             if not name.endswith(".log"):
                 continue
@@ -92,15 +135,8 @@
 
     def _read(self, name, place, line):
         try:
-            checksum, _, body = line.partition(b" ")
-            if int(checksum, 16) != zlib.crc32(body):
-                raise BadDocument("its checksum is wrong")
-            table, _ = whole_table_of(orjson.loads(body), name)
-        except (ValueError, BadDocument) as problem:
+            table, at, cause = record_of(line, name)
+        except (ValueError, KeyError, TypeError, BadDocument, Altered) as problem:
             self.damaged.append(f"{name} at byte {place}: {problem}")
             return
-        if name == f"{self.manager}.log":
-            held = self.own.get(table.slice)
-            if held is None or table.version >= held.version:
-                self.own[table.slice] = table
-        self._take(table)
+        self._take(table, at, cause, own=name == f"{self.manager}.log")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,19 +1,26 @@
 """Versions, changes on an exact base, rollback: every short interleaving, and each check taken out once."""
 
 import itertools
+import json
 import os
 import unittest
+import zlib
 from unittest import mock
 
+import orjson
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ospreyrouter.cli import main
 from ospreyrouter.files import Ledger, Rejected, TableReader, ledger
+from ospreyrouter.manager.operators import Operators
 from ospreyrouter.rehearse import audit
 from ospreyrouter.versions import (Altered, History, Rollbacks, Unknown, WrongBase, apply, between, lines_to_return,
                                    successor, verify)
 from ospreyrouter.versions import delta as delta_module
-from ospreyrouter.xds.documents import Delta, Line, Push, push_body, push_of
+from ospreyrouter.web import Client
+from ospreyrouter.xds.documents import Delta, Line, Push, dump, push_body, push_of
 
 from .stage import StageCase, short_day
 
@@ -226,6 +233,107 @@
         self.assertEqual([keys.known(key) for key in "abc"], [None, "B", "C"])
 
 
+class RolledBack(StageCase):
+    """On a running manager, through its own door."""
+
+    def post(self, stage, name, order):
+        answers = []
+        client = Client(stage.network.host("operator"), stage.parts[name].address)
+        client.ask("POST", "/v3/rollback", [], dump(order), answers.append, 5 * SECOND)
+        stage.network.run(stage.network.time + SECOND)
+        return answers[0].status, orjson.loads(answers[0].body)
+
+    def tables(self, k=0):
+        reader = TableReader(os.path.join(self.folder, f"proxy-{k}"))
+        reader.poll()
+        return {item: row[0] for item, row in reader.tables.items()}
+
+    def test_an_earlier_version_comes_back_once_as_a_new_one_and_is_held(self):
+        stage = self.stage(short_day(30, [{"what": "drain", "at_s": 8, "for_s": 20, "workers": [3]}], fleet={"managers": 1}))
+        stage.network.run(stage.network.time + 6 * SECOND)
+        before = self.tables()
+        manager, key = stage.parts["manager-0"], {"key": "k-1", "hold_s": 8}
+        # The module moves on: what workers say makes another layout, here written by hand through its own orders.
+        core = manager.core
+        core.now, core.lines, core.mark_asked = stage.network.time, 0, 7
+        for item in range(12):
+            for worker in list(core.tables[item]):
+                core.line(item, worker, 0)
+            core.line(item, core.worker("worker-5"), 1.0)
+        core._publish(stage.network.time)
+        manager._carry_out([core.effects.pop(0) for _ in range(len(core.effects))])
+        stage.network.run(stage.network.time + 2 * SECOND)
+        self.assertTrue(all([line.worker for line in table.lines] == ["worker-5"] for table in self.tables().values()))
+        stage.network.run(stage.network.time + 2 * SECOND)  # worker-3 drains by now
+        at = {item: f"{table.version[0]}.{table.version[1]}" for item, table in before.items()}
+        for item in range(12):
+            status, answer = self.post(stage, "manager-0", {"to": at[item], "slices": [item], **key, "key": f"k-{item}"})
+            self.assertEqual(status, 200)
+        after = self.tables()
+        for item, table in after.items():
+            old = {line.worker: line.weight for line in before[item].lines if line.worker != "worker-3"}
+            if old and item not in [k for k in range(12) if list(before[k].lines)[0].worker == "worker-5"]:
+                found = {line.worker: line.weight for line in table.lines}
+                self.assertGreater(table.version, before[item].version)
+                self.assertTrue(set(old) <= set(found), (item, old, found))
+            self.assertNotIn("worker-3", [line.worker for line in table.lines])
+        versions = {item: table.version for item, table in self.tables().items()}
+        status, answer = self.post(stage, "manager-0", {"to": at[0], "slices": [0], "key": "k-0"})
+        self.assertTrue(answer["repeated"])
+        self.assertEqual(self.tables()[0].version, versions[0])  # held, and no second effect
+        again = Operators(manager)  # as after a restart: from the store
+        self.assertEqual(set(again.commands.answers), {f"k-{item}" for item in range(12)
+                                                       if manager.operators.commands.known(f"k-{item}")["slices"][str(item)].get("version")})
+
+    def test_what_cannot_be_brought_back_changes_nothing(self):
+        stage = self.stage(short_day(8))
+        stage.network.run(stage.network.time + 5 * SECOND)
+        before = self.tables()
+        theirs = next(item for item, owner in enumerate(stage.parts["manager-0"].custody.epoch.owners) if owner == 1)
+        own = next(item for item, owner in enumerate(stage.parts["manager-0"].custody.epoch.owners) if owner == 0)
+        cases = [({"to": "9.9", "slices": [own], "key": "a"}, 404, "unknown"), ({"to": "x", "slices": [own], "key": "b"}, 404, "malformed"),
+                 ({"to": "1.1", "slices": [theirs], "key": "c"}, 409, "not in charge"), ({"to": 1, "slices": [own], "key": "d"}, 404, "unknown"),
+                 ({"to": "1.1", "slices": "all", "key": "e"}, 400, "malformed"), ({"to": "1.1"}, 400, "malformed"),
+                 ({"to": "1.1", "key": "f", "hold_s": -1}, 400, "malformed")]
+        for order, status, error in cases:
+            with self.subTest(order=order):
+                found = self.post(stage, "manager-0", order)
+                self.assertEqual((found[0], found[1]["error"]), (status, error))
+        self.assertEqual({item: table.digest for item, table in self.tables().items()},
+                         {item: table.digest for item, table in before.items()})
+
+    def test_operators_see_verify_and_export(self):
+        stage = self.stage(short_day(6))
+        stage.run()
+        path = os.path.join(self.folder, "deployment.json")
+        with open(path, "w") as file:
+            file.write(stage.setup.model_dump_json())
+
+        def run(*words):
+            return CliRunner().invoke(main, ["tables", words[0], path, *words[1:]])
+        self.assertEqual(len(run("list").output.splitlines()), 12)
+        rows = [json.loads(line) for line in run("history", "3", "--json").output.splitlines()]
+        self.assertEqual(json.loads(run("show", "3", "--json").output), rows[-1])
+        self.assertEqual(run("diff", "3", rows[0]["version"], rows[-1]["digest"][:12]).exit_code, 0)
+        verified = run("verify", "--json")
+        self.assertEqual((verified.exit_code, json.loads(verified.output)["problems"]), (0, []), verified.output)
+        self.assertEqual(run("export", os.path.join(self.folder, "out")).exit_code, 0)
+        for words, code in ((("show", "3", "--version", "9.9"), 3), (("show", "3", "--version", "zz"), 2), (("show", "99"), 3),
+                            (("export", path), 2), (("rollback", "--to", "1.1"), 2), (("rollback", "--to", "-5x", "--slice", "1"), 7)):
+            with self.subTest(words=words):
+                result = run(*words)
+                self.assertEqual((result.exit_code, len(result.output.splitlines())), (code, 1), result.output)
+        log = os.path.join(self.folder, "store", "tables", "manager-0.log")
+        with open(log, "r+b") as file:
+            file.seek(40)
+            file.write(b"#")
+        self.assertEqual(run("verify").exit_code, 6)
+        body = dump({"v": 99})
+        with open(log, "ab") as file:
+            file.write(b"%08x %s\n" % (zlib.crc32(body), body))
+        self.assertEqual(run("list").exit_code, 8)
+
+
 class OnTheWay(StageCase):
     def test_tampered_pushes_never_put_a_wrong_table_in_force(self):
         day = short_day(14, [{"what": "worker_crash", "at_s": 3, "for_s": 3, "workers": [0]},
