--- a/ospreyrouter/files/ledger.py
+++ b/ospreyrouter/files/ledger.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from ..versions import Altered, WrongBase, apply, verify
-from ..xds.documents import Delta, Table
+from ..xds.documents import Delta, Table, claim_text
 
 
 class Rejected(Exception):
@@ -140,7 +140,7 @@
 
     def versions(self, manager=None):
         """Versions held, by slice name; what a reader of the store says that it has."""
-        return {f"slice-{item}": f"{table.version[0]}.{table.version[1]}" for item, table in self.tables.items()}
+        return {f"slice-{item}": claim_text(table) for item, table in self.tables.items()}
 
     def restored(self, tables, orders, fences):
         """What files left by a former process held."""
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -19,10 +19,11 @@
 from ..store import Custody, TableStore, list_path, read_list
 from ..versions import History
 from ..web import Client, Server, content_digest
-from ..xds.documents import CLA, BadDocument, Rendered, dump, load, need, push_body, version_text
+from ..xds.documents import CLA, BadDocument, Rendered, claim_text, dump, load, need, push_body
 from ..xds.reports import ORCA_HEADER, orca_report
 from ..xds.worker_list import NAME, list_of
 from .admission import ReadBudget
+from .background import Background
 from .core import ManagerCore
 from .operators import Operators
 
@@ -39,6 +40,7 @@
     def __init__(self, proxy, connection, nonce, address):
         self.proxy, self.connection, self.nonce, self.address = proxy, connection, nonce, address
         self.client, self.tag, self.outbox, self.busy, self.ready = None, 0, deque(), False, False
+        self.audited = False
 
 
 class ManagerService:
@@ -69,7 +71,7 @@
         self.intake = Intake(loop, self.core.digest, log, name, round(reports.interval_s * 1e6),
                              round(reports.waiting_mb * 1e6))
         self.intake.on_fed = self._soon
-        self.operators = Operators(self)
+        self.operators, self.background = Operators(self), Background(self)
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
         self.stopped = False
@@ -293,10 +295,10 @@
                          reason=answer.reason or answer.body[:100].decode("latin-1"))
         self._drop(session.proxy, f"answered {answer.status}")
 
-    def _tell_to_read(self, items):
+    def _tell_to_read(self, items, only=None):
         body = dump({"fence": self.core.epoch, "slices": items})
         headers = [JSON, ("content-digest", content_digest(body))]
-        for session in self.sessions.values():
+        for session in list(self.sessions.values()) if only is None else [only]:
             if session.ready:
                 session.client.ask("PUT", f"/v3/custody/{self.name}", headers, body, lambda _: None, PUT_US)
 
@@ -355,9 +357,12 @@
         items = sorted(self.core.tables if names is None else
                        {item for item in self.core.tables if f"slice-{item}" in set(names)})
         tables = [self.core.written[item] for item in items if item in self.core.written and
-                  held.get(f"slice-{item}") != version_text(self.core.written[item].version)]
+                  held.get(f"slice-{item}") != claim_text(self.core.written[item])]
         lines = 1 + sum(len(table.lines) for table in tables)
         now = self.loop.now()
+        if session is not None and session.audited:
+            session.audited = False
+            self.background.claimed(proxy, len(items), len(tables))
         if session is None and self.custody.epoch is None or not self.reads.admit(now, lines):
             self.counts["joins put off"] += 1
             wait = self.reads.wait_us(lines) / 1e6
@@ -367,7 +372,7 @@
         nonce = session.nonce if session is not None else f"{self.life}.{self.joins}"
         fences = {item: (self.core.epoch, self.name) for item in items}
         answer = {"systemVersionInfo": f"{self.core.epoch}.{self.core.number}", "typeUrl": CLA, "nonce": nonce,
-                  "resources": [{"name": f"slice-{table.slice}", "version": version_text(table.version),
+                  "resources": [{"name": f"slice-{table.slice}", "version": claim_text(table),
                                  "resource": self.rendered.table(table)} for table in tables],
                   "controlPlane": {"identifier": fences_text(fences)}}
         if session is None:
@@ -482,7 +487,7 @@
         """What the manager counts, for its last log line and for measurements."""
         return {"lines_sent": self.channel.lines_sent, "lines_longest": self.channel.longest,
                 "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
-                **self.counts, "reports": self.intake.figures()}
+                **self.counts, "reports": self.intake.figures(), "background": self.background.figures()}
 
     def close(self):
         """Stop: slices go to those who live, proxies are let go."""
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -67,7 +67,7 @@
         self.path = os.path.join(self.folder, f"{manager}.log")
         self.newest, self.offsets, self.damaged, self.own = {}, {}, [], {}
         self.history, self.wall = history if history is not None else History(), wall
-        self.compacted_size, self.compacting = 0, False
+        self.size, self.compacted_size, self.compacting = 0, 0, False
         if calls is not None:
             os.makedirs(self.folder, exist_ok=True)
             calls.ask("open_log", (self.path,), on_open)
@@ -81,12 +81,15 @@
         body = b"".join(record(table, at, cause) for table in tables)
 
         def done(size, problem):
+            self.size = size if problem is None else self.size
             on_done(problem)
-            if problem is None and size > self.compact_at and size > 2 * self.compacted_size and not self.compacting:
-                self.compact()
 
         self.calls.ask("append_log", (self.path, body), done)
 
+    def wants_compaction(self):
+        """Whether so much was appended since the log was last written anew that most of it may go."""
+        return self.size > self.compact_at and self.size > 2 * self.compacted_size and not self.compacting
+
     def compact(self):
         """Write the own log anew with what retention keeps; the old log stands where that fails."""
         self.compacting = True
@@ -99,7 +102,7 @@
         def done(size, problem):
             self.compacting = False
             if problem is None:
-                self.compacted_size = size
+                self.size = self.compacted_size = size
 
         self.calls.ask("rewrite_log", (self.path, body), done)
 
--- a/ospreyrouter/xds/documents.py
+++ b/ospreyrouter/xds/documents.py
@@ -101,6 +101,11 @@
     return (int(fence), int(count))
 
 
+def claim_text(table):
+    """What a proxy says that it holds, and a reader of the store is told: the number, and whose content it is."""
+    return f"{version_text(table.version)}+{table.digest[:16]}"
+
+
 def slice_of(name, where="cluster_name"):
     head, _, number = name.rpartition("-")
     if head != "slice" or not number.isdigit() or len(number) > 6:
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -184,6 +184,8 @@
         one, other = self.store(), self.store("manager-1")
         for count in range(1, 60):
             self.append(one, table(count % 3, count))
+            if one.wants_compaction():
+                one.compact()
             other.refresh()
         self.assertLess(os.path.getsize(one.path), 12_000)
         self.assertEqual(other.newest, one.newest)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -20,6 +20,7 @@
                                    successor, verify)
 from ospreyrouter.versions import delta as delta_module
 from ospreyrouter.web import Client
+from ospreyrouter.work import Job, Schedule
 from ospreyrouter.xds.documents import Delta, Line, Push, dump, push_body, push_of
 
 from .stage import StageCase, short_day
@@ -233,6 +234,43 @@
         self.assertEqual([keys.known(key) for key in "abc"], [None, "B", "C"])
 
 
+class Background(unittest.TestCase):
+    def jobs(self, *rows, **budgets):
+        schedule = Schedule(budgets or {"cpu_us": 1000, "lines": 100})
+        for name, priority, every, starve, cost in rows:
+            schedule.add(Job(name, priority, every, starve, cost))
+        return schedule
+
+    def test_priority_budget_and_giving_way(self):
+        schedule = self.jobs(("low", 1, SECOND, 60 * SECOND, {"lines": 10}), ("high", 2, SECOND, 60 * SECOND, {"lines": 150}))
+        self.assertIsNone(schedule.next(0, busy=True))
+        job = schedule.next(0)
+        self.assertEqual(job.name, "high")
+        schedule.done(0, job)
+        job = schedule.next(0)
+        self.assertEqual(job.name, "low")
+        schedule.done(0, job, {"lines": 40})
+        self.assertIsNone(schedule.next(SECOND))  # high is due again and waits for its lines; low does not slip in
+        self.assertEqual(schedule.next(2 * SECOND).name, "high")
+        with self.assertRaises(ValueError):
+            schedule.add(Job("odd", 1, SECOND, SECOND, {"gold": 1}))
+
+    @settings(deadline=None, max_examples=60)
+    @given(st.lists(st.tuples(st.booleans(), st.integers(10_000, 400_000)), min_size=50, max_size=300))
+    def test_nothing_starves_beyond_its_time(self, moves):
+        schedule = self.jobs(("a", 3, SECOND, 4 * SECOND, {"cpu_us": 900}), ("b", 2, SECOND, 6 * SECOND, {"lines": 90}),
+                             ("c", 1, 2 * SECOND, 8 * SECOND, {"cpu_us": 500, "lines": 50}))
+        now, last = 0, {}
+        for busy, step in moves:
+            now += step
+            job = schedule.next(now, busy)
+            if job is not None:
+                schedule.done(now, job)
+                # Two others may starve at the same moment: one turn each.
+                self.assertLessEqual(now - last.get(job.name, 0), job.starve_us + 3 * 400_000)
+                last[job.name] = now
+
+
 class RolledBack(StageCase):
     """On a running manager, through its own door."""
 
