--- a/ospreyrouter/cli/tables.py
+++ b/ospreyrouter/cli/tables.py
@@ -19,8 +19,10 @@
 from ..loop import Loop
 from ..store import TableStore
 from ..store.tables import NewerFormat
-from ..versions import History, Unknown
+from ..versions import Altered, History, Unknown
+from ..versions import verify as digests
 from ..web import Client
+from ..xds.documents import BadDocument
 from .serve import BadInput
 
 CODES = {"unknown": 3, "malformed": 2, "ambiguous": 2, "pruned": 4, "not in charge": 5, "no lease": 7}
@@ -174,6 +176,11 @@
     """Read the whole history again, and what each proxy's files claim to be in force."""
     store, differ = Store(deployment), []
     newest = {item: table.digest for item, table in store.tables.newest.items()}
+    for row in list(store.history.by_digest.values()):
+        try:
+            digests(row.table)
+        except (ValueError, KeyError, TypeError, BadDocument, Altered) as problem:
+            store.tables.damaged.append(f"slice {row.slice} version {row.version[0]}.{row.version[1]}: {problem}")
     known = store.history.by_digest
     seen = 0
     for place in store.setup.proxies:
@@ -208,7 +215,7 @@
     store = Store(deployment)
     try:
         with open(path, "xb") as file:
-            for row in sorted(store.history.by_digest.values(), key=lambda row: (row.table.slice, row.table.version)):
+            for row in sorted(store.history.by_digest.values(), key=lambda row: (row.slice, row.version)):
                 file.write(orjson.dumps(row_data(row)) + b"\n")
     except OSError as problem:
         raise BadInput(f"{path}: {problem.strerror}") from None
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -21,7 +21,7 @@
             if row.cause.startswith(CAUSE):
                 key = row.cause[len(CAUSE):]
                 answer = self.commands.known(key) or {"key": key, "slices": {}}
-                answer["slices"][str(row.table.slice)] = made(row.table)
+                answer["slices"][str(row.slice)] = made(row)
                 self.commands.done(key, answer)
 
     def roll_back(self, request):
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -18,11 +18,11 @@
 
 import orjson
 
-from ..versions import Altered, History, verify
+from ..versions import Altered, History, Kept, verify
 from ..xds.documents import BadDocument, table_resource, whole_table_of
 
 COMPACT_AT = 8 << 20  # bytes of a log at which it is weighed whether to write it anew
-FORMAT = 2
+FORMAT = 3
 
 
 class NewerFormat(Exception):
@@ -30,12 +30,13 @@
 
 
 def record(table, at_us=0, cause=""):
-    body = orjson.dumps({"v": FORMAT, "at": at_us, "cause": cause, "table": table_resource(table)})
+    head = orjson.dumps([FORMAT, table.slice, list(table.version), table.digest, table.parent, at_us, cause])
+    body = head + b"\t" + orjson.dumps(table_resource(table))
     return b"%08x %s\n" % (zlib.crc32(body), body)
 
 
 def record_of(line, name):
-    """(table, time, cause) of a record. Raises BadDocument or NewerFormat."""
+    """The version in a record, its table not looked at yet. Raises BadDocument or NewerFormat."""
     checksum, _, body = line.partition(b" ")
     try:
         good = int(checksum, 16) == zlib.crc32(body)
@@ -43,14 +44,15 @@
         good = False
     if not good:
         raise BadDocument("its checksum is wrong")
-    data = orjson.loads(body)
-    if not isinstance(data, dict) or not isinstance(data.get("v"), int):
+    head, _, table = body.partition(b"\t")
+    data = orjson.loads(head)
+    if not isinstance(data, list) or not data or not isinstance(data[0], int):
         raise BadDocument("it names no format")
-    if data["v"] > FORMAT:
-        raise NewerFormat(f"{name}: has format {data['v']}, this program reads up to {FORMAT}")
-    table, _ = whole_table_of(data["table"], name)
-    verify(table)
-    return table, data["at"], data["cause"]
+    if data[0] > FORMAT:
+        raise NewerFormat(f"{name}: has format {data[0]}, this program reads up to {FORMAT}")
+    _, item, version, digest, parent, at_us, cause = data
+    return Kept(item, tuple(version), digest, parent, at_us, cause,
+                lambda: whole_table_of(orjson.loads(table), name)[0])
 
 
 def wall_us():
@@ -65,7 +67,7 @@
                  wall=wall_us):
         self.folder, self.manager, self.calls, self.compact_at = os.path.join(folder, "tables"), manager, calls, compact_at
         self.path = os.path.join(self.folder, f"{manager}.log")
-        self.newest, self.offsets, self.damaged, self.own = {}, {}, [], {}
+        self.newest_rows, self.offsets, self.damaged, self.own = {}, {}, [], {}
         self.history, self.wall = history if history is not None else History(), wall
         self.size, self.compacted_size, self.compacting = 0, 0, False
         if calls is not None:
@@ -77,7 +79,7 @@
         """Write tables; the log is cut back to what it was where that fails."""
         at = self.wall()
         for table in tables:
-            self._take(table, at, cause, own=True)
+            self._take(Kept(table.slice, table.version, table.digest, table.parent, at, cause, held=table), own=True)
         body = b"".join(record(table, at, cause) for table in tables)
 
         def done(size, problem):
@@ -94,9 +96,9 @@
         """Write the own log anew with what retention keeps; the old log stands where that fails."""
         self.compacting = True
         self.history.prune(self.wall())
-        rows = sorted((row for row in self.history.by_digest.values() if row.table.digest in self.own),
-                      key=lambda row: (row.at_us, row.table.version, row.table.slice))
-        self.own = {row.table.digest: None for row in rows}
+        rows = sorted((row for row in self.history.by_digest.values() if row.digest in self.own),
+                      key=lambda row: (row.at_us, row.version, row.slice))
+        self.own = {row.digest: None for row in rows}
         body = b"".join(record(row.table, row.at_us, row.cause) for row in rows)
 
         def done(size, problem):
@@ -106,13 +108,27 @@
 
         self.calls.ask("rewrite_log", (self.path, body), done)
 
-    def _take(self, table, at, cause, own):
-        self.history.add(table, at, cause)
+    def _take(self, row, own):
+        self.history.keep(row)
         if own:
-            self.own[table.digest] = None
-        held = self.newest.get(table.slice)
-        if held is None or table.version > held.version:
-            self.newest[table.slice] = table
+            self.own[row.digest] = None
+        held = self.newest_rows.get(row.slice)
+        if held is None or row.version > held.version:
+            self.newest_rows[row.slice] = row
+
+    @property
+    def newest(self):
+        """{slice: table} of all logs. A table whose digest is wrong is named, and the one before it stands in."""
+        tables = {}
+        for item, row in self.newest_rows.items():
+            for older in [row, *reversed(self.history.slices.get(item, ()))]:
+                try:
+                    verify(older.table)
+                    tables[item] = older.table
+                    break
+                except (ValueError, KeyError, TypeError, BadDocument, Altered) as problem:
+                    self.damaged.append(f"slice {item} version {older.version[0]}.{older.version[1]}: {problem}")
+        return tables
 
     def refresh(self):
         """Read what was written to any log since the last call. Raises NewerFormat."""
@@ -138,8 +154,8 @@
 
     def _read(self, name, place, line):
         try:
-            table, at, cause = record_of(line, name)
-        except (ValueError, KeyError, TypeError, BadDocument, Altered) as problem:
+            row = record_of(line, name)
+        except (ValueError, KeyError, TypeError, BadDocument) as problem:
             self.damaged.append(f"{name} at byte {place}: {problem}")
             return
-        self._take(table, at, cause, own=name == f"{self.manager}.log")
+        self._take(row, own=name == f"{self.manager}.log")
--- a/ospreyrouter/versions/history.py
+++ b/ospreyrouter/versions/history.py
@@ -6,11 +6,6 @@
     history.prunable(now_us)             # digests that retention no longer keeps
 """
 
-from dataclasses import dataclass
-
-from ..xds.documents import Table
-
-
 class Unknown(Exception):
     """No such version, or one that was pruned; `reason` says which."""
 
@@ -19,13 +14,21 @@
         self.reason = reason
 
 
-@dataclass(slots=True)
 class Kept:
-    """One version of a slice, with when it was published (us since 1970, of the publisher's clock) and its cause."""
+    """One version of a slice, with when it was published (us since 1970, of the publisher's clock) and its cause.
+    `load` makes the table when it is first asked for: at a start most of a long history never is."""
 
-    table: Table
-    at_us: int
-    cause: str = ""
+    __slots__ = ("slice", "version", "digest", "parent", "at_us", "cause", "load", "held")
+
+    def __init__(self, item, version, digest, parent, at_us, cause, load=None, held=None):
+        self.slice, self.version, self.digest, self.parent = item, version, digest, parent
+        self.at_us, self.cause, self.load, self.held = at_us, cause, load, held
+
+    @property
+    def table(self):
+        if self.held is None:
+            self.held, self.load = self.load(), None
+        return self.held
 
 
 class History:
@@ -38,16 +41,18 @@
 
     def add(self, table, at_us, cause=""):
         """Whether it was new. A second table with the same number is a fork and is noted."""
-        if table.digest in self.by_digest:
+        return self.keep(Kept(table.slice, table.version, table.digest, table.parent, at_us, cause, held=table))
+
+    def keep(self, row):
+        if row.digest in self.by_digest:
             return False
-        row = Kept(table, at_us, cause)
-        self.by_digest[table.digest] = row
-        rows = self.slices.setdefault(table.slice, [])
+        self.by_digest[row.digest] = row
+        rows = self.slices.setdefault(row.slice, [])
         place = len(rows)
-        while place and rows[place - 1].table.version > table.version:
+        while place and rows[place - 1].version > row.version:
             place -= 1
-        if place and rows[place - 1].table.version == table.version:
-            self.forks.append((table.slice, table.version, rows[place - 1].table.digest, table.digest))
+        if place and rows[place - 1].version == row.version:
+            self.forks.append((row.slice, row.version, rows[place - 1].digest, row.digest))
         rows.insert(place, row)
         return True
 
@@ -62,11 +67,11 @@
             then = [row for row in rows if row.at_us <= which]
             if not then:
                 raise Unknown("pruned" if item in self.oldest_gone else "unknown", f"slice {item}: nothing from that time")
-            return max(then, key=lambda row: (row.at_us, row.table.version))
+            return max(then, key=lambda row: (row.at_us, row.version))
         if "." in which:
             fence, _, count = which.partition(".")
             version = (int(fence), int(count)) if fence.isdigit() and count.isdigit() else None
-            found = [row for row in rows if row.table.version == version]
+            found = [row for row in rows if row.version == version]
             if version is None:
                 raise Unknown("malformed", f"{which!r:.60} is no version")
             if not found and version <= self.oldest_gone.get(item, (0, 0)):
@@ -74,7 +79,7 @@
         else:
             if len(which) < 8 or set(which) - set("0123456789abcdef"):
                 raise Unknown("malformed", f"{which!r:.60} is no digest: eight or more hexadecimal digits")
-            found = [row for row in rows if row.table.digest.startswith(which)]
+            found = [row for row in rows if row.digest.startswith(which)]
         if not found:
             raise Unknown("unknown", f"slice {item}: no version {which:.60}")
         if len(found) > 1:
@@ -87,7 +92,7 @@
         for item, rows in sorted(self.slices.items()):
             for place, row in enumerate(rows[:-1]):
                 if len(rows) - place > self.keep_count or now_us - row.at_us > self.keep_us:
-                    out.append((item, row.table.digest))
+                    out.append((item, row.digest))
         return out
 
     def prune(self, now_us):
@@ -97,8 +102,8 @@
         for item in {item for item, _ in gone}:
             rows = self.slices[item]
             self.oldest_gone[item] = max(self.oldest_gone.get(item, (0, 0)), max(
-                row.table.version for row in rows if row.table.digest in dropped))
-            self.slices[item] = [row for row in rows if row.table.digest not in dropped]
+                row.version for row in rows if row.digest in dropped))
+            self.slices[item] = [row for row in rows if row.digest not in dropped]
         for digest in dropped:
             del self.by_digest[digest]
         self.pruned += len(gone)
@@ -110,8 +115,8 @@
                for item, version, one, other in self.forks]
         for item, rows in sorted(self.slices.items()):
             for place, row in enumerate(rows):
-                if row.table.parent and row.table.parent not in self.by_digest and place \
-                        and row.table.version > self.oldest_gone.get(item, (0, 0)):
-                    out.append(f"slice {item}: version {row.table.version[0]}.{row.table.version[1]} follows "
-                               f"{row.table.parent[:12]}, which is not in the history")
+                if row.parent and row.parent not in self.by_digest and place \
+                        and row.version > self.oldest_gone.get(item, (0, 0)):
+                    out.append(f"slice {item}: version {row.version[0]}.{row.version[1]} follows "
+                               f"{row.parent[:12]}, which is not in the history")
         return out
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -366,7 +366,7 @@
             file.seek(40)
             file.write(b"#")
         self.assertEqual(run("verify").exit_code, 6)
-        body = dump({"v": 99})
+        body = dump([99]) + b"\t{}"
         with open(log, "ab") as file:
             file.write(b"%08x %s\n" % (zlib.crc32(body), body))
         self.assertEqual(run("list").exit_code, 8)
