--- a/benchmarks/load_reports.py
+++ b/benchmarks/load_reports.py
@@ -3,7 +3,7 @@
     python -m benchmarks.load_reports [--reporters 10000] [--seconds 60] [--short]
 
 2,000 reporters have a stream each, the others share streams by the hundred (JSON, zstandard, protobuf). An estimate is
-of the 2 s that ended `settled_us` before; it is compared with the truth of just those 2 s, and how late that is is
+of the 3 s that ended `settled_us` before; it is compared with the truth of just those 3 s, and how late that is is
 printed. Then, in virtual time: the lines handed to the module against oldest-first at the same budget, and the cost
 by number of reporters. All reporters are stand-ins; their figures are simulated. Last line: one JSON object.
 """
@@ -21,6 +21,7 @@
 
 from benchmarks.size import A_PROCESS, Quiet, cpu_s, rss_mb, write_deployment
 from ospreyrouter.digest import Digest, Handover, OldestFirst, Reporters
+from ospreyrouter.digest.estimates import BUCKET_US, SPAN_BUCKETS
 from ospreyrouter.files import TableReader
 from ospreyrouter.intake import decode
 from ospreyrouter.loop import Loop
@@ -31,6 +32,7 @@
 from ospreyrouter.web import Client, Server
 
 WORKERS, SLICES, INTERVAL_US, A_STREAM, SEED = 78, 400, 2_000_000, 100, 5
+ESTIMATE_US = BUCKET_US * SPAN_BUCKETS  # the span that an estimate is of
 WARM_S = 8.0  # before estimates are compared: the manager has heard every reporter some times
 
 
@@ -44,7 +46,7 @@
 def run_fleet(options):
     """One process of reporters: its part of the direct streams and of the shared ones."""
     plan, loop = json.loads(options.fleet), Loop()
-    truth = Truth(WORKERS, plan["start_us"], plan["seconds"] + 60, SEED)
+    truth = Truth(WORKERS, plan["start_us"], plan["seconds"], SEED)
     parts = plan["parts"]
     direct, shared = split(plan["reporters"], plan["direct"])
     part, of = plan["part"], plan["of"]
@@ -91,12 +93,12 @@
         self.steps.add(data["pressure"]["step"])
         for name, one in data["workers"].items():
             worker = int(name.rpartition("-")[2])
-            if worker == self.truth.silent and now > self.truth.start_us + (self.truth.silent_from + 5) * 1e6:
+            if worker == self.truth.silent and now > self.truth.start_us + (self.truth.silent_from + 6) * 1e6:
                 self.silent_confidence.append(one["confidence"])
                 continue
             if compare and one["confidence"] > 0:
                 settled_end = (now - data["settled_us"]) // 500_000 * 500_000
-                true = self.truth.total(worker, settled_end - 2_000_000, settled_end) / 2.0
+                true = self.truth.total(worker, settled_end - ESTIMATE_US, settled_end) / (ESTIMATE_US / 1e6)
                 self.errors.append(abs(one["rate"] - true) / max(true, 1.0))
                 self.ages.append((now - settled_end) / 1e6)
 
@@ -129,7 +131,7 @@
                 break
         loop.run(loop.now() + 2_000_000)
         start = loop.now() + 4_000_000 + reporters * 300
-        truth = Truth(WORKERS, start, seconds + 60, SEED)
+        truth = Truth(WORKERS, start, seconds, SEED)
         parts = coverage(reporters, truth, SLICES, SEED) if reporters else []
         plan = {"start_us": start, "seconds": seconds, "parts": parts, "reporters": reporters, "direct": direct, "of": processes,
                 "address": list(setup.managers[0].listen.pair), "flood": flood}
@@ -206,7 +208,7 @@
     """What the module would believe of each worker by the lines it is told, and how soon it hears of losses."""
     out = {}
     for handover in (OldestFirst, Handover):
-        truth = Truth(WORKERS, 0, seconds + 60, SEED)
+        truth = Truth(WORKERS, 0, seconds, SEED)
         parts = coverage(reporters, truth, SLICES, SEED)
         fleet = [OneReporter(k, truth, SLICES, SEED, 0) for k in range(reporters)]
         digest, believed, errors, heard, bad_at = new_digest(handover, lines_per_s), {}, [], {}, seconds * 0.5
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -17,6 +17,8 @@
 from ospreyrouter.files import Ledger, Rejected
 from ospreyrouter.files.disk import Disk
 from ospreyrouter.helper.work import Work
+from ospreyrouter.rehearse import play_virtually
+from ospreyrouter.rehearse.day import Day
 from ospreyrouter.store import TableStore
 from ospreyrouter.versions import History, between, successor, worth
 from ospreyrouter.xds.documents import Line, Push, push_body, push_of
@@ -206,6 +208,41 @@
     return {"crash_points": tried, "lost_versions": lost}
 
 
+def wrong_list(seed):
+    """A list that calls half the workers gone empties half the tables; it is mended, and the operator rolls back or
+    does not. Seconds from then until a whole second's service is at what it was before. Simulated."""
+    out = {}
+    for rolled in (False, True):
+        troubles = [{"what": "hidden", "at_s": 10.0, "for_s": 8.0, "workers": list(range(0, 16, 2))}]
+        troubles += [{"what": "rollback", "at_s": 18.8, "for_s": 10.0, "back_s": 9.5}] if rolled else []
+        day = Day.model_validate({
+            "name": "wrong list", "seconds": 40.0, "seed": seed, "slices": 64, "flush": False,
+            "classes": [{"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 3.0, "repeat": "safe"}],
+            "fleet": {"zones": ["a", "b", "c"], "managers": 2, "proxies": 4, "workers": 16, "cores": 3, "queue": 40,
+                      "list_notice_s": 0.2},
+            "traffic": {"per_s": 250.0, "shares": {"look-up": 1.0}, "work_ms": {"look-up": 160.0}, "keys": 400, "retries": 2},
+            "rules": {"gone_binds": True, "drain_grace_s": 2.0}, "troubles": troubles,
+            "channel": {"lines_per_s": 3000.0, "queue_lines": 3000.0, "transit_s": 0.03}})
+        with tempfile.TemporaryDirectory(dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None) as folder:
+            account, stage = play_virtually(day, folder)
+        start = min(row["asked"] for row in stage.rows if row["what"] == "transaction")
+        seconds = {}
+        for row in stage.rows:
+            if row["what"] == "transaction":
+                second = seconds.setdefault((row["asked"] - start) // 1_000_000, [0, 0])
+                second[0] += 1
+                second[1] += row["how"] == "answered" and row["took"] <= 1_000_000
+        part = {at: good / asked for at, (asked, good) in seconds.items()}
+        usual = sum(part[at] for at in range(4, 10)) / 6
+        back = next((at - 18 for at in range(18, 39) if all(part.get(later, 1.0) >= usual - 0.02 for later in (at, at + 1))), None)
+        out["with" if rolled else "without"] = {
+            "back_s": back, "usual": round(usual, 3), "worst": round(min(part[at] for at in range(10, 22)), 3),
+            "after": round(sum(part[at] for at in range(19, 29)) / 10, 3),
+            "rules_broken": sum(row["broken"] for row in account["rules"].values()),
+            "rolled": sum(row["what"] == "rollback" and row["status"] == 200 for row in stage.rows)}
+    return out
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--versions", type=int, default=100_000)
@@ -217,6 +254,7 @@
     with tempfile.TemporaryDirectory() as folder:
         result |= on_disk(versions, options.seed, folder)
     result |= crashes(15 if options.short else 60, options.seed)
+    result["wrong_list"] = wrong_list(options.seed)
     print(json.dumps(result))
     return 0 if not (result["wrong_final_tables"] or result["lost_versions"] or result["store_failures"]) else 1
 
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -17,6 +17,7 @@
 from ..interface import Outcome
 from ..policy import Manager
 from ..store import Custody, TableStore, list_path, read_list
+from ..store.tables import wall_us
 from ..versions import History
 from ..web import Client, Server, content_digest
 from ..xds.documents import CLA, BadDocument, Rendered, claim_text, dump, load, need, push_body
@@ -46,7 +47,7 @@
 class ManagerService:
     """See the top of this module."""
 
-    def __init__(self, loop, setup, name, folder, calls, log, seed, module=Manager):
+    def __init__(self, loop, setup, name, folder, calls, log, seed, module=Manager, wall=wall_us):
         self.loop, self.setup, self.name, self.log = loop, setup, name, log
         names = [row.name for row in setup.managers]
         self.me, self.counts = names.index(name), Counter()
@@ -62,7 +63,7 @@
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
         self.tables = TableStore(folder, name, calls, self._log_opened,
-                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)))
+                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)), wall=wall)
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.rendered = Rendered()
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -95,6 +95,11 @@
     reports: int = Field(100, ge=1, le=2000, description="reports in each body")
 
 
+class RollBack(Trouble):
+    what: Literal["rollback"]
+    back_s: float = Field(gt=0, description="seconds back to what is to be in force again; held for for_s")
+
+
 class HotKey(Trouble):
     what: Literal["hot_key"]
     keys: int = Field(ge=1)
@@ -102,7 +107,7 @@
 
 
 AnyTrouble = Annotated[Union[WorkersTrouble, SharedTrouble, ManagerTrouble, ProxyTrouble, LoseManager, SlowChannel,
-                             Ghosts, HotKey, ReportFlood], Field(discriminator="what")]
+                             Ghosts, HotKey, ReportFlood, RollBack], Field(discriminator="what")]
 
 
 class Day(Strict):
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -11,6 +11,8 @@
 from ..policy import Manager
 from ..standins import Clients, Journal, Proxy, WorkerListService, Workers
 from ..standins.tamper import TamperingRelay
+from ..web import Client
+from ..xds.documents import dump
 from .audit import audit
 from .day import deployment, worker_specs
 from .watch import Watch
@@ -139,6 +141,16 @@
         for k in range(self.day.fleet.proxies):
             self.stage.control(f"proxy-{k}", "slow", us=round(row.ms * 1000) if on else 0)
 
+    def _rollback(self, row, on):
+        """An operator brings back what was in force some seconds before."""
+        if not on:
+            return
+        order = {"to": self.stage.wall() - round(row.back_s * 1e6), "key": f"rehearsal-{row.at_s}", "hold_s": row.for_s}
+        for place in self.stage.setup.managers:
+            client = Client(self.loop, place.listen.pair)
+            client.ask("POST", "/v3/rollback", [("content-type", "application/json")], dump(order), lambda answer: self.journal.write(
+                "rollback", status=answer.status, text=answer.body[:300].decode("latin-1")), 5_000_000)
+
     def _report_flood(self, row, on):
         self.stage.control("clients", "report_flood", on=on, streams=row.streams, reports=row.reports)
 
@@ -176,6 +188,9 @@
         Script(day, self.host, self, self.journal, start)
         self.end = start + round((day.seconds + TAIL_S + max(row.client_timeout_s for row in day.classes)) * 1e6)
 
+    def wall(self):
+        return self.network.time
+
     def control(self, part, name, **more):
         if part in self.parts and (part not in self.hosts or self.hosts[part].alive):
             self.parts[part].control(name, **more)
@@ -187,7 +202,7 @@
         log = TeeLog(self.journal, self.log)
         if name.startswith("manager"):
             self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), calls, log,
-                                              self.day.seed * 1000 + self.lives, self.module)
+                                              self.day.seed * 1000 + self.lives, self.module, host.now)
         else:
             place = int(name.rpartition("-")[2])
             self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
--- a/ospreyrouter/rehearse/processes.py
+++ b/ospreyrouter/rehearse/processes.py
@@ -20,6 +20,7 @@
 from ..loop.real import monotonic_us
 from ..standins import Journal
 from ..standins.journal import read_journal
+from ..store.tables import wall_us
 from ..web import Client
 from .audit import audit
 from .day import Day, deployment, worker_specs
@@ -116,6 +117,9 @@
                    lambda answer: answer.status == 204 or self.journal.write(
                        "control failed", part=part, name=name, reason=answer.reason or str(answer.status)), 3_000_000)
 
+    def wall(self):
+        return wall_us()
+
     def kill(self, name):
         self.processes[name].kill()
         self.processes[name].wait()
--- a/ospreyrouter/standins/reporters.py
+++ b/ospreyrouter/standins/reporters.py
@@ -25,7 +25,7 @@
         self.pieces = []  # by worker: (from second, factor at start, factor at end, until second)
         for k in range(workers):
             at, factor, rows = 0.0, 1.0, []
-            while at < seconds:
+            while at < seconds + 60:  # some more: processes end a little after each other
                 length = chance.uniform(12, 30)
                 kind = chance.random()
                 new = factor * chance.uniform(0.6, 1.6) if kind < 0.6 else factor
