--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -25,7 +25,8 @@
 from ospreyrouter.rehearse.day import WorkerSpec
 from ospreyrouter.rehearse.processes import free_ports
 from ospreyrouter.standins import Journal, WorkerListService
-from ospreyrouter.web import Server
+from ospreyrouter.store.tables import wall_us
+from ospreyrouter.web import Client, Server
 from ospreyrouter.xds.reports import sums_request
 
 A_PROCESS = 20  # agents that share one process
@@ -166,6 +167,7 @@
             if not any(line.worker == gone and gone not in row[1] for reader in readers
                        for row in reader.tables.values() for line in row[0].lines):
                 drained = (loop.now() - begin) / 1000
+        returned = roll_back_all(loop, listing, setup, readers, workers)
         memory = rss_mb(manager.pid)
         manager.terminate()
         manager.wait(10)
@@ -175,7 +177,7 @@
         return {"proxies": proxies, "slices": slices, "workers": workers, "cpu_part": round(cpu, 3), "rss_mb": memory,
                 "longest_turn_ms": stopped["longest_turn_us"] / 1000, "mb_pushed": round(figures.get("bytes pushed", 0) / 1e6, 2),
                 "pushes": figures.get("pushes", 0), "lines_longest": figures["lines_longest"], "all_tables_s": round(full_at, 1),
-                "drain_ms": drained, "joins_put_off": figures.get("joins put off", 0), "reports": figures["reports"].get("reports", 0)}
+                "drain_ms": drained, "joins_put_off": figures.get("joins put off", 0), "reports": figures["reports"].get("reports", 0), "refused": figures["refused"]} | returned
     finally:
         for process in processes:
             if process.poll() is None:
@@ -183,6 +185,34 @@
                 process.wait(10)
 
 
+def roll_back_all(loop, listing, setup, readers, workers):
+    """Half the workers are called gone for a while; then everything comes back as it was before, at once."""
+    loop.run(loop.now() + 3_000_000)
+    before = wall_us()
+    loop.run(loop.now() + 500_000)
+    listing.control("hide", workers=[f"worker-{k}" for k in range(0, workers, 2)])
+    loop.run(loop.now() + 10_000_000)
+    listing.control("true")
+    loop.run(loop.now() + 1_000_000)
+    answers, began = [], loop.now()
+    Client(loop, setup.managers[0].listen.pair).ask("POST", "/v3/rollback", [], orjson.dumps(
+        {"to": before, "key": "size", "hold_s": 30}), answers.append, 30_000_000)
+    while not answers:
+        loop.run(loop.now() + 5_000)
+    answered = (loop.now() - began) / 1000
+    slices = orjson.loads(answers[0].body).get("slices", {})
+    due = {int(item): row["version"] for item, row in slices.items() if "version" in row}
+
+    def arrived(reader):
+        reader.poll()
+        # The module may have gone on from there: that version or a later one.
+        return all(reader.tables[item][0].version >= tuple(int(part) for part in version.split("."))
+                   for item, version in due.items())
+    while loop.now() < began + 60_000_000 and not all(arrived(reader) for reader in readers):
+        loop.run(loop.now() + 20_000)
+    return {"rolled_back": len(due), "rollback_answer_ms": round(answered), "rollback_last_file_ms": (loop.now() - began) // 1000}
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--proxies", type=int, default=120)
--- /dev/null
+++ b/ospreyrouter/advice/__init__.py
@@ -0,0 +1,10 @@
+"""What the module publishes, as advice for balancers that read no files: weights by group and member. No I/O.
+
+`weights` turns shares into whole numbers that move as little as they can; `registry` knows which balancer wants which
+group, what it was last told, and what has to be said next.
+"""
+
+from .registry import Registry, Refused
+from .weights import WHOLE, steady_weights
+
+__all__ = ["Refused", "Registry", "WHOLE", "steady_weights"]
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -15,7 +15,8 @@
 from ospreyrouter.intake import BadBody, Intake, decode
 from ospreyrouter.intake import bodies
 from ospreyrouter.loop import VirtualNetwork
-from ospreyrouter.standins.reporters import JSON, PROTOBUF, ZSTD, encoded
+from ospreyrouter.standins.reporters import (JSON, PROTOBUF, ZSTD, OneReporter, ReporterFleet, Truth, coverage,
+                                             encoded)
 from ospreyrouter.web import Client, Server
 from ospreyrouter.xds.reports import sums_request
 
@@ -346,5 +347,65 @@
         self.assertLessEqual(self.intake.queue.bytes, 100_000)
 
 
+class Fleets(unittest.TestCase):
+    """Reporters against a truth, in virtual time, over the intake's own door."""
+
+    def run_fleet(self, change=None, in_step=True, seconds=16, stuck=0):
+        network, log = VirtualNetwork(3), Quiet()
+        host, other = network.host("manager"), network.host("boxes")
+        one = Digest(Reporters(1000), Handover(500.0), {"a": 0, "b": 1, "c": 2}, {"look-up": 0}, 8)
+        for k in range(12):
+            one.worker_started(f"worker-{k}", k, None)
+        intake = Intake(host, one, log, "m", 2 * SECOND, 10_000_000)
+        server = Server(host, ("127.0.0.1", 0), intake.post)
+        start = network.time
+        truth = Truth(12, start, 40, 2)
+        parts = coverage(120, truth, 8, 1)
+        boxes = [OneReporter(k, truth, 8, 1, start, offset=(k % 5) * 7 * SECOND) for k in range(120)]
+        fleet = ReporterFleet(other, server.address, truth, parts, [boxes[k:k + 10] for k in range(0, 120, 10)], JSON,
+                              2 * SECOND, 1, in_step)
+        frozen = boxes[0].report(start + SECOND, truth, parts) if stuck else None
+
+        def repeat(number):
+            frozen["node"]["metadata"] |= {"sequence": number, "sent_us": network.time}
+            for k in range(stuck):
+                frozen["node"]["id"] = f"stuck-{k}"
+                Client(other, server.address).ask("POST", "/v3/load_stats", *encoded([frozen], JSON), lambda answer: None, SECOND)
+            other.after(2 * SECOND, lambda: repeat(number + 1))
+        if stuck:
+            repeat(2)
+        network.run(start + (seconds - 4) * SECOND)
+        if change is not None:
+            change(locals())
+        network.run(start + seconds * SECOND)
+        errors = []
+        for name, found in one.estimates(network.time).items():
+            worker, end = int(name[7:]), (network.time - one.settled_us()) // 500_000 * 500_000
+            true = truth.total(worker, end - 3 * SECOND, end) / 3
+            errors.append(abs(found.rate - true) / max(true, 1.0))
+        return sorted(errors), one, fleet, locals()
+
+    def test_in_step_with_clocks_apart_estimates_are_near_the_truth(self):
+        errors, one, fleet, _ = self.run_fleet()
+        self.assertLess(errors[len(errors) // 2], 0.05)
+        self.assertLess(errors[-2], 0.25)
+        self.assertEqual((fleet.failed, one.dropped["sampled out"]), (0, 0))
+
+    def test_a_network_that_returns_brings_all_at_once_and_totals_are_right(self):
+        def away(parts):
+            parts["network"].cut("manager", "boxes")
+            parts["network"].run(parts["network"].time + SECOND)
+            parts["network"].mend("manager", "boxes")
+        errors, one, fleet, parts = self.run_fleet(away, seconds=40)
+        total = sum(row.total for row in one.rows.values())
+        true = sum(parts["truth"].total(k, parts["start"], parts["network"].time) for k in range(12))
+        self.assertGreater(total / true, 0.85)
+        self.assertLessEqual(total / true, 1.001)  # nothing counts twice, however often it was sent again
+
+    def test_stuck_reporters_are_seen(self):
+        _, one, _, _ = self.run_fleet(stuck=12)
+        self.assertEqual(one.reporters.stuck(), 12)
+
+
 if __name__ == "__main__":
     unittest.main()
