The second front: balancers speak SASP, two client libraries give the same answers

Balancers that read no files get weights by push or on request: newest only, urgent losses first, bounded in bytes unread, closed alone when they do not read or speak nonsense; registrations outlive a restart.

--- /dev/null
+++ b/ospreyrouter/client/__init__.py
@@ -0,0 +1,11 @@
+"""Libraries for callers that pick workers by themselves: one follows the file front, one speaks SASP.
+
+Both have the same calls: `pick(slice)`, `weights(slice)`, `drain(worker, on)`, `subscribe(callback)`, `close()`, and run
+on a loop. A worker is (host, port). `Blocking` wraps either for plain code: it turns the loop itself.
+"""
+
+from .blocking import Blocking
+from .files import FileFollower
+from .sasp import SaspFollower
+
+__all__ = ["Blocking", "FileFollower", "SaspFollower"]
--- /dev/null
+++ b/ospreyrouter/client/picking.py
@@ -0,0 +1,42 @@
+"""What both libraries have in common: tables of whole weights, and a pick at random by weight."""
+
+from random import Random
+
+from ..advice import steady_weights
+
+
+class Picker:
+    """`tables` is {slice: {worker: weight}}, weights as on the SASP front: whole, summing up to 10,000."""
+
+    def __init__(self, seed=None):
+        self.chance, self.tables, self.drained, self.listeners = Random(seed), {}, set(), []
+
+    def weights(self, item):
+        """{worker: weight} of a slice, without what this caller drains; empty where nothing is known."""
+        table = self.tables.get(item, {})
+        return {worker: weight for worker, weight in table.items() if weight > 0 and worker not in self.drained}
+
+    def pick(self, item):
+        """A worker at random by weight, or None."""
+        table = self.weights(item)
+        if not table:
+            return None
+        workers = sorted(table)
+        return self.chance.choices(workers, [table[worker] for worker in workers])[0]
+
+    def drain(self, worker, on=True):
+        """This caller picks a worker no more, or again; what others do is not touched."""
+        (self.drained.add if on else self.drained.discard)(worker)
+
+    def subscribe(self, callback):
+        """`callback(slice, weights)` after each change."""
+        self.listeners.append(callback)
+
+    def changed(self, item, table):
+        if self.tables.get(item) != table:
+            self.tables[item] = table
+            for callback in list(self.listeners):
+                callback(item, self.weights(item))
+
+    def from_shares(self, item, shares):
+        self.changed(item, steady_weights(shares, self.tables.get(item)))
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -64,6 +64,7 @@
     name: Name = Field(description="name of the manager; its place in the list is its number")
     zone: Name = Field(description="site it runs in, one of zones")
     listen: Address = Field(description="where proxies dial it: joins, answers to marks, sums")
+    sasp: Address | None = Field(None, description="where balancers that speak SASP reach it; none: no second front")
 
 
 class Channel(Strict):
@@ -159,6 +160,7 @@
         if not self.open_network:
             addresses = [(f"managers.{k}.listen", row.listen) for k, row in enumerate(self.managers)]
             addresses += [(f"proxies.{k}.agent", row.agent) for k, row in enumerate(self.proxies)]
+            addresses += [(f"managers.{k}.sasp", row.sasp) for k, row in enumerate(self.managers) if row.sasp]
             for where, address in [*addresses, ("worker_list.listen", self.worker_list.listen)]:
                 if not address.is_loopback():
                     raise ValueError(f"{where}.host: {address.host!r} is not loopback; set open_network to allow it")
--- a/ospreyrouter/digest/digest.py
+++ b/ospreyrouter/digest/digest.py
@@ -10,7 +10,6 @@
 
 import math
 from collections import Counter
-from random import Random
 
 from ddsketch import DDSketch
 
@@ -25,11 +24,11 @@
 class Digest:
     """See the top of this module. `workers` gives a worker's index and its start by name, `None` where unknown."""
 
-    def __init__(self, reporters, handover, zones, classes, slices, seed=0):
+    def __init__(self, reporters, handover, zones, classes, slices):
         self.reporters, self.handover, self.zones, self.classes, self.slices = reporters, handover, zones, classes, slices
-        self.rows, self.dropped, self.chance = {}, Counter(), Random(f"digest/{seed}")
+        self.rows, self.dropped = {}, Counter()
         self.demand_total = self.late_us = 0
-        self.sample, self.detail = 1.0, True
+        self.detail = True
         self.started, self.indices, self.own = {}, {}, set()
 
     def worker_started(self, name, index, started_us):
@@ -49,11 +48,6 @@
         if reason is not None:
             self.dropped[reason] += 1
             return reason
-        if self.sample < 1.0:
-            if self.chance.random() >= self.sample:
-                self.dropped["sampled out"] += 1
-                return "sampled out"
-            report.weight /= self.sample
         self._add(now, report)
         return None
 
--- a/ospreyrouter/intake/bodies.py
+++ b/ospreyrouter/intake/bodies.py
@@ -6,6 +6,7 @@
 
 import math
 import zlib
+from functools import lru_cache
 
 import orjson
 import zstandard
@@ -74,10 +75,10 @@
 
 def count_of(value, field):
     """A count in the JSON mapping: 64-bit numbers come as text."""
-    if type(value) is str and value.isdigit() and len(value) < 16:
-        return int(value)
     if type(value) is int and 0 <= value < 1 << 53:
         return value
+    if type(value) is str and value.isdigit() and len(value) < 16:
+        return int(value)
     raise BadBody("malformed", f"{field}: {value!r:.40} is no count")
 
 
@@ -101,6 +102,9 @@
         raise BadBody("malformed", f"{problem} is missing or has the wrong type") from None
 
 
+slice_number = lru_cache(4096)(slice_of)  # names that are none raise, and are not kept
+
+
 def json_report(row):
     node = row["node"]
     about, zone = node["metadata"], node["locality"]["zone"]
@@ -127,10 +131,15 @@
                     met.append((end["metadata"]["worker"], count_of(end["totalIssuedRequests"], "totalIssuedRequests"),
                                 count_of(end.get("totalErrorRequests", 0), "totalErrorRequests"), delay, load, buckets))
             else:
-                item = slice_of(name)
+                item = slice_number(name)
                 for metric in place.get("loadMetricStats", ()):
-                    demand.append((item, metric["metricName"], count_of(metric["numRequestsFinishedWithMetric"], "came"),
-                                   measure_of(metric.get("totalMetricValue", 0), "lost")))
+                    came, lost = metric["numRequestsFinishedWithMetric"], metric.get("totalMetricValue", 0)
+                    # The common case without a call: there are some hundred thousand of these a second.
+                    if type(came) is not int or not 0 <= came < 1 << 53:
+                        came = count_of(came, "came")
+                    if lost != 0 or type(lost) is bool:
+                        lost = measure_of(lost, "lost")
+                    demand.append((item, metric["metricName"], came, lost))
     return finished(node["id"], zone, about, span, met, demand)
 
 
--- a/ospreyrouter/intake/service.py
+++ b/ospreyrouter/intake/service.py
@@ -9,6 +9,7 @@
 """
 
 from collections import Counter
+from random import Random
 
 from ..digest import FairQueue, Pressure, Step
 from ..xds.documents import dump
@@ -31,6 +32,7 @@
         self.queue, self.pressure, self.slice_us = FairQueue(queue_bytes), Pressure(interval_us), slice_us
         self.counts, self.offences, self.bytes_in = Counter(), {}, Counter()
         self.working = self.closed = False
+        self.chance = Random(f"intake/{name}")
         self.senders = 0
         self.waits = {}  # by sender: the longest that a body of it waited since pressure was last weighed
         self.spent_us, self.weighed_at, self.longest_slice_us = 0, loop.now(), 0
@@ -78,7 +80,12 @@
             self.loop.after(PAUSE_US, self._work)
 
     def _one(self, request):
-        head = request.headers
+        head, sample = request.headers, self.pressure.sample
+        if sample < 1.0 and self.chance.random() >= sample:
+            # Before it is decoded: that is what costs. Those that are kept weigh the more.
+            self.counts["bodies sampled out"] += 1
+            request.answer(200, [("content-type", "application/json")], self.answer)
+            return 1
         try:
             reports = decode(request.body, head.get("content-type", ""), head.get("content-encoding", ""))
         except BadBody as problem:
@@ -86,6 +93,7 @@
             return 0
         now = self.loop.now()
         for report in reports:
+            report.weight = 1.0 / sample
             self.digest.take_in(now, report)
         self.counts["reports"] += len(reports)
         request.answer(200, [("content-type", "application/json")], self.answer)
@@ -124,7 +132,7 @@
         self.queue.newest_first = delay > 2 * WEIGH_US
         step = self.pressure.step
         if self.pressure.weigh(now, delay, busy, self.queue.bytes / self.queue.bytes_most):
-            self.digest.sample, self.digest.detail = self.pressure.sample, self.pressure.step < Step.MERGE
+            self.digest.detail = self.pressure.step < Step.MERGE
             self._make_answer()
             self.log.info("intake_pressure", manager=self.name, step=self.pressure.step.name.lower(),
                           sample=self.pressure.sample, interval_us=self.pressure.interval_us, delay_us=delay,
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -45,7 +45,7 @@
         self.epoch, self.number = 0, 0
         self.levels, self.withheld, self.joined_now = {}, set(), set()
         self.digest = Digest(Reporters(setup.reports.reporters_most), handover(setup.reports.lines_per_s), self.zones,
-                             self.classes, setup.slices, seed)
+                             self.classes, setup.slices)
         self.intake, self.effects = [], []
         self.marks = {}
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -11,6 +11,7 @@
 import os
 from collections import Counter, deque
 
+from ..balancers import SaspFront
 from ..channel import PacedChannel
 from ..files.reader import fences_text
 from ..intake import Intake
@@ -76,6 +77,11 @@
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
         self.stopped = False
+        self.front = None
+        sasp = setup.managers[self.me].sasp
+        if sasp is not None:
+            self.front = SaspFront(loop, sasp.pair, setup.slices, log, name, self._keep_registrations)
+            self.front.restore(self._read_registrations())
         cached = read_list(folder, name)
         if cached is not None:
             self._use_list(cached, cached=True)
@@ -201,6 +207,8 @@
         self._carry_out(self.core.turn(self.loop.now()))
 
     def _carry_out(self, effects):
+        if self.front is not None:
+            self._advise(effects)
         for kind, *values in effects:
             if kind == "store":
                 self._save(values[0])
@@ -247,6 +255,41 @@
             some = [table for item, table in rows.items() if self.causes.get(item, "") == cause]
             self.tables.append(some, done if place + 1 == len(causes) else lambda problem: None, cause)
 
+    # The second front: what is published, told to balancers too.
+
+    def _advise(self, effects):
+        core, items, changed = self.core, set(), set()
+        for kind, *values in effects:
+            if kind == "store":
+                items |= {table.slice for table in values[0]}
+            elif kind == "read":
+                items |= set(values[0])
+            elif kind == "send":
+                changed |= set(values[2].withheld)
+        for item in self.front.owned - core.tables.keys():
+            self.front.give_up(item)
+        if changed:
+            items |= {item for item, table in core.written.items() if any(line.worker in changed for line in table.lines)}
+        withheld = {(core.rows[place].host, core.rows[place].port) for place in core.withheld}
+        for item in sorted(items & core.written.keys() & core.tables.keys()):
+            self.front.publish(item, {(line.host, line.port): line.weight for line in core.written[item].lines}, withheld)
+
+    def _registrations_path(self):
+        return os.path.join(self.folder, "balancers", f"{self.name}.json")
+
+    def _read_registrations(self):
+        try:
+            with open(self._registrations_path(), "rb") as file:
+                return load(file.read(), "registrations")
+        except FileNotFoundError:
+            return []
+        except (OSError, BadDocument) as problem:
+            self.log.error("registrations_unreadable", manager=self.name, reason=str(problem))
+            return []
+
+    def _keep_registrations(self, rows):
+        self.calls.ask("write_file", (self._registrations_path(), dump(rows)), self._list_kept)
+
     # The channel to proxies.
 
     def _send(self, proxies, lines, push):
@@ -462,6 +505,10 @@
         self.log.info("list", manager=self.name, version=version, workers=len(rows), cached=cached,
                       draining=sum(row[6] == "draining" for row in rows))
         self.core.listed(self.loop.now(), rows)
+        if self.front is not None:
+            trust = self.core.digest.estimates(self.loop.now())
+            # A worker that nobody has tried yet is listed: that is contact enough until something else is known.
+            self.front.list({(row[1], row[2]): trust[row[0]].confidence or 0.01 for row in rows})
         self._soon()
 
     def _list_kept(self, _, problem):
@@ -501,6 +548,8 @@
         for proxy in list(self.sessions):
             self._drop(proxy, "stopped")
         self.intake.close()
+        if self.front is not None:
+            self.front.close()
         self.server.close()
         self.calls.close()
 
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -178,7 +178,8 @@
     zone = lambda k: fleet.zones[k % len(fleet.zones)]  # noqa: E731
     return DeploymentFile(
         zones=fleet.zones, slices=day.slices, classes=day.classes,
-        managers=[{"name": f"manager-{k}", "zone": zone(k), "listen": {"port": ports["managers"][k]}}
+        managers=[{"name": f"manager-{k}", "zone": zone(k), "listen": {"port": ports["managers"][k]},
+                   "sasp": {"port": ports["sasp"][k]} if "sasp" in ports else None}
                   for k in range(fleet.managers)],
         proxies=[{"name": f"proxy-{k}", "zone": zone(k), "agent": {"port": ports["agents"][k]},
                   "folder": f"proxy-{k}", "usual_per_s": day.traffic.per_s / fleet.proxies}
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -167,6 +167,7 @@
         fleet = day.fleet
         self.ports = {"managers": range(11_000, 11_000 + fleet.managers), "agents": range(12_000, 12_000 + fleet.proxies),
                       "proxies": range(14_000, 14_000 + fleet.proxies), "list": [10_000],
+                      "sasp": range(13_000, 13_000 + fleet.managers),
                       "workers": range(16_000, 16_000 + fleet.workers)}
         self.setup, self.rows = deployment(day, self.ports), []
         self.host = self.network.host("rehearsal")
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -116,13 +116,6 @@
         one.load, one.load_at = {"utilization": 0.1}, 9 * SECOND
         self.assertAlmostEqual(one.estimate(10 * SECOND, SECOND).contradiction, 0.8, delta=0.01)
 
-    def test_sampling_keeps_totals_unbiased(self):
-        one = digest()
-        one.sample = 0.25
-        for k in range(4000):
-            one.take_in(20 * SECOND + k, report(k + 1, 10 * SECOND + k))
-        self.assertAlmostEqual(one.rows["w-0"].total / 16_000, 1.0, delta=0.1)
-
 
 class HandedOver(unittest.TestCase):
     @settings(deadline=None, max_examples=60)
@@ -322,6 +315,17 @@
         self.assertEqual(self.log.said.count("reports_refused"), 1)
         self.assertIn(b"2.000000s", answers[-1].body)
 
+    def test_sampling_before_decoding_keeps_totals_unbiased(self):
+        other, answers = self.network.host("others"), []
+        self.intake.pressure.sample = 0.25
+        clients = [Client(other, self.server.address) for _ in range(20)]
+        for k in range(4000):
+            self.post(clients[k % 20], json.dumps(sums(k + 1, f"p-{k % 20}")).encode(), answers)
+        self.network.run(self.network.time + 9 * SECOND)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertLess(self.intake.counts["reports"], 1200)
+        self.assertAlmostEqual(self.digest.rows["w-0"].total / 16_000, 1.0, delta=0.1)
+
     def test_a_half_sent_report_and_then_silence_holds_nobody_up(self):
         other, answers = self.network.host("others"), []
         other.connect(self.server.address, SECOND, lambda stream, reason: (
--- a/tests/test_sasp.py
+++ b/tests/test_sasp.py
@@ -1,5 +1,6 @@
 """The second front's codec and what it advises."""
 
+import os
 import random
 import unittest
 
@@ -7,14 +8,18 @@
 from hypothesis import strategies as st
 
 from ospreyrouter.advice import WHOLE, Refused, Registry, steady_weights
+from ospreyrouter.client import FileFollower, SaspFollower
 from ospreyrouter.sasp import (BadMessage, DeregistrationRequest, Framer, GetWeightsReply, GetWeightsRequest, Group,
                                LbStateRequest, Member, MemberState, MemberStateRequest, RegistrationRequest, Reply,
                                SendWeights, WeightEntry, decode, encode)
 from ospreyrouter.sasp import numbers as n
 
+from .stage import StageCase, short_day
+
 NAMES = st.text(min_size=1, max_size=12)
 MEMBERS = st.builds(Member, st.ip_addresses().map(str), st.integers(0, 65535), st.integers(0, 255), st.text(max_size=8))
 BYTE = st.integers(0, 255)
+SECOND = 1_000_000
 
 
 def groups(rows):
@@ -133,5 +138,112 @@
             one.advice("lb", "slice-1")
 
 
+class BothFronts(StageCase):
+    """One suite through both libraries, with kills and restarts partway."""
+
+    def followers(self, stage, item_count=12):
+        workers = [("127.0.0.1", stage.ports["workers"][k]) for k in range(stage.day.fleet.workers)]
+        host = stage.network.host("callers")
+        files = FileFollower(host, os.path.join(self.folder, "proxy-0"), seed=1)
+        spoken = SaspFollower(host, [("127.0.0.1", port) for port in stage.ports["sasp"]], "lb-1",
+                              {item: workers for item in range(item_count)}, seed=1)
+        return files, spoken
+
+    def same(self, stage, files, spoken, but=()):
+        for item in range(12):
+            a, b = files.weights(item), spoken.weights(item)
+            self.assertTrue(a, item)
+            self.assertEqual(a.keys(), b.keys(), item)
+            # Each holds its own roundings: a unit of ten thousand apart at most.
+            self.assertLessEqual(max(abs(a[worker] - b[worker]) for worker in a), 1, item)
+
+    def test_the_same_answers_through_troubles_and_restarts(self):
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                self.setUp()
+                day = short_day(22, [{"what": "worker_crash", "at_s": 4, "for_s": 2, "workers": [1]},
+                                     {"what": "drain", "at_s": 7, "for_s": 8, "workers": [2]},
+                                     {"what": "manager_kill", "at_s": 9, "for_s": 2, "manager": 0},
+                                     {"what": "manager_kill", "at_s": 13, "for_s": 0.3, "manager": 1}], seed=seed)
+                stage = self.stage(day)
+                files, spoken = self.followers(stage)
+                seen = []
+                spoken.subscribe(lambda item, weights: seen.append(item))
+                stage.network.run(stage.network.time + 6 * SECOND)
+                self.same(stage, files, spoken)
+                stage.network.run(stage.network.time + 6 * SECOND)  # 10.5 s of traffic: worker-2 drains
+                gone = ("127.0.0.1", stage.ports["workers"][2])
+                for follower in (files, spoken):
+                    self.assertFalse([item for item in range(12) if gone in follower.weights(item)])
+                stage.network.run(stage.end - 2 * SECOND)
+                self.same(stage, files, spoken)
+                self.assertEqual(set(seen), set(range(12)))
+                one = files.pick(0)
+                for follower in (files, spoken):
+                    follower.drain(one)
+                    self.assertNotEqual(follower.pick(0), one)
+                    follower.drain(one, False)
+                    follower.close()
+
+    def test_one_that_does_not_read_is_closed_and_stalls_nobody(self):
+        stage = self.stage(short_day(30, slices=12))
+        network = stage.network
+        _, spoken = self.followers(stage)
+        network.run(network.time + 4 * SECOND)
+        front, streams = stage.parts["manager-0"].front, []
+        members = tuple(Member("127.0.0.1", 16_000 + k) for k in range(400))
+        group = next(item for item in range(12) if item in front.owned)
+
+        def connected(stream, reason):
+            stream.start(lambda data: None, lambda reason: None)
+            stream.pause()
+            streams.append(stream)
+            stream.write(encode(LbStateRequest("deaf"), 1) + encode(RegistrationRequest(
+                (Group("deaf", f"slice-{group}", members),)), 2))
+        network.host("deaf").connect(front.address, SECOND, connected)
+        network.run(network.time + SECOND)
+        for turn in range(60):
+            lines = {("127.0.0.1", 16_000 + k): 0.1 + (turn + k) % 7 for k in (0, 1, 2, 3, 4, 5, 50)}
+            front.publish(group, lines, set())
+            network.run(network.time + 200_000)
+            if "deaf" in front.by_lb:
+                self.assertLess(front.by_lb["deaf"].stream.unsent, 64_000 + 20_000)  # one message more than it may owe
+            self.assertEqual(spoken.weights(group), {member: weight for member, weight in
+                                                     front.registry.weights[group].items() if member[1] != 16_050})
+        self.assertNotIn("deaf", front.by_lb)
+        self.assertEqual(front.counts["does not read"], 1)
+        self.assertIn("lb-1", front.by_lb)
+        member = ("127.0.0.1", 16_050)  # which no other balancer has
+        front.publish(group, {("127.0.0.1", 16_000): 1.0}, {member})
+        network.run(network.time + SECOND)
+        self.assertEqual(front.unproven(member), ([], ["deaf"]))  # reported: its drain is not proven there
+
+    def test_malformed_messages_get_the_protocols_code_and_others_notice_nothing(self):
+        stage = self.stage(short_day(6))
+        network = stage.network
+        files, spoken = self.followers(stage)
+        network.run(network.time + 4 * SECOND)
+        front, answers, ends = stage.parts["manager-0"].front, [], []
+        framer = Framer()
+        own, other = (next(item for item in range(12) if (item in front.owned) is flag) for flag in (True, False))
+        bad = bytearray(encode(RegistrationRequest((Group("x", "slice-1", (Member("10.0.0.1", 1),)),)), 5))
+        bad[16] ^= 9
+        sent = [(bytes(bad), n.NOT_UNDERSTOOD)]
+        for name, code in ((f"slice-{other}", n.UNKNOWN_GROUP), ("nonsense", n.UNKNOWN_GROUP), (f"slice-{own}", n.SUCCESS),
+                           (f"slice-{own}", n.ALREADY_REGISTERED)):
+            sent.append((encode(RegistrationRequest((Group("x", name, (Member("10.0.0.1", 1),)),)), 6), code))
+        sent.append((encode(DeregistrationRequest((Group("x", f"slice-{own}", (Member("10.0.0.9", 1),)),)), 7), n.UNKNOWN_MEMBER))
+
+        def connected(stream, reason):
+            stream.start(lambda data: answers.extend(decode(one)[0].code for one in framer.feed(data)), ends.append)
+            stream.write(b"".join(data for data, _ in sent))
+            network.host("x").after(SECOND // 2, lambda: stream.write(b"no framing here at all" * 3))
+        network.host("x").connect(front.address, SECOND, connected)
+        network.run(network.time + SECOND)
+        self.assertEqual(answers, [code for _, code in sent])
+        self.assertEqual(len(ends), 1)
+        self.same(stage, files, spoken)
+
+
 if __name__ == "__main__":
     unittest.main()
