--- a/ospreyrouter/rehearse/audit.py
+++ b/ospreyrouter/rehearse/audit.py
@@ -179,6 +179,7 @@
     for name, lives in starts.items():
         for life in lives:
             over_at, sent = 0, []
+            checked += 1  # a cold start that is sent nothing was looked at all the same
             for row in arrivals[name]:
                 if not life["t"] <= row["t"] < life["t"] + life["cold_us"]:
                     continue
