--- a/benchmarks/load_reports.py
+++ b/benchmarks/load_reports.py
@@ -19,7 +19,7 @@
 
 import orjson
 
-from benchmarks.size import A_PROCESS, Quiet, cpu_s, rss_mb, write_deployment
+from benchmarks.size import cpu_s, rss_mb, write_deployment
 from ospreyrouter.digest import Digest, Handover, OldestFirst, Reporters
 from ospreyrouter.digest.estimates import BUCKET_US, SPAN_BUCKETS
 from ospreyrouter.files import TableReader
@@ -113,7 +113,7 @@
     listing = WorkerListService(loop, setup, specs, Journal(loop), 0)
     children, manager = [], None
     try:
-        agents = subprocess.Popen([sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", "0"],
+        agents = subprocess.Popen([sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", "0", "--no-sums"],
                                   stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         children.append(agents)
         agents.stdout.readline()
@@ -192,10 +192,6 @@
                 child.wait(10)
 
 
-class Index(dict):
-    """Every worker of the truth, as the list would name it."""
-
-
 def new_digest(handover, lines_per_s):
     digest = Digest(Reporters(100_000), handover(lines_per_s), {"a": 0, "b": 1, "c": 2}, {"look-up": 0}, SLICES)
     for k in range(WORKERS):
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -79,7 +79,7 @@
         return sums_request("proxy", self.zone, met, demand, round(self.setup.reports.period_s * 1e6))
 
 
-def run_agents(path, first, most):
+def run_agents(path, first, most, with_sums=True):
     """A process of agents; ends when its parent closes its standard input."""
     setup, loop = read_deployment(path), Loop()
     for place in setup.proxies[first:first + most]:
@@ -95,7 +95,7 @@
             data["node"]["metadata"] = {"life": "1", "sequence": next(numbers), "sent_us": loop.now()}
             return data
         FileAgent(loop, setup, place, folder, InlineCalls(loop, Disk(flush=False)), Quiet(),
-                  on_swap=lambda reader=reader: reader.poll() and None, sums=report)
+                  on_swap=lambda reader=reader: reader.poll() and None, sums=report if with_sums else None)
     print("ready", flush=True)
     os.set_blocking(0, False)
 
@@ -219,9 +219,10 @@
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--agents")
     parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--no-sums", action="store_true")
     options = parser.parse_args()
     if options.agents:
-        run_agents(options.agents, options.first, A_PROCESS)
+        run_agents(options.agents, options.first, A_PROCESS, not options.no_sums)
         return 0
     sizes = [(20, 60, 12)] if options.short else [(30, 100, 20), (60, 200, 39), (options.proxies, 400, 78)]
     rows = []
