--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -326,6 +326,25 @@
         self.assertLess(self.intake.counts["reports"], 1200)
         self.assertAlmostEqual(self.digest.rows["w-0"].total / 16_000, 1.0, delta=0.1)
 
+    def test_a_slow_reader_of_replies_is_closed_alone(self):
+        other, answers, streams = self.network.host("others"), [], []
+        body = json.dumps(sums(1)).encode()
+        post = b"POST /v3/load_stats HTTP/1.1\r\nhost: x\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n" % len(body)
+
+        def connected(stream, reason):
+            stream.start(lambda data: None, lambda reason: None)
+            stream.pause()
+            streams.append(stream)
+            stream.write((post + body) * 40)
+        other.connect(self.server.address, SECOND, connected)
+        self.network.run(self.network.time + 1000)
+        next(iter(self.server.connections)).stream.write_most = 2_000
+        streams[0].write((post + body) * 40)
+        self.post(Client(other, self.server.address), json.dumps(sums(2, "good")).encode(), answers)
+        self.network.run(self.network.time + 2 * SECOND)
+        self.assertEqual([answer.status for answer in answers], [200])
+        self.assertEqual(len(self.server.connections), 1)
+
     def test_a_half_sent_report_and_then_silence_holds_nobody_up(self):
         other, answers = self.network.host("others"), []
         other.connect(self.server.address, SECOND, lambda stream, reason: (
@@ -406,6 +425,21 @@
         self.assertGreater(total / true, 0.85)
         self.assertLessEqual(total / true, 1.001)  # nothing counts twice, however often it was sent again
 
+    def test_a_fleet_that_doubles_is_followed(self):
+        def doubled(parts):
+            more = [OneReporter(k, parts["truth"], 8, 2, parts["network"].time) for k in range(120)]
+            for one in more:
+                one.name += "-new"
+            ReporterFleet(parts["other"], parts["server"].address, parts["truth"], parts["parts"],
+                          [more[k:k + 10] for k in range(0, 120, 10)], PROTOBUF, 2 * SECOND, 2)
+        _, one, _, parts = self.run_fleet(doubled, seconds=26)
+        end = (parts["network"].time - one.settled_us()) // 500_000 * 500_000
+        for name, found in one.estimates(parts["network"].time).items():
+            true = parts["truth"].total(int(name[7:]), end - 4 * SECOND, end) / 2  # both fleets, over 4 s
+            self.assertEqual(len(one.reporters.rows), 240)
+            if true > 100:
+                self.assertLess(abs(found.rate - true) / true, 0.6)
+
     def test_stuck_reporters_are_seen(self):
         _, one, _, _ = self.run_fleet(stuck=12)
         self.assertEqual(one.reporters.stuck(), 12)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -323,6 +323,19 @@
         self.assertEqual(set(again.commands.answers), {f"k-{item}" for item in range(12)
                                                        if manager.operators.commands.known(f"k-{item}")["slices"][str(item)].get("version")})
 
+    def test_while_a_deploy_runs_and_the_channel_is_slow_the_rules_hold(self):
+        day = short_day(16, [{"what": "worker_crash", "at_s": 1, "for_s": 2, "workers": [1]},
+                             {"what": "drain", "at_s": 4, "for_s": 5, "workers": [0]}, {"what": "drain", "at_s": 7, "for_s": 5, "workers": [4]},
+                             {"what": "slow_channel", "at_s": 3, "for_s": 8, "ms": 250},
+                             {"what": "rollback", "at_s": 6, "for_s": 4, "back_s": 5.5},
+                             {"what": "rollback", "at_s": 9, "for_s": 1, "back_s": 3.5}], traffic={"per_s": 80.0})
+        stage = self.stage(day)
+        account = audit(day, stage.run())
+        answers = [(row["status"], row["text"]) for row in stage.rows if row["what"] == "rollback"]
+        self.assertEqual([status for status, _ in answers], [200] * 4)
+        self.assertTrue(any('"version"' in text for _, text in answers), answers)
+        self.assertEqual(account["broken"], {})
+
     def test_what_cannot_be_brought_back_changes_nothing(self):
         stage = self.stage(short_day(8))
         stage.network.run(stage.network.time + 5 * SECOND)
