--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -14,9 +14,9 @@
 from collections import Counter, deque
 from random import Random
 
-from ..intake.bodies import BadBody, plain
 from ..loop import Refused
 from ..web import Client, Server, digest_matches
+from ..web.coding import BadBody, plain
 from ..xds.documents import (CLA, ROUTES, BadDocument, Rendered, dump, load, need, push_of, response, routes_resource,
                              version_of, whole_table_of)
 from .ledger import Ledger, Rejected
--- a/ospreyrouter/intake/bodies.py
+++ b/ospreyrouter/intake/bodies.py
@@ -5,60 +5,20 @@
 """
 
 import math
-import zlib
 from functools import lru_cache
 
 import orjson
-import zstandard
 
 from ..digest.reporters import Report
+from ..web.coding import BadBody, plain
 from ..xds.documents import BadDocument, slice_of
 from ..xds.reports import DELAY, interval_us
 
-BODY_MOST = 8 << 20  # bytes of a body as sent, and
-PLAIN_MOST = 32 << 20  # once decompressed: more is a bomb
 REPORTS_MOST = 20_000  # of one body
 ROWS_MOST = 100_000  # pairs of one report
 DELAY_BUCKET = "delay_us."  # load metrics so named are delays by bucket: the number is the bucket's value
 
 
-class BadBody(Exception):
-    """`reason` is one of a few words that are counted; the text names the field."""
-
-    def __init__(self, reason, text=""):
-        super().__init__(text or reason)
-        self.reason = reason
-
-
-def plain(body, encoding):
-    """Raises BadBody. The size is checked before the memory is taken."""
-    if len(body) > BODY_MOST:
-        raise BadBody("too large")
-    try:
-        if encoding in ("", "identity"):
-            return body
-        if encoding == "gzip":
-            worker = zlib.decompressobj(31)
-            data = worker.decompress(body, PLAIN_MOST + 1)
-            if len(data) > PLAIN_MOST or worker.unconsumed_tail:
-                raise BadBody("bomb", f"more than {PLAIN_MOST} bytes once decompressed")
-            if not worker.eof:
-                raise BadBody("malformed", "the gzip stream is cut off")
-            return data
-        if encoding == "zstd":
-            worker, data = zstandard.ZstdDecompressor(max_window_size=8 << 20).decompressobj(read_across_frames=False), b""
-            for start in range(0, len(body), 4096):
-                data += worker.decompress(body[start:start + 4096])
-                if len(data) > PLAIN_MOST:
-                    raise BadBody("bomb", f"more than {PLAIN_MOST} bytes once decompressed")
-            if not worker.eof:
-                raise BadBody("malformed", "the zstd frame is cut off")
-            return data
-    except (zlib.error, zstandard.ZstdError) as problem:
-        raise BadBody("malformed", str(problem)) from None
-    raise BadBody("unknown encoding", f"content-encoding {encoding:.40}")
-
-
 def decode(body, content_type, encoding=""):
     """The reports in a body. Raises BadBody; a body is used whole or not at all."""
     data = plain(body, encoding.strip().lower())
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -13,11 +13,11 @@
 from ospreyrouter.digest import Digest, FairQueue, Handover, Pressure, Report, Reporters, Step
 from ospreyrouter.digest.estimates import WorkerSums
 from ospreyrouter.intake import BadBody, Intake, decode
-from ospreyrouter.intake import bodies
 from ospreyrouter.loop import VirtualNetwork
 from ospreyrouter.standins.reporters import (JSON, PROTOBUF, ZSTD, OneReporter, ReporterFleet, Truth, coverage,
                                              encoded)
 from ospreyrouter.web import Client, Server
+from ospreyrouter.web import coding as bodies
 from ospreyrouter.xds.reports import sums_request
 
 SECOND = 1_000_000
