--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -68,6 +68,9 @@
     loop.run()
     if calls is not None:
         calls.ended()
+    failed = getattr(service, "failed", None)
+    if failed:
+        raise BadInput(failed)
     log.info("stopped", name=name, turns=loop.turns, longest_turn_us=loop.longest_turn_us,
              turn_p99_us=loop.turn_quantile_us(0.99), busy_us=loop.busy_us)
     return service
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -93,11 +93,16 @@
         self._mind_custody()
         self._follow_list()
 
+    failed = None  # why it cannot run at all, where that shows only after the start
+
     def _log_opened(self, cut, problem):
         if problem is not None:
             self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=0)
             if problem.errno == errno.EBUSY:
                 self.held_by_another = True  # it writes nothing and publishes nothing: the other one does
+                self.failed = problem.strerror
+                self.close()
+                self.loop.stop()
         elif cut:
             self.log.warning("store_tail_cut", manager=self.name, bytes=cut)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,11 @@
 """Bad input of every kind: one line that names file, field and reason, exit 2, nothing started."""
 
+import fcntl
 import json
 import os
 import socket
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -88,6 +91,17 @@
         self.assertIn(f"127.0.0.1:{port}: Address already in use", result.output)
         self.refused(CliRunner().invoke(main, ["manager", self.path, "--name", "manager-9"]), "managers", "manager-9")
 
+    def test_a_store_that_another_process_holds(self):
+        Path(self.path).write_text(json.dumps(good_deployment()))
+        lock = Path(self.path).parent / "store" / "tables" / "manager-0.log.d"
+        lock.mkdir(parents=True)
+        with open(lock / ".lock", "w") as held:
+            fcntl.flock(held, fcntl.LOCK_EX)
+            ended = subprocess.run([sys.executable, "-m", "ospreyrouter", "manager", self.path, "--name", "manager-0"],
+                                   capture_output=True, text=True, timeout=30, check=False)
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("another process holds it", ended.stderr.strip().splitlines()[-1])
+
     def test_schemas_in_the_repository_are_those_of_the_models(self):
         for name, schema in (("deployment", deployment_schema()), ("day", day_schema())):
             self.assertEqual(json.loads((ROOT / "docs" / "schema" / f"{name}.json").read_text()), schema)
