--- a/ospreyrouter/balancers/service.py
+++ b/ospreyrouter/balancers/service.py
@@ -22,6 +22,7 @@
 STUCK_US = 5_000_000  # and it is closed after so long without reading
 PUSHES_A_TURN = 20
 CONNECTIONS_MOST = 2_000
+KEEP_US = 500_000  # after which registrations are stored; a balancer whose were lost registers anew
 MESSAGES_PER_S = 200  # of one balancer
 ADMIT_PER_S, ADMIT_BURST = 200, 200
 
@@ -82,7 +83,7 @@
         self.loop, self.log, self.name, self.keep = loop, log, name, keep
         self.registry, self.lines, self.by_lb, self.counts = Registry(slices), set(), {}, Counter()
         self.admission, self.turns = Admission(ADMIT_PER_S, ADMIT_BURST), Turns()
-        self.owned, self.pushing, self.closed, self.unproven_since = set(), False, False, {}
+        self.owned, self.pushing, self.closed, self.keeping = set(), False, False, False
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
         self._mind()
@@ -271,6 +272,13 @@
     # What outlives a restart.
 
     def _keep(self):
+        """Soon, and once for all that register meanwhile: each time it is the whole that is written."""
+        if not self.keeping:
+            self.keeping = True
+            self.loop.after(KEEP_US, self._keep_now)
+
+    def _keep_now(self):
+        self.keeping = False
         self.keep([[lb, name, [list(member) for member in sorted(state.members)]]
                    for lb, balancer in sorted(self.registry.balancers.items())
                    for name, state in sorted(balancer.groups.items())])
