Tests: a proxy that stands still mid-push, slices taken over unheard

Two hard cases had no test that causes them: an agent that stops reading (the test so far only hung its disk), and a manager that takes over slices whose reports it never got.

--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -20,7 +20,6 @@
     def __init__(self, host, peer):
         super().__init__(peer)
         self.host, self.other, self.in_flight, self.held, self.last_at = host, None, 0, [], 0
-        self.closed_told = False
         host.streams[self] = None
 
     @property
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -78,6 +78,19 @@
         self.assertEqual((len(one.reporters.rows), one.reporters.forgotten), (50, 150))
 
 
+class TakenOver(unittest.TestCase):
+    def test_slices_whose_history_was_never_heard_are_told_from_then_on(self):
+        one = digest()
+        one.own = {1}
+        one.take_in(20 * SECOND, report(1, demand=[(1, "look-up", 5, 0), (2, "look-up", 7, 0)]))
+        self.assertEqual(one.dropped["not in charge"], 1)
+        one.own = {1, 2}
+        one.take_in(21 * SECOND, report(2, 11 * SECOND, demand=[(2, "look-up", 3, 0)]))
+        one.lines(21 * SECOND)
+        told = {line[1]: line[3] for line in one.lines(22 * SECOND) if line[0] == "demanded"}
+        self.assertEqual(told, {1: 5, 2: 3})  # what another manager was told is not told twice
+
+
 class Estimates(unittest.TestCase):
     @settings(deadline=None, max_examples=80)
     @given(st.lists(st.tuples(st.integers(0, 9_000_000), st.integers(1, 4_000_000), st.integers(1, 50)), min_size=1,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -238,6 +238,22 @@
         for row in managers:
             self.assertLessEqual(row.channel.waiting, stage.day.channel.queue_lines)
 
+    def test_a_proxy_that_stands_still_in_the_middle_of_a_push_is_let_go_and_comes_back(self):
+        stage = self.stage(short_day(16, [{"what": "worker_crash", "at_s": 4, "for_s": 3, "workers": [0]}]))
+        stage.network.run(stage.network.time + 6_300_000)
+        stage.pause("proxy-0")  # it reads nothing; its streams stay up
+        stage.network.run(stage.network.time + 6 * SECOND)
+        managers = [stage.parts[f"manager-{k}"] for k in range(2)]
+        self.assertTrue(any("proxy-0" not in row.sessions for row in managers))
+        self.assertTrue(all({"proxy-1", "proxy-2"} <= row.sessions.keys() for row in managers))
+        stage.resume("proxy-0")
+        stage.run()
+        self.assertTrue(all("proxy-0" in row.sessions for row in managers))
+        held = stage.parts["proxy-0"].agent.ledger.tables
+        for row in managers:
+            for item, table in row.core.written.items():
+                self.assertEqual(held[item].digest, table.digest)
+
     def test_altered_truncated_or_misplaced_pushes_change_nothing(self):
         stage = self.stage(short_day(5))
         stage.network.run(stage.network.time + 4 * SECOND)
