A log written anew is the one appended to, even where its folder's flush fails

Cause: faults were not tried at flushes. A flush of the folder that failed after the rename left the writer on the old file: what it acknowledged from then on nobody would have found. Change: the new file is taken with the rename; flushes are calls of their own that tests fail and kill at.

--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -186,14 +186,15 @@
 
 
 def roll_back_all(loop, listing, setup, readers, workers):
-    """Half the workers are called gone for a while; then everything comes back as it was before, at once."""
+    """Half the workers drain for a while; then everything comes back as it was before, at once."""
     loop.run(loop.now() + 3_000_000)
     before = wall_us()
     loop.run(loop.now() + 500_000)
-    listing.control("hide", workers=[f"worker-{k}" for k in range(0, workers, 2)])
+    half = [f"worker-{k}" for k in range(0, workers, 2)]
+    listing.control("state", workers=half, state="draining", now=True)  # every table has one of them, so each is another
     loop.run(loop.now() + 10_000_000)
-    listing.control("true")
-    loop.run(loop.now() + 1_000_000)
+    listing.control("state", workers=half, state="ready", now=True)
+    loop.run(loop.now() + 300_000)
     answers, began = [], loop.now()
     Client(loop, setup.managers[0].listen.pair).ask("POST", "/v3/rollback", [], orjson.dumps(
         {"to": before, "key": "size", "hold_s": 30}), answers.append, 30_000_000)
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -35,7 +35,7 @@
     """The process dies at its n-th write; `part` of what was to be written is there."""
 
     def __init__(self, calls, part):
-        super().__init__(flush=False)
+        super().__init__(flush=True)
         self.calls, self.part = calls, part
 
     def _count(self):
@@ -48,6 +48,14 @@
             raise Killed()
         super().append(handle, body)
 
+    def flush_file(self, handle):
+        if self._count():
+            raise Killed()
+
+    def flush_folder(self, path):
+        if self._count():
+            raise Killed()
+
     def write_new(self, path, body, flush=True):
         if self._count():
             super().write_new(path, body[:int(len(body) * self.part)])
--- a/ospreyrouter/files/disk.py
+++ b/ospreyrouter/files/disk.py
@@ -18,7 +18,10 @@
         while view:
             view = view[os.write(handle, view):]
         if self.flush:
-            os.fdatasync(handle)
+            self.flush_file(handle)
+
+    def flush_file(self, handle):
+        os.fdatasync(handle)
 
     def write_new(self, path, body, flush=True):
         """A new file with this content; never an edit of one that is there."""
@@ -28,7 +31,7 @@
             while view:
                 view = view[os.write(handle, view):]
             if self.flush and flush:
-                os.fsync(handle)
+                self.flush_file(handle)
         finally:
             os.close(handle)
 
--- a/ospreyrouter/manager/background.py
+++ b/ospreyrouter/manager/background.py
@@ -58,7 +58,7 @@
 
     def _retain(self):
         history = self.service.tables.history
-        gone = history.prune(self.service.tables.wall())
+        gone = self.service.tables.prune()
         if gone:
             self.service.log.info("versions_pruned", manager=self.service.name, versions=gone, kept=len(history.by_digest))
         return None
@@ -70,4 +70,5 @@
     def figures(self):
         return {"audits": self.audits, "claims": self.claims, "differences": self.differences,
                 "gave way": self.schedule.gave_way, "starved": self.schedule.starved,
+                "clock_steps": self.service.tables.time_of_day.steps,
                 "runs": {job.name: job.runs for job in self.schedule.jobs}}
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -67,7 +67,8 @@
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
         self.tables = TableStore(folder, name, calls, self._log_opened,
-                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)), wall=wall)
+                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)), wall=wall,
+                                 steady=loop.now)
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.rendered, self.compressor = Rendered(), zstandard.ZstdCompressor(level=3)
--- a/ospreyrouter/store/log.py
+++ b/ospreyrouter/store/log.py
@@ -33,12 +33,17 @@
         self.size += len(body)
 
     def rewrite(self, body):
-        """Write the log anew beside and rename. Raises OSError, the old log stands."""
+        """Write the log anew beside and rename. Raises OSError; before the rename the old log stands, after it the new."""
         beside = self.path + ".new"
         self.disk.remove(beside)
         self.disk.write_new(beside, body)
-        self.disk.rename(beside, self.path)
-        self.disk.flush_folder(os.path.dirname(self.path))
+        fresh = os.open(beside, os.O_WRONLY | os.O_APPEND)
+        try:
+            self.disk.rename(beside, self.path)
+        except OSError:
+            os.close(fresh)
+            raise
+        # From here on the path names the new file: what is appended to the old one, nobody would find.
         os.close(self.handle)
-        self.handle = os.open(self.path, os.O_WRONLY | os.O_APPEND)
-        self.size = len(body)
+        self.handle, self.size = fresh, len(body)
+        self.disk.flush_folder(os.path.dirname(self.path))
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -18,7 +18,7 @@
 
 import orjson
 
-from ..versions import Altered, History, Kept, verify
+from ..versions import Altered, History, Kept, TimeOfDay, verify
 from ..xds.documents import BadDocument, table_resource, whole_table_of
 
 COMPACT_AT = 8 << 20  # bytes of a log at which it is weighed whether to write it anew
@@ -56,19 +56,24 @@
 
 
 def wall_us():
-    """Time of day: for people who ask what was in force when. Nothing is decided by it."""
+    """Time of day: for people who ask what was in force when, and for retention by age."""
     return time.time_ns() // 1000
 
 
+def steady_us():
+    return time.monotonic_ns() // 1000
+
+
 class TableStore:
     """See the top of this module. `calls` does the writing, off the loop; without it the store is read only."""
 
     def __init__(self, folder, manager, calls, on_open=lambda cut, problem: None, compact_at=COMPACT_AT, history=None,
-                 wall=wall_us):
+                 wall=wall_us, steady=steady_us):
         self.folder, self.manager, self.calls, self.compact_at = os.path.join(folder, "tables"), manager, calls, compact_at
         self.path = os.path.join(self.folder, f"{manager}.log")
         self.newest_rows, self.offsets, self.damaged, self.own = {}, {}, [], {}
-        self.history, self.wall = history if history is not None else History(), wall
+        self.history, self.wall, self.steady = history if history is not None else History(), wall, steady
+        self.time_of_day = TimeOfDay()
         self.size, self.compacted_size, self.compacting = 0, 0, False
         if calls is not None:
             os.makedirs(self.folder, exist_ok=True)
@@ -88,6 +93,11 @@
 
         self.calls.ask("append_log", (self.path, body), done)
 
+    def prune(self):
+        """Forget what retention no longer keeps: by age only while the time of day can be trusted. How many."""
+        now = self.wall()
+        return self.history.prune(now if self.time_of_day.trusted(self.steady(), now) else None)
+
     def wants_compaction(self):
         """Whether so much was appended since the log was last written anew that most of it may go."""
         return self.size > self.compact_at and self.size > 2 * self.compacted_size and not self.compacting
@@ -95,7 +105,7 @@
     def compact(self):
         """Write the own log anew with what retention keeps; the old log stands where that fails."""
         self.compacting = True
-        self.history.prune(self.wall())
+        self.prune()
         rows = sorted((row for row in self.history.by_digest.values() if row.digest in self.own),
                       key=lambda row: (row.at_us, row.version, row.slice))
         self.own = {row.digest: None for row in rows}
--- a/ospreyrouter/versions/__init__.py
+++ b/ospreyrouter/versions/__init__.py
@@ -8,6 +8,7 @@
 from .history import History, Kept, Unknown
 from .identity import NO_PARENT, Altered, digest_of, successor, verify
 from .rollback import Rollbacks, lines_to_return
+from .time_of_day import TimeOfDay
 
-__all__ = ["Altered", "Delta", "History", "Kept", "NO_PARENT", "Rollbacks", "Unknown", "WrongBase", "apply", "between",
+__all__ = ["Altered", "Delta", "History", "Kept", "NO_PARENT", "Rollbacks", "TimeOfDay", "Unknown", "WrongBase", "apply", "between",
            "digest_of", "lines_to_return", "successor", "verify", "worth"]
--- a/ospreyrouter/versions/history.py
+++ b/ospreyrouter/versions/history.py
@@ -64,10 +64,13 @@
         """Raises Unknown. `which`: "FENCE.COUNT", a digest's beginning, or an int: the version in force at that time."""
         rows = self.slices.get(item, [])
         if isinstance(which, int):
-            then = [row for row in rows if row.at_us <= which]
+            then = [place for place, row in enumerate(rows) if row.at_us <= which]
             if not then:
                 raise Unknown("pruned" if item in self.oldest_gone else "unknown", f"slice {item}: nothing from that time")
-            return max(then, key=lambda row: (row.at_us, row.version))
+            if then[-1] != len(then) - 1:
+                # A clock was set back: at that time of day two versions were in force, one after the other.
+                raise Unknown("ambiguous", f"slice {item}: the clock was set back round that time; name the version")
+            return rows[then[-1]]
         if "." in which:
             fence, _, count = which.partition(".")
             version = (int(fence), int(count)) if fence.isdigit() and count.isdigit() else None
@@ -87,11 +90,11 @@
         return found[0]
 
     def prunable(self, now_us):
-        """Versions that neither count nor age keeps, as (slice, digest), oldest first."""
+        """Versions that neither count nor age keeps, as (slice, digest), oldest first. `now_us` None: by count alone."""
         out = []
         for item, rows in sorted(self.slices.items()):
             for place, row in enumerate(rows[:-1]):
-                if len(rows) - place > self.keep_count or now_us - row.at_us > self.keep_us:
+                if len(rows) - place > self.keep_count or now_us is not None and now_us - row.at_us > self.keep_us:
                     out.append((item, row.digest))
         return out
 
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -43,18 +43,18 @@
 
 
 class FailingDisk(Disk):
-    """Lets `calls` calls pass; the next ones fail, or kill, or write half and kill."""
+    """Lets `calls` calls pass; the next ones (or the next "once") fail, or kill, or write half and kill."""
 
     def __init__(self, calls, how):
-        super().__init__(flush=False)
+        super().__init__(flush=True)
         self.calls, self.how, self.made = calls, how, 0
 
     def _count(self):
         self.made += 1
-        return self.made > self.calls
+        return self.made == self.calls + 1 if self.how == "once" else self.made > self.calls
 
     def _fail(self):
-        raise OSError(errno.ENOSPC, "No space left on device") if self.how == "full" else Killed()
+        raise OSError(errno.ENOSPC, "No space left on device") if self.how in ("full", "once") else Killed()
 
 
 def failing(name):
@@ -69,5 +69,5 @@
     return call
 
 
-for call_name in ("make_folder", "write_new", "link", "flush_folder", "point", "append", "rename"):
+for call_name in ("make_folder", "write_new", "link", "flush_folder", "point", "append", "rename", "flush_file"):
     setattr(FailingDisk, call_name, failing(call_name))
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -161,6 +161,28 @@
         self.assertIsNone(self.append(store, table(0, 3)))
         self.assertEqual(self.store().newest[0].version, (1, 3))
 
+    def test_any_one_call_that_fails_loses_nothing_that_was_acknowledged(self):
+        # A flush that fails after the rename of a compacted log, say: what follows must go into the new file.
+        for call in range(200):
+            with self.subTest(call=call):
+                self.setUp()
+                disk, acknowledged = FailingDisk(10**6, "once"), {}
+                store = self.store(disk=disk)
+                disk.calls, disk.made = call, 0
+                for count in range(1, 15):
+                    if self.append(store, table(count % 3, count)) is None:
+                        acknowledged[count % 3] = count
+                    if count % 4 == 0:
+                        store.compact()
+                found = self.store().newest
+                # One that failed may be there all the same: a later compaction writes what the manager still holds.
+                for item, count in acknowledged.items():
+                    self.assertGreaterEqual(found[item].version[1], count)
+                if disk.made <= call:
+                    self.assertGreater(call, 30)
+                    return
+        self.fail("the run never came to an end")
+
     def test_torn_tails_are_cut_and_damage_is_named(self):
         store = self.store()
         for count in range(1, 4):
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -16,7 +16,7 @@
 from ospreyrouter.files import Ledger, Rejected, TableReader, ledger
 from ospreyrouter.manager.operators import Operators
 from ospreyrouter.rehearse import audit
-from ospreyrouter.versions import (Altered, History, Rollbacks, Unknown, WrongBase, apply, between, lines_to_return,
+from ospreyrouter.versions import (Altered, History, Rollbacks, TimeOfDay, Unknown, WrongBase, apply, between, lines_to_return,
                                    successor, verify)
 from ospreyrouter.versions import delta as delta_module
 from ospreyrouter.web import Client
@@ -221,6 +221,28 @@
         self.assertEqual(history.newest(0).table, held)
         self.assertEqual(history.problems(), [])
 
+    def test_a_clock_that_steps_neither_empties_the_history_nor_misleads_a_rollback(self):
+        hour, watch = 3600 * SECOND, TimeOfDay()
+        looks = [(0, 0, False), (hour, hour, True), (hour + 1, 9000 * hour, False), (2 * hour, 9001 * hour - 1, False),
+                 (2 * hour + 1, 9001 * hour, True), (3 * hour, 0, False)]
+        for steady, wall, trusted in looks:
+            self.assertEqual(watch.trusted(steady, wall), trusted, (steady, wall))
+        self.assertEqual(watch.steps, 2)
+        history, held = History(keep_count=9, keep_us=hour), None
+        for at in (100, 200, 300, 150, 250):  # set back after the third
+            held = successor(held, 0, "A", 1, lines("a", weight=float(at)))
+            history.add(held, at * SECOND)
+        for at, count in ((100, 1), (149, 1), (300, 5), (299, None), (200, None)):
+            with self.subTest(at=at):
+                if count is None:
+                    with self.assertRaises(Unknown) as caught:
+                        history.find(0, at * SECOND)
+                    self.assertEqual(caught.exception.reason, "ambiguous")
+                else:
+                    self.assertEqual(history.find(0, at * SECOND).version, (1, count))
+        self.assertEqual(history.prune(None), 0)
+        self.assertEqual(history.prune(9000 * hour), 4)
+
     def test_what_returns_leaves_out_who_may_not_be_used(self):
         old = successor(None, 0, "A", 1, lines("a", "b", "c"))
         present = (Line("b", "127.0.0.1", 9999, "a", 0.2),)
