Changes of callers are stored before they are answered, and asked about by key

Cause: a balancer whose answer was cut off could not know whether its registration or drain stood; registrations were stored half a second late and quiescing not at all; a rollback that changed nothing was forgotten at a restart. Change: changes/ (no I/O) keeps each caller's changes by key, in force when entered, answered when stored with all that came in the same turn, taken back newest first where the store refuses; store/changes is its log. Balancers' messages are keyed by their number and content, HTTP callers have POST /v3/drains, and GET /v3/changes answers for both. The libraries' drain() returns a change that took effect, did not, or is unknown and can be asked about or repeated. Also: drains proven or not proven to all balancers are events, messages without end and silent balancers are closed, a balancer is told changes only where it asked for that, a member that flaps costs one message in 20 ms.

--- a/ospreyrouter/advice/registry.py
+++ b/ospreyrouter/advice/registry.py
@@ -34,7 +34,9 @@
 class GroupState:
     members: dict = field(default_factory=dict)  # (host, port): quiesced by the balancer or the member itself
     said: tuple | None = None
-    version: int = -1
+
+    def copy(self):
+        return GroupState(dict(self.members), self.said)
 
 
 @dataclass
@@ -50,7 +52,7 @@
 
     def __init__(self, slices, limits=None):
         self.slices, self.limits = slices, limits or Limits()
-        self.balancers, self.tables, self.weights, self.versions = {}, {}, {}, {}
+        self.balancers, self.tables, self.weights = {}, {}, {}
         self.fleet = {}  # (host, port): confidence, of the workers that the list has
 
     def slice_of(self, group):
@@ -59,6 +61,32 @@
             raise Refused("unknown group")
         return int(number)
 
+    def state(self, lb, push, only_changes, health):
+        """What a balancer said of itself: whether it wants pushes, and only the groups whose advice changed."""
+        balancer = self.balancers.setdefault(lb, Balancer())
+        balancer.push, balancer.only_changes, balancer.health = push, only_changes, health
+
+    def before(self, lb, names):
+        """Returns what brings these groups of a balancer back to how they are now."""
+        balancer = self.balancers.get(lb)
+        kept = {name: balancer.groups[name].copy() if balancer and name in balancer.groups else None for name in names}
+
+        def undo():
+            rows = self.balancers.setdefault(lb, Balancer()).groups
+            for name, state in kept.items():
+                if state is None:
+                    rows.pop(name, None)
+                else:
+                    rows[name] = GroupState(dict(state.members))
+            self.tidy(lb)
+        return undo
+
+    def tidy(self, lb):
+        """A balancer that registered nothing and wants nothing is forgotten."""
+        balancer = self.balancers.get(lb)
+        if balancer is not None and not balancer.groups and not balancer.push:
+            del self.balancers[lb]
+
     def register(self, lb, group, members):
         """All members or none. Raises Refused."""
         self.slice_of(group)
@@ -83,15 +111,19 @@
         if balancer is None or group and group not in balancer.groups:
             raise Refused("unknown group")
         if not group:
-            del self.balancers[lb]
+            balancer.groups.clear()
+            self.tidy(lb)
             return
         state = balancer.groups[group]
-        for member in members or list(state.members):
-            if state.members.pop(member, None) is None:
-                raise Refused("unknown member")
+        gone = list(members or state.members)
+        if any(member not in state.members for member in gone):
+            raise Refused("unknown member")  # all or none
+        for member in gone:
+            state.members.pop(member, None)
         state.said = None
         if not state.members:
             del balancer.groups[group]
+            self.tidy(lb)
 
     def quiesce(self, lb, group, member, on):
         """A balancer or member says that it shall get nothing new; the module is not told: it is no demand."""
@@ -106,8 +138,6 @@
         usable = {member: share for member, share in lines.items() if member not in withheld and share > 0}
         weights = steady_weights(usable, self.weights.get(item))
         self.tables[item] = (frozenset(lines), frozenset(withheld))
-        if weights != self.weights.get(item) or item not in self.versions:
-            self.versions[item] = self.versions.get(item, -1) + 1
         self.weights[item] = weights
 
     def listed(self, fleet):
@@ -128,9 +158,12 @@
         return out
 
     def due(self, lb):
-        """Groups of a balancer whose advice is another than it last took."""
-        return [group for group, state in sorted(self.balancers[lb].groups.items())
-                if state.said != tuple(self.advice(lb, group))]
+        """Groups to be told: those whose advice is another than the balancer last took; all of them where one is and
+        it did not ask for changes only."""
+        balancer = self.balancers[lb]
+        changed = [group for group, state in sorted(balancer.groups.items())
+                   if state.said != tuple(self.advice(lb, group))]
+        return changed if balancer.only_changes or not changed else sorted(balancer.groups)
 
     def taken(self, lb, group, entries):
         balancer = self.balancers.get(lb)
--- a/ospreyrouter/balancers/service.py
+++ b/ospreyrouter/balancers/service.py
@@ -1,17 +1,20 @@
 """Balancers on sockets: registration, weights on request and by push, states; conflated, bounded, closed alone.
 
-    front = SaspFront(loop, address, slices, log, keep)
+    front = SaspFront(loop, address, slices, log, name, changes, grace_us)
     front.publish(slice, {(host, port): share}, withheld)    # whatever the manager published
     front.list(fleet); front.give_up(slice)                  # the worker list; a slice that another manager has now
 
-`keep(registrations)` stores who registered what; `restore(registrations)` brings it back after a restart. Whoever
-reads slowly is sent nothing more until it has read what was sent, and then the newest: weights that were overtaken are
-never queued. One that has not read for STUCK_US is closed.
+What a balancer registers, deregisters or quiesces is stored by `changes` before it is answered, and stands again
+after a restart; the same message with the same number is answered again without a second effect. Whoever reads slowly
+is sent nothing more until it has read what was sent, and then the newest: weights that were overtaken are never
+queued. One that has not read for STUCK_US is closed.
 """
 
+import hashlib
 from collections import Counter
 
-from ..advice import Refused, Registry
+from ..advice import DrainWatch, Refused, Registry
+from ..changes import Change
 from ..sasp import (BadMessage, DeregistrationRequest, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest,
                     Member, MemberStateRequest, RegistrationRequest, Reply, SendWeights, WeightEntry, decode, encode)
 from ..sasp import numbers as n
@@ -22,7 +25,9 @@
 STUCK_US = 5_000_000  # and it is closed after so long without reading
 PUSHES_A_TURN = 20
 CONNECTIONS_MOST = 2_000
-KEEP_US = 500_000  # after which registrations are stored; a balancer whose were lost registers anew
+SILENT_US = 60_000_000  # a balancer that neither asks nor wants pushes is closed after so long
+PARTIAL_US = 10_000_000  # and one whose message does not come to its end, after so long
+GAP_US = 20_000  # between two pushes to one balancer, unless a worker drains or is lost
 MESSAGES_PER_S = 200  # of one balancer
 ADMIT_PER_S, ADMIT_BURST = 200, 200
 
@@ -37,11 +42,13 @@
 
     def __init__(self, front, stream):
         self.front, self.stream, self.framer = front, stream, Framer()
-        self.lb, self.push, self.number, self.blocked_since = None, False, 0, None
+        self.lb, self.number, self.blocked_since = None, 0, None
+        self.heard_at, self.partial_since, self.told_at, self.later = front.loop.now(), None, 0, False
         self.budget = Admission(MESSAGES_PER_S, MESSAGES_PER_S)
         stream.start(self._data, self._closed)
 
     def _data(self, data):
+        self.heard_at = self.front.loop.now()
         try:
             for one in self.framer.feed(data):
                 if not self.budget.admit(self.front.loop.now()):
@@ -50,6 +57,7 @@
                 self._message(one)
                 if not self.stream.open:
                     return
+            self.partial_since = (self.partial_since or self.heard_at) if self.framer.data else None
         except BadMessage as problem:
             # Where the next message begins is not known any more: only this connection ends.
             self.front.refuse(self, f"malformed: {problem}")
@@ -58,7 +66,7 @@
         number = int.from_bytes(data[9:13], "big")
         try:
             message, number = decode(data)
-            answer = self.front.answer(self, message)
+            answer = self.front.answer(self, message, number, hashlib.blake2b(data[13:], digest_size=16).hexdigest())
         except BadMessage as problem:
             self.front.counts["malformed"] += 1
             kind = int.from_bytes(data[13:15], "big")
@@ -79,17 +87,19 @@
 class SaspFront:
     """See the top of this module. Raises Refused of the loop when the address cannot be had."""
 
-    def __init__(self, loop, address, slices, log, name, keep=lambda rows: None):
-        self.loop, self.log, self.name, self.keep = loop, log, name, keep
+    def __init__(self, loop, address, slices, log, name, changes, grace_us):
+        self.loop, self.log, self.name, self.changes, self.watch = loop, log, name, changes, DrainWatch(grace_us)
         self.registry, self.lines, self.by_lb, self.counts = Registry(slices), set(), {}, Counter()
         self.admission, self.turns = Admission(ADMIT_PER_S, ADMIT_BURST), Turns()
-        self.owned, self.pushing, self.closed, self.keeping = set(), False, False, False
+        self.owned, self.pushing, self.closed = set(), False, False
+        changes.kinds["sasp"] = (self._redo, self._standing)
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
         self._mind()
 
     def _accepted(self, stream):
-        if len(self.lines) >= CONNECTIONS_MOST or not self.admission.admit(self.loop.now()):
+        # Before the stored registrations stand, nobody is told anything: a second of them would be refused.
+        if not self.changes.ready or len(self.lines) >= CONNECTIONS_MOST or not self.admission.admit(self.loop.now()):
             self.counts["connections put off"] += 1
             stream.start(None, None)
             stream.abort("too many connections")
@@ -107,31 +117,26 @@
         if line.lb is not None and self.by_lb.get(line.lb) is line:
             del self.by_lb[line.lb]
             self.turns.forget(line.lb)
+            balancer = self.registry.balancers.get(line.lb)
+            if balancer is not None:
+                balancer.push = False  # it says anew what it wants when it comes back
+                self.registry.tidy(line.lb)
 
     # What balancers say.
 
-    def answer(self, line, message):
+    def answer(self, line, message, number, digest):
+        """The reply, or None where it follows when the change is stored."""
         try:
             if isinstance(message, GetWeightsRequest):
                 return self._weights(line, message)
             if isinstance(message, LbStateRequest):
                 self._belongs(line, message.lb_uid)
-                line.push = message.push
-                balancer = self.registry.balancers.get(message.lb_uid)
-                if balancer is not None:
-                    balancer.push, balancer.only_changes, balancer.health = message.push, message.only_changes, message.health
-            elif isinstance(message, RegistrationRequest):
-                self._register(line, message)
-            elif isinstance(message, DeregistrationRequest):
-                for group in message.groups:
-                    self._belongs(line, group.lb_uid)
-                    self.registry.deregister(group.lb_uid, group.name or None, [place(row) for row in group.rows])
-                self._keep()
-            elif isinstance(message, MemberStateRequest):
-                for group in message.groups:
-                    self._belongs(line, group.lb_uid)
-                    for row in group.rows:
-                        self.registry.quiesce(group.lb_uid, group.name, place(row.member), row.quiesce)
+                self.registry.state(message.lb_uid, message.push, message.only_changes, message.health)
+                self.registry.tidy(message.lb_uid)
+            elif isinstance(message, (RegistrationRequest, DeregistrationRequest, MemberStateRequest)):
+                if message.groups:
+                    self._change(line, message, number, digest)
+                    return None
             else:
                 return Reply(n.REGISTRATION_REPLY, n.NOT_ACCEPTED)
         except Refused as problem:
@@ -152,22 +157,66 @@
         elif line.lb != lb:
             raise BadMessage("one connection speaks for two balancers", n.NOT_ACCEPTED)
 
-    def _register(self, line, message):
-        """All groups of a message or none: what was taken is taken back where a later one is refused."""
-        done = []
-        try:
+    def _change(self, line, message, number, digest):
+        """All groups of a message or none. The reply follows when the change is stored."""
+        for group in message.groups:
+            self._belongs(line, group.lb_uid)
+        lb, kind = line.lb, REPLIES[type(message)]
+
+        def reply(change):
+            if change is None:
+                self.counts["changes undone"] += 1
+            if line.stream.open:
+                line.stream.write(encode(Reply(kind, n.NOT_ACCEPTED if change is None else change.answer), number))
+        known = self.changes.book.find(caller_of(lb), str(number), digest)
+        if known is not None:
+            if known.state == "waiting":
+                known.then.append(reply)
+            else:
+                reply(known)
+            return
+        if isinstance(message, RegistrationRequest):
             for group in message.groups:
-                self._belongs(line, group.lb_uid)
                 if self.registry.slice_of(group.name) not in self.owned:
                     raise Refused("unknown group")  # another manager has this slice: the balancer asks there
-                members = [place(row) for row in group.rows]
-                self.registry.register(group.lb_uid, group.name, members)
-                done.append((group.lb_uid, group.name, members))
+            steps = [["register", group.name, [place(row) for row in group.rows]] for group in message.groups]
+        elif isinstance(message, DeregistrationRequest):
+            steps = [["deregister", group.name, [place(row) for row in group.rows]] for group in message.groups]
+        else:
+            steps = [["quiesce", group.name, place(row.member), row.quiesce] for group in message.groups for row in group.rows]
+        self._enter(lb, str(number), digest, steps, reply)
+
+    def _enter(self, lb, key, digest, steps, then):
+        """In force at once, or Refused with all as it was."""
+        balancer = self.registry.balancers.get(lb)
+        names = {step[1] for step in steps} - {""}
+        if any(not step[1] for step in steps):
+            names |= set(balancer.groups) if balancer is not None else set()
+        undo = self.registry.before(lb, names)
+        try:
+            for step in steps:
+                self._step(lb, step)
         except Refused:
-            for lb, name, members in done:
-                self.registry.deregister(lb, name, members)
+            undo()
             raise
-        self._keep()
+
+        def taken_back():
+            undo()
+            self._due(lb)
+        self.changes.ask_for(Change(caller_of(lb), key, digest, frozenset(names), ["sasp", lb, *steps], n.SUCCESS, taken_back), then)
+        for _, members in (step[1:3] for step in steps if step[0] == "register"):
+            for member in members:
+                self.watch.again(member)
+        self._due(lb)
+
+    def _step(self, lb, step):
+        kind, name, what, *more = step
+        if kind == "register":
+            self.registry.register(lb, name, [tuple(member) for member in what])
+        elif kind == "deregister":
+            self.registry.deregister(lb, name or None, [tuple(member) for member in what])
+        else:
+            self.registry.quiesce(lb, name, tuple(what), *more)
 
     def _weights(self, line, message):
         groups = []
@@ -194,6 +243,7 @@
         """A slice in charge has this table now."""
         self.owned.add(item)
         before = self.registry.weights.get(item, {})
+        self.watch.withheld(self.loop.now(), withheld)
         self.registry.published(item, lines, withheld)
         # Who loses its weight drains or is lost: those who may still send there come first.
         lost = any(self.registry.weights[item].get(member, 0) == 0 for member in before)
@@ -213,20 +263,31 @@
         name = f"slice-{item}"
         for lb, balancer in list(self.registry.balancers.items()):
             if name in balancer.groups:
-                self.registry.deregister(lb, name)
+                # Stored too: it would else stand again after a restart, beside what it registers elsewhere.
+                self._enter(lb, f"given away {name}", str(self.loop.now()), [["deregister", name, []]], lambda change: None)
                 line = self.by_lb.get(lb)
                 if line is not None:
                     line.stream.close()
                     self.gone(line, "slice given away")
 
     def _due(self, lb, urgent=False):
-        line = self.by_lb.get(lb)
-        if line is not None and line.push:
+        line, balancer = self.by_lb.get(lb), self.registry.balancers.get(lb)
+        if line is not None and balancer is not None and balancer.push:
+            if not urgent and self.loop.now() - line.told_at < GAP_US:
+                if not line.later:  # a member that flaps costs its balancer no more than so many messages
+                    line.later = True
+                    self.loop.after(GAP_US, lambda: self._due_later(line, lb))
+                return
             self.turns.due(lb, urgent)
             if not self.pushing:
                 self.pushing = True
                 self.loop.soon(self._push)
 
+    def _due_later(self, line, lb):
+        line.later = False
+        if line.stream.open:
+            self._due(lb)
+
     def _push(self):
         """Some balancers a turn of the loop; what is told is read from the registry now, so it is the newest."""
         for _ in range(PUSHES_A_TURN):
@@ -244,7 +305,8 @@
             # Of a slice that is not in charge here (registered before a restart, say) nothing is known: not even zeros.
             names = [name for name in self.registry.due(lb) if self.registry.slice_of(name) in self.owned]
             if names:
-                line.number += 1
+                line.number = line.number + 1 & 0xFFFFFFFF
+                line.told_at = self.loop.now()
                 line.stream.write(encode(SendWeights(tuple(self._group(lb, name, line) for name in names)), line.number))
                 self.counts["pushes"] += 1
         self.loop.soon(self._push)
@@ -255,7 +317,12 @@
         self.loop.after(100_000, self._mind)
         now = self.loop.now()
         for line in list(self.lines):
-            if not line.blocked:
+            balancer = self.registry.balancers.get(line.lb)
+            if line.partial_since is not None and now - line.partial_since > PARTIAL_US:
+                self.refuse(line, "message without end")
+            elif now - line.heard_at > SILENT_US and not (balancer is not None and balancer.push):
+                self.refuse(line, "silent")
+            elif not line.blocked:
                 if line.blocked_since is not None:
                     line.blocked_since = None
                     self._due(line.lb, urgent=True)
@@ -263,34 +330,49 @@
                 line.blocked_since = now
             elif now - line.blocked_since > STUCK_US:
                 self.refuse(line, "does not read")
+        for kind, member, what in self.watch.look(now, self.unwritten):
+            log = self.log.warning if kind != "proven" else self.log.info
+            more = {"balancers": what[:20], "count": len(what)} if kind == "unproven" else {"took_us": what}
+            log(f"drain_{kind}", manager=self.name, member=f"{member[0]}:{member[1]}", **more)
 
     def unproven(self, member):
         """Balancers that may still send to a member: reachable ones and those that are not connected now."""
         rows = self.registry.unproven(member)
         return [lb for lb in rows if lb in self.by_lb], [lb for lb in rows if lb not in self.by_lb]
 
+    def unwritten(self, member):
+        """Those, and balancers that have not taken all that was written to them and have that member registered."""
+        rows = set(self.registry.unproven(member))
+        for lb, line in self.by_lb.items():
+            balancer = self.registry.balancers.get(lb)
+            if line.stream.unsent and balancer is not None and any(member in state.members for state in balancer.groups.values()):
+                rows.add(lb)
+        return sorted(rows)
+
     # What outlives a restart.
 
-    def _keep(self):
-        """Soon, and once for all that register meanwhile: each time it is the whole that is written."""
-        if not self.keeping:
-            self.keeping = True
-            self.loop.after(KEEP_US, self._keep_now)
-
-    def _keep_now(self):
-        self.keeping = False
-        self.keep([[lb, name, [list(member) for member in sorted(state.members)]]
-                   for lb, balancer in sorted(self.registry.balancers.items())
-                   for name, state in sorted(balancer.groups.items())])
-
-    def restore(self, rows):
-        """Registrations as `keep` got them; what is not in charge any more or is refused is left out."""
-        for lb, name, members in rows:
+    def _redo(self, caller, effect):
+        _, lb, *steps = effect
+        for step in steps:
             try:
-                self.registry.register(lb, name, [tuple(member) for member in members])
+                self._step(lb, step)
             except Refused:
                 self.counts["registrations left out"] += 1
 
+    def _standing(self):
+        for lb, balancer in sorted(self.registry.balancers.items()):
+            for name, state in sorted(balancer.groups.items()):
+                yield caller_of(lb), ["sasp", lb, ["register", name, sorted(state.members)],
+                                      *(["quiesce", name, member, True] for member, quiesced in sorted(state.members.items()) if quiesced)]
+
+    def settled(self, items):
+        """Slices in charge, by an epoch: what is registered for others, from before a restart, is let go."""
+        for lb, balancer in list(self.registry.balancers.items()):
+            gone = [name for name in balancer.groups if self.registry.slice_of(name) not in items]
+            if gone:
+                self._enter(lb, "given away at start", str(self.loop.now()), [["deregister", name, []] for name in gone],
+                            lambda change: None)
+
     def close(self):
         self.closed = True
         self.listener.close()
@@ -298,5 +380,10 @@
             line.stream.close()
 
 
+def caller_of(lb):
+    """A balancer's name among all callers of changes."""
+    return f"sasp/{lb}"
+
+
 def place(member):
     return (member.host, member.port)
--- /dev/null
+++ b/ospreyrouter/changes/__init__.py
@@ -0,0 +1,9 @@
+"""Changes that callers ask of a manager, each by a key of theirs: done once, stored before it is answered. No I/O.
+
+`book` knows which change was done, is being stored, or never was; `callers` has what callers drain.
+"""
+
+from .book import Change, ChangeBook
+from .callers import CallerDrains, TooMany
+
+__all__ = ["CallerDrains", "Change", "ChangeBook", "TooMany"]
--- a/ospreyrouter/client/blocking.py
+++ b/ospreyrouter/client/blocking.py
@@ -1,8 +1,10 @@
 """Either library for plain blocking code: `Blocking(lambda loop: FileFollower(loop, folder))`."""
 
 from ..loop import Loop
+from .changes import SENT, UNKNOWN
 
 TURN_US = 20_000
+ASK_S = 0.3
 
 
 class Blocking:
@@ -28,7 +30,22 @@
         return self.follower.weights(item)
 
     def drain(self, worker, on=True):
-        self.follower.drain(worker, on)
+        return self.follower.drain(worker, on)
+
+    def ask(self, change):
+        self.follower.ask(change)
+
+    def repeat(self, change):
+        self.follower.repeat(change)
+
+    def settle(self, change, seconds=5.0):
+        """Wait until a change is neither sent nor unknown, asking in between; returns its state then."""
+        end = self.loop.now() + round(seconds * 1e6)
+        while change.state in (SENT, UNKNOWN) and self.loop.now() < end:
+            if change.state == UNKNOWN:
+                self.follower.ask(change)
+            self.wait(ASK_S, lambda: change.state not in (SENT, UNKNOWN))
+        return change.state
 
     def subscribe(self, callback):
         self.follower.subscribe(callback)
--- a/ospreyrouter/client/files.py
+++ b/ospreyrouter/client/files.py
@@ -1,17 +1,33 @@
-"""Follows the table files beside a proxy: `FileFollower(loop, folder)`."""
+"""Follows the table files beside a proxy: `FileFollower(loop, folder)`.
+
+With `uid` and `doors`, the managers' HTTP addresses, its drains are told to a manager and hold when it starts anew: they
+are kept by the first manager of the list that is reached, asked for at the start of all.
+"""
+
+from random import Random
+
+import orjson
 
 from ..files.reader import TableReader
+from .changes import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN
+from .door import Doors
 from .picking import Picker
 
 LOOK_US = 20_000
+ASK_AGAIN_US = 300_000
+ASK_TIMES = 20
 
 
 class FileFollower(Picker):
     """Reads a set whenever the link points elsewhere; a bad one is counted and the last good one stays in force."""
 
-    def __init__(self, loop, folder, seed=None):
+    def __init__(self, loop, folder, seed=None, uid="", doors=()):
         super().__init__(seed)
         self.loop, self.reader, self.closed, self.seen = loop, TableReader(folder), False, {}
+        self.uid, self.doors, self.life = uid, Doors(loop, doors), Random().getrandbits(48)
+        self.number = 0
+        for place in range(len(self.doors.addresses)):
+            self._restore(place, ASK_TIMES)
         self._look()
 
     def _look(self):
@@ -26,5 +42,49 @@
                     self.from_shares(item, {(line.host, line.port): line.weight for line in table.lines
                                             if line.worker not in withheld})
 
+    def _restore(self, place, times):
+        """What this caller drained in an earlier life; what it said since counts more."""
+        def told(workers):
+            if workers is None:
+                if times and not self.closed:
+                    self.loop.after(ASK_AGAIN_US, lambda: self._restore(place, times - 1))
+                return
+            said = {change.worker for change in self.changes}
+            self.drained.update(worker for worker in workers if worker not in said)
+        self.doors.drained(place, self.uid, told)
+
+    def _tell(self, change):
+        if not self.doors.addresses:
+            change.parts[0, ""] = TOOK_EFFECT  # there is nobody who keeps it
+            return
+        self.number += 1
+        key = f"{self.life:x}.{self.number}"
+        body = orjson.dumps({"caller": self.uid, "worker": list(change.worker), "on": change.on, "key": key})
+        self._send(change, 0, key, body)
+
+    def _send(self, change, place, key, body):
+        change.parts[place, key], change.bodies[place, key] = SENT, body
+
+        def became(state):
+            if state == DID_NOT and place + 1 < len(self.doors.addresses):
+                # It was not reached, or refused: the next one keeps it.
+                del change.parts[place, key], change.bodies[place, key]
+                self._send(change, place + 1, key, body)
+            else:
+                change.became(place, key, state)
+        self.doors.drain(place, body, became)
+
+    def ask(self, change):
+        for place, key in change.unknown():
+            self.doors.became(place, self.uid, key, lambda state, place=place, key=key: change.became(place, key, state))
+
+    def repeat(self, change):
+        for (place, key), state in list(change.parts.items()):
+            if state in (UNKNOWN, DID_NOT):
+                change.parts[place, key] = SENT
+                self.doors.drain(place, change.bodies[place, key],
+                                 lambda state, place=place, key=key: change.became(place, key, state))
+
     def close(self):
         self.closed = True
+        self.doors.close()
--- a/ospreyrouter/client/picking.py
+++ b/ospreyrouter/client/picking.py
@@ -3,13 +3,16 @@
 from random import Random
 
 from ..advice import steady_weights
+from .changes import SENT, UNKNOWN, Change
+
+CHANGES_MOST = 1_000  # of which the end is still open
 
 
 class Picker:
     """`tables` is {slice: {worker: weight}}, weights as on the SASP front: whole, summing up to 10,000."""
 
     def __init__(self, seed=None):
-        self.chance, self.tables, self.drained, self.listeners = Random(seed), {}, set(), []
+        self.chance, self.tables, self.drained, self.listeners, self.changes = Random(seed), {}, set(), [], []
 
     def weights(self, item):
         """{worker: weight} of a slice, without what this caller drains; empty where nothing is known."""
@@ -25,8 +28,24 @@
         return self.chance.choices(workers, [table[worker] for worker in workers])[0]
 
     def drain(self, worker, on=True):
-        """This caller picks a worker no more, or again; what others do is not touched."""
+        """This caller picks a worker no more, or again; what others do is not touched. Returns a `Change`."""
         (self.drained.add if on else self.drained.discard)(worker)
+        change = Change(worker, on)
+        self.changes = [row for row in self.changes if row.state in (SENT, UNKNOWN)][-CHANGES_MOST:] + [change]
+        self._tell(change)
+        return change
+
+    def _tell(self, change):
+        """Tell the managers; the libraries say how."""
+        raise NotImplementedError
+
+    def ask(self, change):
+        """Ask what became of the unknown parts of a change."""
+        raise NotImplementedError
+
+    def repeat(self, change):
+        """Send what is unknown, or was not done, once more, by the same keys: done once at most."""
+        raise NotImplementedError
 
     def subscribe(self, callback):
         """`callback(slice, weights)` after each change."""
--- a/ospreyrouter/client/sasp.py
+++ b/ospreyrouter/client/sasp.py
@@ -2,16 +2,21 @@
 
 `groups` is {slice: [workers]}: what this balancer registers. Each slice is asked of one manager after the other until
 the one that has it in charge takes it; after a break it is registered anew, with the last weights in force meanwhile.
+A drain is told as the members' state, and again wherever a slice is registered. With `doors`, the managers' HTTP
+addresses in the same order, a change whose answer was cut off is asked about once the connection stands again.
 """
 
 from random import Random
 
-from ..sasp import (BadMessage, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest, Member,
-                    RegistrationRequest, Reply, SendWeights, decode, encode)
+from ..sasp import (BadMessage, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest, Member, MemberState,
+                    MemberStateRequest, RegistrationRequest, Reply, SendWeights, decode, encode)
 from ..sasp import numbers as n
+from .changes import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN
+from .door import Doors
 from .picking import Picker
 
 REDIAL_US = (100_000, 400_000)
+ASK_FIRST_US = 500_000
 ASK_AGAIN_US = 300_000  # a slice that no manager has now: custody passes on
 
 
@@ -19,17 +24,20 @@
     """The connection to one manager."""
 
     def __init__(self):
-        self.stream, self.framer, self.asked, self.number = None, None, {}, 0
+        self.stream, self.framer, self.asked, self.heard = None, None, {}, False
 
 
 class SaspFollower(Picker):
     """See the top of this module."""
 
-    def __init__(self, loop, addresses, uid, groups, seed=None):
+    def __init__(self, loop, addresses, uid, groups, seed=None, doors=(), push=True):
         super().__init__(seed)
         self.loop, self.addresses, self.uid, self.groups = loop, list(addresses), uid, groups
         self.links, self.at, self.closed = [Link() for _ in self.addresses], {}, False
-        self.delays = Random(f"{uid}/{seed}")
+        self.delays, self.doors, self.push = Random(f"{uid}/{seed}"), Doors(loop, doors), push
+        # Numbers of messages are keys of changes: another life of this balancer must not use the same ones.
+        self.number = Random().getrandbits(32)
+        self.asking, self.confirmed = 0, set()  # drains that managers keep: said again to whoever has a slice next
         for place in range(len(self.addresses)):
             self._dial(place)
 
@@ -44,15 +52,67 @@
         link = self.links[place] = Link()
         link.stream, link.framer = stream, Framer()
         stream.start(lambda data: self._data(place, link, data), lambda reason: self._broke(place, link))
-        self._say(link, LbStateRequest(self.uid, push=True), None)
+        self._say(link, LbStateRequest(self.uid, push=self.push, only_changes=True), ("state", None))
+        if not self.push:
+            self._ask_weights(place, link, ASK_FIRST_US)
         for item in sorted(self.groups):
             if self.at.get(item) in (None, place):
                 self._register(place, link, item)
 
     def _say(self, link, message, about):
-        link.number += 1
-        link.asked[link.number] = about
-        link.stream.write(encode(message, link.number))
+        self.number = self.number + 1 & 0xFFFFFFFF
+        link.asked[self.number] = about
+        body = encode(message, self.number)
+        link.stream.write(body)
+        return str(self.number), body
+
+    def _ask_weights(self, place, link, after_us):
+        """Without pushes: ask for all that is registered here, as often as the manager says."""
+        def ask():
+            if self.links[place] is link and link.stream is not None and link.stream.open:
+                groups = tuple(Group(self.uid, f"slice-{item}") for item in sorted(self.at) if self.at[item] == place)
+                if groups:
+                    self._say(link, GetWeightsRequest(groups), ("all", None))
+                self._ask_weights(place, link, self.asking or ASK_FIRST_US)
+        self.loop.after(after_us, ask)
+
+    def _tell(self, change):
+        for place, link in enumerate(self.links):
+            items = [item for item, at in sorted(self.at.items()) if at == place and change.worker in self.groups[item]]
+            if items and link.stream is not None and link.stream.open:
+                self._quiesce(place, link, items, [change.worker], change.on, change)
+
+    def _quiesce(self, place, link, items, workers, on, change=None):
+        rows = tuple(Group(self.uid, f"slice-{item}", tuple(MemberState(Member(host, port), 0, on) for host, port in workers
+                                                            if (host, port) in self.groups[item])) for item in items)
+        key, body = self._say(link, MemberStateRequest(rows), ("drain", change))
+        if change is not None:
+            change.parts[place, key], change.bodies[place, key] = SENT, body
+
+    def ask(self, change):
+        for place, key in change.unknown():
+            if place < len(self.doors.addresses) and self.links[place].heard:
+                self.doors.became(place, f"sasp/{self.uid}", key,
+                                  lambda state, place=place, key=key: self._became(change, place, key, state, late=True))
+
+    def _became(self, change, place, key, state, late=False):
+        change.became(place, key, state)
+        if change.state == TOOK_EFFECT:
+            (self.confirmed.add if change.on else self.confirmed.discard)(change.worker)
+            if late and change.on and change.worker in self.drained:
+                # Slices may have passed on while it was not known whether they should be told.
+                for at, link in enumerate(self.links):
+                    items = [item for item in sorted(self.at) if self.at[item] == at and change.worker in self.groups[item]]
+                    if items and link.stream is not None and link.stream.open:
+                        self._quiesce(at, link, items, [change.worker], True)
+
+    def repeat(self, change):
+        for (place, key), state in list(change.parts.items()):
+            link = self.links[place]
+            if state in (UNKNOWN, DID_NOT) and link.stream is not None and link.stream.open:
+                change.parts[place, key] = SENT
+                link.asked[int(key)] = ("drain", change)
+                link.stream.write(change.bodies[place, key])
 
     def _register(self, place, link, item):
         members = tuple(Member(host, port) for host, port in self.groups[item])
@@ -61,7 +121,9 @@
     def _broke(self, place, link):
         if self.links[place] is link:
             # The last weights stay in force; the slices are asked of whoever has them.
-            link.stream = None
+            link.stream, link.heard = None, False
+            for change in self.changes:
+                change.cut_off(place)
             for item in [item for item, at in self.at.items() if at == place]:
                 del self.at[item]
             self.loop.after(self.delays.randint(*REDIAL_US), lambda: self._dial(place))
@@ -88,15 +150,28 @@
             self._take(place, message.groups)
         elif isinstance(message, GetWeightsReply):
             link.asked.pop(number, None)
+            self.asking = message.interval_s * 1_000_000
             self._take(place, message.groups)
         elif isinstance(message, Reply):
-            about = link.asked.pop(number, None)
-            if about is None or about[0] != "register":
+            about = link.asked.pop(number, None) or ("", None)
+            if about[0] == "state":
+                # The manager knows this connection now, and has cut the one before: what it does not know by its key
+                # was not done and will not be.
+                link.heard = True
+                for change in self.changes:
+                    if change.unknown(place):
+                        self.ask(change)
+            elif about[0] == "drain" and about[1] is not None:
+                self._became(about[1], place, str(number), TOOK_EFFECT if message.code == n.SUCCESS else DID_NOT)
+            if about[0] != "register":
                 return
             item = about[1]
             if message.code in (n.SUCCESS, n.ALREADY_REGISTERED):
                 # Registered before a restart of the manager: its store still has it.
                 self.at[item] = place
+                away = [worker for worker in sorted(self.confirmed & self.drained) if worker in self.groups[item]]
+                if away:
+                    self._quiesce(place, link, [item], away, True)
                 self._say(link, GetWeightsRequest((Group(self.uid, f"slice-{item}"),)), ("weights", item))
             elif self.at.get(item) is None:
                 self.loop.after(ASK_AGAIN_US, lambda: self.at.get(item) is None and link.stream is not None
@@ -111,6 +186,7 @@
 
     def close(self):
         self.closed = True
+        self.doors.close()
         for link in self.links:
             if link.stream is not None:
                 link.stream.close()
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -7,11 +7,13 @@
 
 import orjson
 
+from ..changes import Change
 from ..versions import Rollbacks, Unknown, lines_to_return
 
 HOLD_US = 1_000_000  # how often what is held is handed to the module anew; less than its window
 HOLD_MOST_S = 86_400
 CAUSE = "rollback "
+CALLER = "operator/"
 
 
 class Operators:
@@ -23,6 +25,14 @@
                 answer = self.commands.known(key) or {"key": key, "slices": {}}
                 answer["slices"][str(row.slice)] = made(row)
                 self.commands.done(key, answer)
+        service.changes.kinds["answer"] = (lambda caller, effect: None, lambda: ())
+        service.changes.on_open.append(self._remembered)
+
+    def _remembered(self):
+        """Commands that changed nothing have no version that would tell of them."""
+        for change in self.service.changes.book.remembered():
+            if change.caller.startswith(CALLER):
+                self.commands.done(change.key, change.answer)
 
     def roll_back(self, request):
         service = self.service
@@ -36,7 +46,7 @@
         if known is not None:
             self._answer(request, 200, known | {"repeated": True})
             return
-        if not service.custody.may_publish(service.loop.now()):
+        if not service.changes.ready or not service.custody.may_publish(service.loop.now()):
             self._answer(request, 503, {"error": "no lease", "detail": "this manager may not publish now"})
             return
         strange = [item for item in items or () if item not in service.core.tables]
@@ -83,7 +93,8 @@
                 answer["slices"][str(item)] = {"without": left_out} if left_out else {}
         if returning:
             tables = core.roll_back(now, returning, now + round(hold_s * 1e6))
-            service._save(tables, CAUSE + key)
+            # The answer waits for the store, or says that it refused: after a kill, the key finds what was answered.
+            service._save(tables, CAUSE + key, lambda stored: self._remember(request, key, answer, stored))
             for table in tables:
                 answer["slices"][str(table.slice)] |= made(table)
             service.log.info("rolled_back", manager=service.name, key=key, slices=len(tables), hold_s=hold_s)
@@ -92,7 +103,14 @@
                 self.holding = True
                 service.loop.after(HOLD_US, self._hold)
         self.commands.done(key, answer)
-        self._answer(request, 200, answer)
+        if not returning:
+            self._remember(request, key, answer, True)
+
+    def _remember(self, request, key, answer, stored):
+        """A command's answer by its key, for repeats after a restart."""
+        def done(change):
+            self._answer(request, 200, answer if stored and change is not None else answer | {"stored": False})
+        self.service.changes.ask_for(Change(CALLER + key, key, "", frozenset([key]), ["answer"], answer), done)
 
     def _hold(self):
         self.holding = self.service.core.hold(self.service.loop.now())
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -28,6 +28,8 @@
 from ..xds.worker_list import NAME, list_of
 from .admission import ReadBudget
 from .background import Background
+from .callers import PATHS, Callers
+from .changes import Changes
 from .core import ManagerCore
 from .operators import Operators
 
@@ -72,20 +74,22 @@
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.rendered, self.compressor = Rendered(), zstandard.ZstdCompressor(level=3)
-        self.unsaved, self.saving, self.behind, self.causes = {}, False, False, {}
+        self.unsaved, self.saving, self.behind, self.causes, self.savers = {}, False, False, {}, []
         reports = setup.reports
         self.intake = Intake(loop, self.core.digest, log, name, round(reports.interval_s * 1e6),
                              round(reports.waiting_mb * 1e6))
         self.intake.on_fed = self._soon
-        self.operators, self.background = Operators(self), Background(self)
+        self.changes = Changes(loop, folder, name, calls, log)
+        self.operators, self.callers, self.background = Operators(self), Callers(self), Background(self)
         self.sessions, self.joins, self.turn_due, self.channel_timer = {}, 0, False, None
         self.list_version, self.list_client, self.probing = "", None, {}
-        self.stopped = False
+        self.stopped, self.settled_epoch = False, 0
         self.front = None
         sasp = setup.managers[self.me].sasp
         if sasp is not None:
-            self.front = SaspFront(loop, sasp.pair, setup.slices, log, name, self._keep_registrations)
-            self.front.restore(self._read_registrations())
+            self.front = SaspFront(loop, sasp.pair, setup.slices, log, name, self.changes,
+                                   round(setup.rules.drain_grace_s * 1e6))
+        self.changes.open(lambda: self.stopped)
         cached = read_list(folder, name)
         if cached is not None:
             self._use_list(cached, cached=True)
@@ -236,8 +240,11 @@
         self.core.woke()
         self._soon()
 
-    def _save(self, tables, cause=""):
-        """Into the store. A store that refuses does not stop drains: what it lacks is kept and tried again."""
+    def _save(self, tables, cause="", then=None):
+        """Into the store. A store that refuses does not stop drains: what it lacks is kept and tried again.
+        `then(stored)` is called when these tables, or what came after them, are in the store or were refused."""
+        if then is not None:
+            self.savers.append((tables, then))
         self.causes.update((table.slice, cause) for table in tables)
         self.unsaved.update((table.slice, table) for table in tables)
         if self.saving or not self.unsaved:
@@ -251,11 +258,18 @@
                 if not self.behind:
                     self.log.error("store_refused", manager=self.name, reason=problem.strerror, tables=len(rows))
                 self.behind = True
+                savers, self.savers = self.savers, []
+                for _, then in savers:
+                    then(False)
                 return
             self.unsaved = {item: table for item, table in self.unsaved.items() if rows.get(item) is not table}
             if self.behind:
                 self.behind = False
                 self.log.info("store_caught_up", manager=self.name)
+            waiting = [row for row in self.savers if any(self.unsaved.get(table.slice) is table for table in row[0])]
+            ended, self.savers = [row for row in self.savers if row not in waiting], waiting
+            for _, then in ended:
+                then(True)
             self._save([])
 
         # One write for each cause; the last one's end is the end of all, as they are done in order.
@@ -277,28 +291,15 @@
                 changed |= set(values[2].withheld)
         for item in self.front.owned - core.tables.keys():
             self.front.give_up(item)
+        if self.changes.ready and core.epoch != self.settled_epoch:
+            self.settled_epoch = core.epoch
+            self.front.settled(core.tables.keys())
         if changed:
             items |= {item for item, table in core.written.items() if any(line.worker in changed for line in table.lines)}
         withheld = {(core.rows[place].host, core.rows[place].port) for place in core.withheld}
         for item in sorted(items & core.written.keys() & core.tables.keys()):
             self.front.publish(item, {(line.host, line.port): line.weight for line in core.written[item].lines}, withheld)
 
-    def _registrations_path(self):
-        return os.path.join(self.folder, "balancers", f"{self.name}.json")
-
-    def _read_registrations(self):
-        try:
-            with open(self._registrations_path(), "rb") as file:
-                return load(file.read(), "registrations")
-        except FileNotFoundError:
-            return []
-        except (OSError, BadDocument) as problem:
-            self.log.error("registrations_unreadable", manager=self.name, reason=str(problem))
-            return []
-
-    def _keep_registrations(self, rows):
-        self.calls.ask("write_file", (self._registrations_path(), dump(rows)), self._list_kept)
-
     # The channel to proxies.
 
     def _send(self, proxies, lines, push):
@@ -382,6 +383,9 @@
         if request.path == "/v3/rollback" and request.method == "POST":
             self.operators.roll_back(request)
             return
+        if request.path.partition("?")[0] in PATHS:
+            self.callers.handle(request)
+            return
         if request.path == "/v3/estimates" and request.method == "GET":
             self._tell_estimates(request)
             return
@@ -547,7 +551,7 @@
         """What the manager counts, for its last log line and for measurements."""
         return {"lines_sent": self.channel.lines_sent, "lines_longest": self.channel.longest,
                 "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
-                **self.counts, "reports": self.intake.figures(), "background": self.background.figures()}
+                **self.counts, **self.changes.figures(), "reports": self.intake.figures(), "background": self.background.figures()}
 
     def close(self):
         """Stop: slices go to those who live, proxies are let go."""
