Size: every slice rolled back to a former life's version

Change: the store begins with two versions of each slice, and the first comes back, so that every table is another.

--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -25,8 +25,10 @@
 from ospreyrouter.rehearse.day import WorkerSpec
 from ospreyrouter.rehearse.processes import free_ports
 from ospreyrouter.standins import Journal, WorkerListService
-from ospreyrouter.store.tables import wall_us
+from ospreyrouter.store import TableStore
+from ospreyrouter.versions import successor
 from ospreyrouter.web import Client, Server
+from ospreyrouter.xds.documents import Line
 from ospreyrouter.xds.reports import sums_request
 
 A_PROCESS = 20  # agents that share one process
@@ -127,6 +129,7 @@
     probes = [Server(loop, ("127.0.0.1", 0), lambda request: request.answer(200)) for _ in range(workers)]
     specs = [WorkerSpec(f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 9, 4, 1.0, 64, 0.3, 10_000_000,
                         0, 0) for k in range(workers)]
+    write_history(folder, specs, slices)
     listing = WorkerListService(loop, setup, specs, Journal(loop), 0)
     processes = []
     try:
@@ -167,7 +170,7 @@
             if not any(line.worker == gone and gone not in row[1] for reader in readers
                        for row in reader.tables.values() for line in row[0].lines):
                 drained = (loop.now() - begin) / 1000
-        returned = roll_back_all(loop, listing, setup, readers, workers)
+        returned = roll_back_all(loop, setup, readers)
         memory = rss_mb(manager.pid)
         manager.terminate()
         manager.wait(10)
@@ -185,19 +188,24 @@
                 process.wait(10)
 
 
-def roll_back_all(loop, listing, setup, readers, workers):
-    """Half the workers drain for a while; then everything comes back as it was before, at once."""
+def write_history(folder, specs, slices):
+    """A former life's history: every slice's first version has other workers than anything later."""
+    store = TableStore(str(folder / "store"), "manager-0", InlineCalls(Loop(), Disk(flush=False)))
+    for item in range(slices):
+        first = None
+        for count in range(2):
+            picked = [specs[(5 * item + 7 * k + 3 * count) % len(specs)] for k in range(5)]
+            lines = {spec.name: Line(spec.name, spec.host, spec.port, spec.zone, 0.2 + 0.1 * k) for k, spec in enumerate(picked)}
+            first = successor(first, item, "manager-0", 1, tuple(lines[name] for name in sorted(lines)))
+            store.append([first], lambda problem: None)
+
+
+def roll_back_all(loop, setup, readers):
+    """Every slice comes back as a former life had it, at once."""
     loop.run(loop.now() + 3_000_000)
-    before = wall_us()
-    loop.run(loop.now() + 500_000)
-    half = [f"worker-{k}" for k in range(0, workers, 2)]
-    listing.control("state", workers=half, state="draining", now=True)  # every table has one of them, so each is another
-    loop.run(loop.now() + 10_000_000)
-    listing.control("state", workers=half, state="ready", now=True)
-    loop.run(loop.now() + 300_000)
     answers, began = [], loop.now()
     Client(loop, setup.managers[0].listen.pair).ask("POST", "/v3/rollback", [], orjson.dumps(
-        {"to": before, "key": "size", "hold_s": 30}), answers.append, 30_000_000)
+        {"to": "1.1", "key": "size", "hold_s": 30}), answers.append, 30_000_000)
     while not answers:
         loop.run(loop.now() + 5_000)
     answered = (loop.now() - began) / 1000
