Balancers with traffic in rehearsals; rollbacks and holds go in portions of 50 slices

Rollbacks go 50 slices a turn and are answered when the store has them; repeats meanwhile wait for the same answer.

--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -22,6 +22,7 @@
 from ospreyrouter.files import Disk, FileAgent, TableReader
 from ospreyrouter.helper import InlineCalls
 from ospreyrouter.loop import Loop
+from ospreyrouter.loop.real import monotonic_us
 from ospreyrouter.rehearse.day import WorkerSpec
 from ospreyrouter.rehearse.processes import free_ports
 from ospreyrouter.standins import Journal, WorkerListService
@@ -81,6 +82,28 @@
         return sums_request("proxy", self.zone, met, demand, round(self.setup.reports.period_s * 1e6))
 
 
+GONE = "worker-7"
+
+
+def swapped(reader, folder):
+    """As a proxy reads after a swap. When the draining worker has no line left is noted beside the files."""
+    reader.poll()
+    note, usable = os.path.join(folder, "let-go"), any(
+        line.worker == GONE and GONE not in row[1] for row in reader.tables.values() for line in row[0].lines)
+    if usable and os.path.exists(note):
+        os.unlink(note)
+    elif not usable and not os.path.exists(note):
+        Path(note).write_text(str(monotonic_us()))
+
+
+def let_go_ms(loop, setup, folder, begin, seconds):
+    """From `begin` until the last proxy had let go; None where one did not."""
+    until, notes = loop.now() + round(seconds * 1e6), [folder / place.folder / "let-go" for place in setup.proxies]
+    while loop.now() < until and not all(note.exists() for note in notes):
+        loop.run(loop.now() + 50_000)
+    return max(int(note.read_text()) - begin for note in notes) / 1000 if all(note.exists() for note in notes) else None
+
+
 def run_agents(path, first, most, with_sums=True):
     """A process of agents; ends when its parent closes its standard input."""
     setup, loop = read_deployment(path), Loop()
@@ -97,7 +120,7 @@
             data["node"]["metadata"] = {"life": "1", "sequence": next(numbers), "sent_us": loop.now()}
             return data
         FileAgent(loop, setup, place, folder, InlineCalls(loop, Disk(flush=False)), Quiet(),
-                  on_swap=lambda reader=reader: reader.poll() and None, sums=report if with_sums else None)
+                  on_swap=lambda reader=reader, folder=folder: swapped(reader, folder), sums=report if with_sums else None)
     print("ready", flush=True)
     os.set_blocking(0, False)
 
@@ -144,7 +167,6 @@
         processes.append(manager)
         readers = [TableReader(str(folder / row.folder)) for row in setup.proxies]
         began = loop.now()
-        full_at = drained = None
 
         def settled():
             """Every proxy holds every table, with a line in each."""
@@ -160,16 +182,9 @@
         cpu, at = cpu_s(manager.pid), loop.now()
         loop.run(loop.now() + round(seconds * 1e6))
         cpu = (cpu_s(manager.pid) - cpu) / ((loop.now() - at) / 1e6)
-        gone = "worker-7"
         begin = loop.now()
-        listing.control("state", workers=[gone], state="draining", now=True)
-        while drained is None and loop.now() - begin < 20_000_000:
-            loop.run(loop.now() + 5_000)
-            for reader in readers:
-                reader.poll()
-            if not any(line.worker == gone and gone not in row[1] for reader in readers
-                       for row in reader.tables.values() for line in row[0].lines):
-                drained = (loop.now() - begin) / 1000
+        listing.control("state", workers=[GONE], state="draining", now=True)
+        drained = let_go_ms(loop, setup, folder, begin, 15)
         returned = roll_back_all(loop, setup, readers)
         memory = rss_mb(manager.pid)
         manager.terminate()
@@ -213,13 +228,24 @@
     due = {int(item): row["version"] for item, row in slices.items() if "version" in row}
 
     def arrived(reader):
-        reader.poll()
         # The module may have gone on from there: that version or a later one.
-        return all(reader.tables[item][0].version >= tuple(int(part) for part in version.split("."))
+        return due and all(reader.tables[item][0].version >= tuple(int(part) for part in version.split("."))
                    for item, version in due.items())
-    while loop.now() < began + 60_000_000 and not all(arrived(reader) for reader in readers):
-        loop.run(loop.now() + 20_000)
-    return {"rolled_back": len(due), "rollback_answer_ms": round(answered), "rollback_last_file_ms": (loop.now() - began) // 1000}
+    return {"rolled_back": len(due), "rollback_answer_ms": round(answered),
+            "rollback_last_file_ms": last_read_ms(loop, readers, began, 60, arrived)}
+
+
+def last_read_ms(loop, readers, began, seconds, holds):
+    """From `began` until the last proxy's files were read here with what `holds`; None where one never was. An upper
+    bound: reading 120 sets takes this process a second or more."""
+    until, left = loop.now() + round(seconds * 1e6), list(readers)
+    while left and loop.now() < until:
+        loop.run(loop.now() + 5_000)
+        for reader in list(left):
+            reader.poll()
+            if holds(reader):
+                left.remove(reader)
+    return None if left else (loop.now() - began) // 1000
 
 
 def main():
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -105,7 +105,8 @@
     @click.option("--start-us", type=int, default=0, help="when traffic begins, on the machine's monotonic clock")
     def run(stage, journal, control, start_us):
         from ..rehearse.processes import stage_of
-        from ..standins import Clients, Journal, WorkerListService, Workers
+        from ..rehearse.play import balancer_rows
+        from ..standins import Balancers, Clients, Journal, WorkerListService, Workers
         from ..standins.control import Controlled
         day, setup, specs, ports = stage_of(stage)
         log = open_log()
@@ -117,9 +118,13 @@
             elif name == "list":
                 part = WorkerListService(loop, setup, specs, rows, round(day.fleet.list_notice_s * 1e6),
                                          day.fleet.spare)
+            elif name == "balancers":
+                places = [("127.0.0.1", port) for port in ports["balancers"]]
+                part = Balancers(loop, setup, specs, places, rows, day.seed)
             else:
                 proxies = [(row.name, row.zone, ("127.0.0.1", ports["proxies"][k]))
                            for k, row in enumerate(setup.proxies)]
+                proxies += balancer_rows([("127.0.0.1", port) for port in ports["balancers"]])
                 traffic = day.traffic.model_copy(update={"seconds": day.seconds})
                 part = Clients(loop, setup, traffic, proxies, rows, day.seed, start_us)
             return Controlled(loop, part, control, rows)
@@ -128,7 +133,7 @@
     run.__doc__ = f"The stand-in {name} of a rehearsal's stage file."
 
 
-for part_name in ("workers", "list", "clients"):
+for part_name in ("workers", "list", "balancers", "clients"):
     standin_command(part_name)
 
 
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -174,13 +174,15 @@
         self.effects.append(("read", sorted(returning)))
         return tables
 
-    def hold(self, now):
-        """What is held is handed over anew within each window: to the module it is just inherited, and stays."""
+    def hold(self, now, most):
+        """What is held is handed over anew within each window: to the module it is just inherited, and stays. At most
+        `most` slices at a time, in rotation. How many are held."""
         self.held = {item: until for item, until in self.held.items() if until > now and item in self.tables}
-        for item in sorted(self.held):
+        for item in list(self.held)[:most]:
+            self.held[item] = self.held.pop(item)  # to the end
             self.intake.append(("charged", item, False))
             self._hand(item)
-        return bool(self.held)
+        return len(self.held)
 
     # One turn of the module.
 
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -10,15 +10,26 @@
 from ..changes import Change
 from ..versions import Rollbacks, Unknown, lines_to_return
 
+PORTION = 50  # slices brought back, or handed anew, in one turn: drains wait for no more than that
+PORTION_US = 20_000
 HOLD_US = 1_000_000  # how often what is held is handed to the module anew; less than its window
 HOLD_MOST_S = 86_400
 CAUSE = "rollback "
 CALLER = "operator/"
 
 
+class Returning:
+    """A command under way: slices still to come back, writes that have not ended."""
+
+    def __init__(self, request, key, hold_s, answer, left):
+        self.request, self.key, self.hold_s, self.answer, self.left = request, key, hold_s, answer, left
+        self.open, self.stored = 0, True
+
+
 class Operators:
     def __init__(self, service):
         self.service, self.commands, self.holding = service, Rollbacks(), False
+        self.under_way = {}  # {key: repeated requests that wait for the same answer}
         for row in sorted(service.tables.history.by_digest.values(), key=lambda row: row.at_us):
             if row.cause.startswith(CAUSE):
                 key = row.cause[len(CAUSE):]
@@ -43,6 +54,9 @@
             return
         to, items, hold_s, key = order
         known = self.commands.known(key)
+        if key in self.under_way:
+            self.under_way[key].append(request)
+            return
         if known is not None:
             self._answer(request, 200, known | {"repeated": True})
             return
@@ -92,31 +106,60 @@
                 returning[item] = lines
                 answer["slices"][str(item)] = {"without": left_out} if left_out else {}
         if returning:
-            tables = core.roll_back(now, returning, now + round(hold_s * 1e6))
-            # The answer waits for the store, or says that it refused: after a kill, the key finds what was answered.
-            service._save(tables, CAUSE + key, lambda stored: self._remember(request, key, answer, stored))
+            self._return(Returning(request, key, hold_s, answer, list(returning.items())))
+        else:
+            self.commands.done(key, answer)
+            self._remember(request, key, answer, True)
+
+    def _return(self, rows):
+        """The next portion; the answer follows the last. What is decided about each slice was decided at once."""
+        service, core, now = self.service, self.service.core, self.service.loop.now()
+        self.commands.done(rows.key, rows.answer)
+        self.under_way.setdefault(rows.key, [])
+        portion, rows.left = rows.left[:PORTION], rows.left[PORTION:]
+        may = not service.stopped and service.custody.may_publish(now)
+        back = {item: lines for item, lines in portion if may and item in core.tables and item not in core.giving}
+        for item, _ in portion:
+            if item not in back:
+                rows.answer["slices"][str(item)] = {"left": "it was given away meanwhile" if may else "the lease ran out"}
+        if back:
+            tables = core.roll_back(now, back, now + round(rows.hold_s * 1e6))
             for table in tables:
-                answer["slices"][str(table.slice)] |= made(table)
-            service.log.info("rolled_back", manager=service.name, key=key, slices=len(tables), hold_s=hold_s)
+                rows.answer["slices"][str(table.slice)] |= made(table)
+            rows.open += 1
+
+            def saved(stored):
+                # The answer waits for the store, or says that it refused: after a kill, the key finds what was answered.
+                rows.open, rows.stored = rows.open - 1, rows.stored and stored
+                if not rows.open and not rows.left:
+                    self._remember(rows.request, rows.key, rows.answer, rows.stored)
+            service._save(tables, CAUSE + rows.key, saved)
+            service.log.info("rolled_back", manager=service.name, key=rows.key, slices=len(tables), hold_s=rows.hold_s)
             service._soon()
-            if hold_s and not self.holding:
+            if rows.hold_s and not self.holding:
                 self.holding = True
-                service.loop.after(HOLD_US, self._hold)
-        self.commands.done(key, answer)
-        if not returning:
-            self._remember(request, key, answer, True)
+                service.loop.after(PORTION_US, self._hold)
+        if rows.left:
+            service.loop.after(PORTION_US, lambda: self._return(rows))
+        elif not rows.open:
+            self._remember(rows.request, rows.key, rows.answer, rows.stored)
 
     def _remember(self, request, key, answer, stored):
         """A command's answer by its key, for repeats after a restart."""
         def done(change):
-            self._answer(request, 200, answer if stored and change is not None else answer | {"stored": False})
+            said = answer if stored and change is not None else answer | {"stored": False}
+            self._answer(request, 200, said)
+            for repeat in self.under_way.pop(key, ()):
+                self._answer(repeat, 200, said | {"repeated": True})
+        self.under_way.setdefault(key, [])
         self.service.changes.ask_for(Change(CALLER + key, key, "", frozenset([key]), ["answer"], answer), done)
 
     def _hold(self):
-        self.holding = self.service.core.hold(self.service.loop.now())
-        if self.holding and not self.service.stopped:
+        held = self.service.core.hold(self.service.loop.now(), PORTION)
+        self.holding = held > 0 and not self.service.stopped
+        if self.holding:
             self.service._soon()
-            self.service.loop.after(HOLD_US, self._hold)
+            self.service.loop.after(max(PORTION_US, min(HOLD_US, HOLD_US * PORTION // held)), self._hold)
 
     @staticmethod
     def _answer(request, status, data):
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -13,6 +13,7 @@
     zones: list[str] = Field(min_length=1, description="names of the sites")
     managers: int = Field(ge=1, le=16)
     proxies: int = Field(ge=1, le=500)
+    balancers: int = Field(0, ge=0, le=500, description="load balancers beside the proxies, that speak SASP")
     workers: int = Field(ge=1, le=1000)
     spare: int = Field(0, ge=0, description="workers at the end of the numbers that do not run at the start")
     cells: int = Field(3, ge=1, description="groups of workers that drop a repeated key together")
@@ -79,6 +80,11 @@
     manager: int = Field(ge=0)
 
 
+class BalancerDeaf(Trouble):
+    what: Literal["balancer_deaf"]
+    balancer: int = Field(ge=0)
+
+
 class SlowChannel(Trouble):
     what: Literal["slow_channel"]
     ms: float = Field(gt=0, description="milliseconds that each answer to a push takes longer")
@@ -107,7 +113,7 @@
 
 
 AnyTrouble = Annotated[Union[WorkersTrouble, SharedTrouble, ManagerTrouble, ProxyTrouble, LoseManager, SlowChannel,
-                             Ghosts, HotKey, ReportFlood, RollBack], Field(discriminator="what")]
+                             Ghosts, HotKey, ReportFlood, RollBack, BalancerDeaf], Field(discriminator="what")]
 
 
 class Day(Strict):
@@ -134,7 +140,7 @@
     def numbers_exist(self):
         for place, row in enumerate(self.troubles):
             for field, most in (("workers", self.fleet.workers), ("manager", self.fleet.managers),
-                                ("proxy", self.fleet.proxies)):
+                                ("proxy", self.fleet.proxies), ("balancer", self.fleet.balancers)):
                 value = getattr(row, field, None)
                 if value is not None and max(value if isinstance(value, list) else [value]) >= most:
                     raise ValueError(f"troubles.{place}.{field}: there are only {most}")
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -9,7 +9,7 @@
 from ..loop import VirtualNetwork
 from ..manager import ManagerService
 from ..policy import Manager
-from ..standins import Clients, Journal, Proxy, WorkerListService, Workers
+from ..standins import Balancers, Clients, Journal, Proxy, WorkerListService, Workers
 from ..standins.tamper import TamperingRelay
 from ..web import Client
 from ..xds.documents import dump
@@ -137,6 +137,10 @@
     def _lose_manager(self, row, on):
         self.stage.control(f"proxy-{row.proxy}", "lose", manager=f"manager-{row.manager}", on=on)
 
+    def _balancer_deaf(self, row, on):
+        """It reads nothing any more: the manager closes it, and it notices when it reads again."""
+        self.stage.control("balancers", "deaf", balancer=row.balancer, on=on)
+
     def _slow_channel(self, row, on):
         for k in range(self.day.fleet.proxies):
             self.stage.control(f"proxy-{k}", "slow", us=round(row.ms * 1000) if on else 0)
@@ -158,6 +162,11 @@
         self.stage.control("clients", "hot_key", keys=row.keys, share=row.share, on=on)
 
 
+def balancer_rows(places):
+    """As clients know them, beside the proxies."""
+    return [(f"balancer-{k}", "", place) for k, place in enumerate(places)]
+
+
 class VirtualStage:
     """All parts on one virtual network. `module` may be another manager's decisions, as the audit's tests need."""
 
@@ -168,6 +177,7 @@
         self.ports = {"managers": range(11_000, 11_000 + fleet.managers), "agents": range(12_000, 12_000 + fleet.proxies),
                       "proxies": range(14_000, 14_000 + fleet.proxies), "list": [10_000],
                       "sasp": range(13_000, 13_000 + fleet.managers),
+                      "balancers": range(15_000, 15_000 + fleet.balancers),
                       "workers": range(16_000, 16_000 + fleet.workers)}
         self.setup, self.rows = deployment(day, self.ports), []
         self.host = self.network.host("rehearsal")
@@ -181,6 +191,9 @@
             self.start(row.name)
         proxies = [(row.name, row.zone, ("127.0.0.1", self.ports["proxies"][k]))
                    for k, row in enumerate(self.setup.proxies)]
+        places = [("127.0.0.1", port) for port in self.ports["balancers"]]
+        self.parts["balancers"] = Balancers(self.network.host("balancers"), self.setup, specs, places, self.journal, day.seed)
+        proxies += balancer_rows(places)
         folders = {row.name: os.path.join(folder, row.folder) for row in self.setup.proxies}
         self.watch = Watch(self.host, folders, os.path.join(folder, "store"), self.journal)
         start = self.network.time + SETTLE_US
--- a/ospreyrouter/rehearse/processes.py
+++ b/ospreyrouter/rehearse/processes.py
@@ -63,7 +63,8 @@
         self.day, self.folder, self.loop = day, Path(folder).absolute(), loop
         fleet = day.fleet
         sizes = {"managers": fleet.managers, "agents": fleet.proxies, "proxies": fleet.proxies, "list": 1,
-                 "workers": fleet.workers, "control": fleet.proxies + 3}
+                 "workers": fleet.workers, "control": fleet.proxies + 4,
+                 "balancers": fleet.balancers} | ({"sasp": fleet.managers} if fleet.balancers else {})
         found = iter(free_ports(sum(sizes.values())))
         self.ports = {name: [next(found) for _ in range(size)] for name, size in sizes.items()}
         self.setup = deployment(day, self.ports)
@@ -73,7 +74,7 @@
         self.journal = Journal(loop, self.folder / "rehearsal.journal", at_once=True)
         self.processes, self.lives, self.clients, self.ended = {}, {}, {}, []
         self.controls = {"workers": self.ports["control"][0], "list": self.ports["control"][1],
-                         "clients": self.ports["control"][2]}
+                         "clients": self.ports["control"][2], "balancers": self.ports["control"][-1]}
         self.controls |= {f"proxy-{k}": self.ports["control"][3 + k] for k in range(fleet.proxies)}
 
     def command(self, name):
@@ -156,9 +157,10 @@
     stage = ProcessStage(day, folder, loop)
     managers, proxies = [row.name for row in stage.setup.managers], [row.name for row in stage.setup.proxies]
     try:
-        for name in ("workers", "list", *managers, *proxies):
+        parts = ["workers", "list", *managers, *proxies, *(["balancers"] if day.fleet.balancers else [])]
+        for name in parts:
             stage.start(name)
-        stage.wait_ready(["workers", "list", *managers, *proxies])
+        stage.wait_ready(parts)
         say(f"{len(stage.processes)} processes listen; {day.seconds:.0f} s of traffic begin")
         start = monotonic_us() + SETTLE_US
         stage.start("clients", "--start-us", str(start))
