--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -15,11 +15,12 @@
 
 from ..balancers import SaspFront
 from ..channel import PacedChannel
+from ..custody import Custody
 from ..files.reader import fences_text
 from ..intake import Intake
 from ..interface import Outcome
 from ..policy import Manager
-from ..store import Custody, TableStore, list_path, read_list
+from ..store import TableStore, list_path, read_list
 from ..store.tables import wall_us
 from ..versions import History
 from ..web import Client, Server, content_digest
@@ -37,6 +38,7 @@
 PUT_US = 3_000_000  # a proxy that has not answered a push for so long has lost this manager
 ACK_US = 5_000_000  # what a joining proxy may take to say that it has read the store
 REDIAL_US = 200_000
+CONFIRM_US = 10_000  # between learning of a takeover and the look that confirms it
 COMPRESS_FROM = 512  # bytes of a push from which it is compressed: changes shrink to a half, whole tables to a third
 JSON = ("content-type", "application/json")
 
@@ -134,7 +136,7 @@
             self.beating = False
             if problem is None:
                 # The lease runs from before the sign was written: others count from when they see it.
-                self.custody.beat_written(began)
+                self.custody.beat_written(began, self.loop.now())
             else:
                 self.counts["lease not renewed"] += 1
                 self.log.error("lease_not_renewed", manager=self.name, reason=problem.strerror)
@@ -155,39 +157,46 @@
                 self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
                 return
             for manager, beat in found[0].items():
-                self.custody.beat_seen(self.loop.now(), manager, beat)
-            self.custody.epoch_seen(found[1])
-            self.custody.looked(began)
+                self.custody.beat_seen(began, self.loop.now(), manager, beat)
+            self.custody.epoch_seen(found[1], self.loop.now())
+            self.custody.looked(began, self.loop.now())
             self._take_custody()
+            if self.custody.waits:
+                self.loop.after(CONFIRM_US, self._look)  # taken from the dead: one look more, and it is published
 
         self.calls.ask("look", (self.folder, self.me, self.names, known), done)
 
     def _propose(self, epoch):
         # What is given away is published no more from here on, whether or not the number can be had.
-        giving = {item for item in self.custody.mine() if epoch.owners[item] != self.me}
+        giving = self.custody.giving
         self.core.give(giving)
         self.proposing = True
 
         def done(written, problem):
             self.proposing = False
             if problem is not None:
+                # It may be in the store all the same: what it gives is published again when a look has told.
+                self.custody.doubtful(self.loop.now())
                 self.log.error("custody_not_written", manager=self.name, reason=problem.strerror)
-                self.core.give(())
+                self._look()
             elif written:
-                self.custody.wrote(epoch)
+                self.custody.wrote(epoch, self.loop.now())
                 self.log.info("custody_proposed", manager=self.name, epoch=epoch.number, given_away=len(giving))
                 self._take_custody()
+                self._look()
             else:
+                self.custody.refused()
                 self.core.give(())
                 self._look()
 
         self.calls.ask("create_epoch", (self.folder, self.me, self.names, epoch), done)
 
     def _take_custody(self):
-        epoch = self.custody.epoch
-        if epoch is None or epoch.number == self.core.epoch:
+        epoch, mine = self.custody.epoch, self.custody.mine()
+        if self.core.giving and not self.custody.giving and not self.proposing:
+            self.core.give(())  # the doubt is over, and they stay
+        if epoch is None or epoch.number == self.core.epoch and mine == self.core.fences:
             return
-        mine = self.custody.mine()
         try:
             self.tables.refresh()
         except OSError as problem:
@@ -195,6 +204,7 @@
         before = len(self.core.tables)
         self.core.custody(epoch.number, mine, self.tables.newest | {
             item: table for item, table in self.unsaved.items() if item in mine})
+        self.core.giving = self.custody.giving
         self.log.info("custody", manager=self.name, epoch=epoch.number, slices=len(mine), before=before)
         self._soon()
 
--- a/ospreyrouter/store/epochs.py
+++ b/ospreyrouter/store/epochs.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from .custody import Epoch
+from ..custody import GIVEN, Epoch
 
 KEEP = 64  # epochs that stay to be looked at
 
@@ -61,8 +61,9 @@
                 data = orjson.loads(file.read())
             owners = tuple(self.managers.index(owner) for owner in data["owners"])
             fences = tuple(int(fence) for fence in data["fences"])
-            if data["epoch"] == int(name[:-5]) and len(owners) == len(fences):
-                return Epoch(data["epoch"], owners, fences)
+            past = tuple(self.managers.index(owner) if owner else GIVEN for owner in data.get("past", [None] * len(owners)))
+            if data["epoch"] == int(name[:-5]) and len(owners) == len(fences) == len(past):
+                return Epoch(data["epoch"], owners, fences, past)
         except (OSError, ValueError, KeyError, TypeError):
             pass
         self.bad += 1
@@ -72,7 +73,8 @@
         """Whether this manager was the one to create the number. Raises OSError where nothing can be written."""
         body = orjson.dumps({"epoch": epoch.number, "by": self.managers[self.me],
                              "owners": [self.managers[owner] for owner in epoch.owners],
-                             "fences": list(epoch.fences)})
+                             "fences": list(epoch.fences),
+                             "past": [self.managers[owner] if owner != GIVEN else None for owner in epoch.past]})
         beside = self._path(f".epoch-{self.managers[self.me]}-{self.life}")
         self.disk.remove(beside)
         self.disk.write_new(beside, body)
