--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -1,4 +1,4 @@
-"""`ospreyrouter manager | proxy | standin | rehearse | deployment`."""
+"""`ospreyrouter manager | proxy | standin | rehearse | deployment | tables | custody`."""
 
 import json
 import os
@@ -12,6 +12,7 @@
 
 from ..deployment import BadDeployment, deployment_schema, read_deployment, read_json
 from ..manager import ManagerService
+from .custody import custody
 from .serve import BadInput, open_log, serve
 from .tables import tables
 
@@ -197,6 +198,7 @@
 
 
 main.add_command(tables)
+main.add_command(custody)
 
 
 @main.group()
--- a/ospreyrouter/custody/custody.py
+++ b/ospreyrouter/custody/custody.py
@@ -24,6 +24,8 @@
   tells whether it was.
 """
 
+import hashlib
+
 from .dealing import GIVEN, Epoch, deal, usual
 from .membership import Membership
 
@@ -42,6 +44,8 @@
         self.giving, self.given_at, self.doubt_from = frozenset(), None, None
         self.waits = {}  # {slice: (victim or None, known at)} of what was taken and is not published yet
         self.held_out = frozenset()
+        self.first_number, self.idle, self.lost_races = None, None, 0
+        self.known_at = [0] * slices  # when the division that gave a slice to its owner was first seen here
 
     def beat_written(self, began, now):
         if self.renewed_at is None or now - self.renewed_at >= self.lease_us:
@@ -62,13 +66,18 @@
                 continue  # nothing about it changed
             if owner != self.me or victim == GIVEN:
                 self.waits.pop(item, None)
-            else:
-                # The victim may itself have taken it from one that was not known to be gone: then time alone tells.
-                exact = before is not None and before.owners[item] == victim and before.past[item] == GIVEN
+            if owner == self.me and victim != GIVEN:
+                # The victim may itself have taken it, from one that was not known to be gone: then time alone tells,
+                # unless so much has passed since that this one has looked, or stopped.
+                exact = before is not None and before.owners[item] == victim and (
+                    before.past[item] == GIVEN or now - self.known_at[item] >= self.patience_us)
                 self.waits[item] = (victim if exact else None, now)
+            self.known_at[item] = now
 
     def looked(self, began, now):
         self.members.looked(began)
+        if self.first_number is None:
+            self.first_number = 0 if self.epoch is None else self.epoch.number
         self.looked_at = began if self.looked_at is None else max(self.looked_at, began)
         if self.look_from is not None and began >= self.look_from:
             self.look_from = None
@@ -112,6 +121,9 @@
             return None  # others may live whose signs were not seen to change yet
         living = [m for m in range(self.managers) if self.alive(m, now)]
         first = living[0] == self.me
+        if self.epoch is not None and not self.fenced_anew and all(
+                fence > self.first_number for fence in self.mine().values()):
+            self.fenced_anew = True  # all was given since this process started: the one before it never had it
         if self.epoch is None:
             if not first:
                 return None
@@ -120,20 +132,26 @@
             return Epoch(1, tuple(usual(item, self.managers, may_have) for item in range(self.slices)),
                          (1,) * self.slices, (GIVEN,) * self.slices)
         number, fences, past = self.epoch.number + 1, list(self.epoch.fences), list(self.epoch.past)
-        step = 0 if self.given_at is not None and now - self.given_at < self.lease_us else self._step()
-        owners, returned = deal(self.epoch, self.me, self.managers, living, lambda m: self.members.settled(m, now),
+        orphans = {owner for owner in set(self.epoch.owners) if owner != self.me and self.members.dead(owner)}
+        settled = [m for m in living if m != self.me and self.members.settled(m, now)]
+        # Givers keep out of the way of takeovers: of all who write a number at once, one does.
+        waits = orphans or self.given_at is not None and now - self.given_at < self.lease_us
+        step = 0 if waits else self._step()
+        weighed = (self.epoch.number, living, settled, orphans, self.held_out, step, self.fenced_anew)
+        if weighed == self.idle:
+            return None  # nothing has changed since there was nothing to do
+        owners = deal(self.epoch, self.me, self.managers, living, lambda m: self.members.settled(m, now),
                                 self.members.dead, self.held_out, first, step)
         # A process that starts fences off the one before it, which may only be paused.
         again = set() if self.fenced_anew else {item for item in self.owned() if owners[item] == self.me}
         moved = {item for item in range(self.slices) if owners[item] != self.epoch.owners[item]}
         if not moved and not again:
             self.fenced_anew = True
+            self.idle = weighed[:-1] + (True,)
             return None
         for item in moved | again:
             fences[item] = number
             past[item] = GIVEN if self.epoch.owners[item] == self.me else self.epoch.owners[item]
-        if returned:
-            self.given_at = now
         self.giving = frozenset(item for item in moved if self.epoch.owners[item] == self.me)
         return Epoch(number, tuple(owners), tuple(fences), tuple(past))
 
@@ -142,12 +160,17 @@
 
     def wrote(self, epoch, now):
         """The proposal is in the store."""
-        self.fenced_anew, self.giving = True, frozenset()
+        if self.giving:
+            self.given_at = now
+        self.fenced_anew, self.giving, self.lost_races = True, frozenset(), 0
         self.epoch_seen(epoch, now)
 
     def refused(self):
-        """Another wrote that number first, and nothing was written."""
-        self.giving = frozenset()
+        """Another wrote that number first, and nothing was written. Returns how soon after the next look to try again:
+        so many try at once that each needs a moment of its own."""
+        self.giving, self.lost_races = frozenset(), self.lost_races + 1
+        draw = hashlib.blake2b(f"{self.me}/{self.lost_races}/{self.epoch.number}".encode(), digest_size=4).digest()
+        return int.from_bytes(draw, "big") * self.lease_us // 8 >> 32
 
     def doubtful(self, now):
         """The store gave no answer, or a problem: the proposal may be in it all the same. What it gives is not
--- a/ospreyrouter/custody/dealing.py
+++ b/ospreyrouter/custody/dealing.py
@@ -39,8 +39,8 @@
 
 
 def deal(epoch, me, managers, living, settled, dead, held_out, first, step):
-    """The owners as `me` would have them, and how many slices it gave back: of the living it moves only its own, of
-    those at most `step` home; of the dead all, where it is the first that lives. `settled(m)`, `dead(m)` say so of one."""
+    """The owners as `me` would have them: of the living it moves only its own, of those at most `step` home; of the dead
+    all, where it is the first that lives. `settled(m)`, `dead(m)` say so of one."""
     owners, returned = list(epoch.owners), 0
     may_have = [m for m in living if m not in held_out] or living
     for item, owner in enumerate(owners):
@@ -52,4 +52,4 @@
                 owners[item], returned = where, returned + 1
         elif first and dead(owner):
             owners[item] = usual(item, managers, may_have)
-    return owners, returned
+    return owners
--- a/ospreyrouter/helper/work.py
+++ b/ospreyrouter/helper/work.py
@@ -9,6 +9,7 @@
 from ..files.sets import FileSet
 from ..store.epochs import EpochFiles
 from ..store.log import LogWriter
+from ..store.orders import BadOrders, read_orders
 
 
 LOCK_TRIES = 30  # tenths of a second: a killed process's helper ends by then
@@ -74,9 +75,13 @@
         self._custody(folder, me, managers).write_beat(life, number)
 
     def look(self, folder, me, managers, known):
-        """(signs of life by number, newest epoch after `known` or None)."""
+        """(signs of life by number, newest epoch after `known` or None, managers held out, why those are not known)."""
         files = self._custody(folder, me, managers)
-        return files.beats(), files.newest(known)
+        beats, epoch = files.beats(), files.newest(known)
+        try:
+            return beats, epoch, read_orders(folder, managers), ""
+        except BadOrders as problem:
+            return beats, epoch, None, str(problem)
 
     def create_epoch(self, folder, me, managers, epoch):
         return self._custody(folder, me, managers).create(epoch)
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -68,6 +68,7 @@
         self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
         self.folder, self.names, self.calls = folder, names, calls
         self.life, self.beats = f"{os.getpid()}-{os.urandom(4).hex()}", 0
+        self.orders_problem = ""
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
         self.tables = TableStore(folder, name, calls, self._log_opened,
@@ -121,12 +122,15 @@
         self.loop.after(self.lease_us // 4, self._mind_custody)
         self._renew()
         self._look()
-        proposal = None if self.proposing else self.custody.proposal(self.loop.now())
-        if proposal is not None:
-            self._propose(proposal)
+        self._propose_again()
         if self.unsaved:
             self._save([])
 
+    def _propose_again(self):
+        proposal = None if self.proposing or self.stopped else self.custody.proposal(self.loop.now())
+        if proposal is not None:
+            self._propose(proposal)
+
     def _renew(self):
         if self.beating or self.held_by_another:
             return  # the store has not taken the last one: it is late, and another would only queue behind
@@ -158,6 +162,11 @@
                 return
             for manager, beat in found[0].items():
                 self.custody.beat_seen(began, self.loop.now(), manager, beat)
+            if found[2] is not None:
+                self.custody.orders_seen(self.names.index(name) for name in found[2])
+            elif found[3] != self.orders_problem:
+                self.log.error("orders_refused", manager=self.name, reason=found[3])  # the last good ones hold
+            self.orders_problem = found[3]
             self.custody.epoch_seen(found[1], self.loop.now())
             self.custody.looked(began, self.loop.now())
             self._take_custody()
@@ -185,7 +194,7 @@
                 self._take_custody()
                 self._look()
             else:
-                self.custody.refused()
+                self.loop.after(self.custody.refused(), self._propose_again)
                 self.core.give(())
                 self._look()
 
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -1,13 +1,20 @@
 """Custody among managers that cannot speak: any order of beats, stand-stills and proposals."""
 
+import json
+import os
 import unittest
 
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ospreyrouter.custody import GIVEN, Custody, Epoch, Membership
+from ospreyrouter.cli import main
+from ospreyrouter.custody import GIVEN, Custody, Epoch
+from ospreyrouter.store.orders import orders_path, write_orders
 
-LEASE = 1_000_000
+from .stage import StageCase, short_day
+
+LEASE = SECOND = 1_000_000
 
 
 class Shelf:
@@ -122,5 +129,68 @@
         self.assertEqual(shelf.owners(), [4, 4, 4])
 
 
+class OnTheStore(StageCase):
+    """The command line beside running managers, in virtual time; what a manager does with orders and lost answers."""
+
+    def owners(self, stage):
+        return [len(stage.parts[f"manager-{k}"].custody.mine()) for k in range(2)]
+
+    def test_a_manager_is_held_out_and_released(self):
+        stage = self.stage(short_day(60))
+        network, names = stage.network, ["manager-0", "manager-1"]
+        store, said = os.path.join(self.folder, "store"), []
+        network.run(network.time + 4 * SECOND)
+        self.assertEqual(self.owners(stage), [6, 6])
+        path = os.path.join(self.folder, "deployment.json")
+        with open(path, "w") as file:
+            file.write(stage.setup.model_dump_json())
+
+        def call(*words):
+            result = CliRunner().invoke(main, ["custody", *words])
+            said.append(result.output)
+            return result.exit_code
+        self.assertEqual(call("hold", path, "manager-1"), 0)
+        network.run(network.time + 2 * SECOND)
+        self.assertEqual(self.owners(stage), [12, 0])
+        for words, code in ((("hold", path, "manager-9"), 2), (("hold", path, "manager-0"), 2), (("show", path + "x"), 2)):
+            with self.subTest(words=words):
+                self.assertEqual(call(*words), code)
+                self.assertEqual(said[-1].count("\n"), 1)
+        for body, code in (('{"heldOut": ["nobody"]}', 6), ("{", 6), ('{"heldOut": 3}', 6)):
+            with open(orders_path(store), "w") as file:  # edited by hand
+                file.write(body)
+            self.assertEqual(call("show", path), code)
+            network.run(network.time + SECOND)
+            self.assertEqual(self.owners(stage), [12, 0])  # the last good orders hold
+        write_orders(store, names, ["manager-1"])
+        self.assertEqual(call("release", path, "manager-1"), 0)
+        network.run(network.time + 6 * SECOND)
+        self.assertEqual(self.owners(stage), [6, 6])
+        self.assertEqual(call("show", "--json", path), 0)
+        rows = json.loads(said[-1])["managers"]
+        # Time stands still on the stage while the command looks, so both seem lost to it.
+        self.assertEqual([(row["manager"], row["slices"], row["state"]) for row in rows], [(name, 6, "lost") for name in names])
+
+    def test_a_division_that_was_written_though_its_answer_was_lost_has_one_publisher(self):
+        stage = self.stage(short_day(60))
+        network = stage.network
+        network.run(network.time + 4 * SECOND)
+        manager = stage.parts["manager-1"]
+        work, create = manager.calls.work, manager.calls.work.create_epoch
+
+        def loses_the_answer(*values):
+            create(*values)
+            raise OSError(5, "Input/output error")
+        work.create_epoch = loses_the_answer
+        write_orders(os.path.join(self.folder, "store"), ["manager-0", "manager-1"], ["manager-1"])
+        for _ in range(300):
+            network.run(network.time + 10_000)
+            both = [stage.parts[f"manager-{k}"].custody.publishes(network.time) for k in range(2)]
+            self.assertFalse(both[0] & both[1])
+            # The core writes none of what is given either.
+            self.assertFalse(both[0] & (manager.core.tables.keys() - manager.core.giving) - both[1])
+        self.assertEqual(self.owners(stage), [12, 0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_custody_model.py
+++ b/tests/test_custody_model.py
@@ -42,7 +42,7 @@
     def own(self, k):
         """A copy of a process before it changes: clones share those that do not."""
         one = self.processes[k] = copy.copy(self.processes[k])
-        one.waits, one.members = dict(one.waits), copy.copy(one.members)
+        one.waits, one.members, one.known_at = dict(one.waits), copy.copy(one.members), list(one.known_at)
         one.members.rows = {m: copy.copy(row) for m, row in one.members.rows.items()}
         return one
 
@@ -124,7 +124,7 @@
                             for m, row in sorted(one.members.rows.items()))
             rows.append((near(one.renewed_at), near(one.looked_at), near(one.look_from), near(one.doubt_from), one.fenced_anew,
                          near(one.given_at), one.giving, tuple(sorted((i, v, near(t)) for i, (v, t) in one.waits.items())),
-                         one.epoch.number, members, near(one.members.looked_at)))
+                         one.epoch.number, members, tuple(near(t) for t in one.known_at), near(one.members.looked_at)))
         return (tuple(rows), tuple(self.epochs[-3:]), tuple(b and (near(b[0]), b[1]) for b in self.beating), tuple(self.creating))
 
 
