Sites: up, doubtful, lost and returning, by what proxies meet there; held out by hand

Cause: a lost site was seen worker by worker only, loss of sight was not told from loss of the site, and nobody could hold a site out. Orders in the store, GET /v3/sites, ospreyrouter sites show, hold, release.

--- a/ospreyrouter/cli/custody.py
+++ b/ospreyrouter/cli/custody.py
@@ -1,6 +1,7 @@
-"""`ospreyrouter custody`: who is in charge of what, and managers held out by hand. Reads and writes the store only.
+"""`ospreyrouter custody` and `sites`: who is in charge of what, how sites are, and what is held out by hand.
 
-Exit codes: 0 done, 2 bad input, 6 orders or an epoch that cannot be read.
+Reads and writes the store; only `sites show` asks managers. Exit codes: 0 done, 2 bad input, 6 orders or an epoch that
+cannot be read, 7 no manager could be asked.
 """
 
 import json
@@ -9,19 +10,29 @@
 from pathlib import Path
 
 import click
+import orjson
 
 from ..custody import GIVEN, Membership
 from ..deployment import BadDeployment, read_deployment
 from ..files import Disk
+from ..loop import Loop
 from ..store import EpochFiles
 from ..store.orders import BadOrders, read_orders, write_orders
+from ..web import Client
 from .serve import BadInput
 
 
+ASK_US = 3_000_000
+
+
 class Unreadable(BadInput):
     exit_code = 6
 
 
+class NotAsked(BadInput):
+    exit_code = 7
+
+
 class Shelf:
     """The deployment's store, as custody has it."""
 
@@ -37,9 +48,9 @@
         # As nobody: signs of all managers are read.
         self.files = EpochFiles(self.folder, -1, self.names, Disk())
 
-    def held_out(self):
+    def orders(self):
         try:
-            return read_orders(self.folder, self.names)
+            return read_orders(self.folder, self.names, self.setup.zones)
         except BadOrders as problem:
             raise Unreadable(str(problem)) from None
 
@@ -71,7 +82,7 @@
 def show(path, as_json):
     """Managers with their state, slices, and what was taken for them. Takes a bit more than a lease."""
     shelf = Shelf(path)
-    held, states, epoch = shelf.held_out(), watched(shelf), shelf.files.newest()
+    held, states, epoch = shelf.orders().managers, watched(shelf), shelf.files.newest()
     if epoch is None:
         raise Unreadable(f"{shelf.folder}: custody: no epoch can be read")
     owners, taken = Counter(epoch.owners), Counter(
@@ -88,14 +99,17 @@
                    f"home, {row['taken']} taken from the dead")
 
 
-def ordered(path, name, out):
+def ordered(path, field, name, out):
+    """`field` is "managers" or "sites"."""
     shelf = Shelf(path)
-    if name not in shelf.names:
-        raise BadInput(f"{path}: managers: has no {name!r}")
-    held = set(shelf.held_out())
+    known = shelf.names if field == "managers" else shelf.setup.zones
+    if name not in known:
+        raise BadInput(f"{path}: {'managers' if field == 'managers' else 'zones'}: has no {name!r}")
+    orders = shelf.orders()
+    held = set(getattr(orders, field))
     (held.add if out else held.discard)(name)
     try:
-        write_orders(shelf.folder, shelf.names, held)
+        write_orders(shelf.folder, shelf.names, shelf.setup.zones, orders._replace(**{field: tuple(sorted(held))}))
     except BadOrders as problem:
         raise BadInput(str(problem)) from None
     except OSError as problem:
@@ -107,7 +121,7 @@
 @click.argument("manager")
 def hold(path, manager):
     """Hold a manager out: it gives its slices away at once and is given none until it is released."""
-    ordered(path, manager, True)
+    ordered(path, "managers", manager, True)
     click.echo(f"{manager} is held out; `custody show` says when its slices are away")
 
 
@@ -116,5 +130,56 @@
 @click.argument("manager")
 def release(path, manager):
     """Let a manager have its slices again: they return in steps."""
-    ordered(path, manager, False)
+    ordered(path, "managers", manager, False)
     click.echo(f"{manager} gets its slices back, a quarter a lease")
+
+
+@click.group()
+def sites():
+    """How each site is, and sites held out by hand."""
+
+
+@sites.command("show")
+@click.argument("path", type=click.Path())
+@click.option("--json", "as_json", is_flag=True)
+def show_sites(path, as_json):
+    """Each site as every manager sees it."""
+    shelf, loop, told = Shelf(path), Loop(), []
+    shelf.orders()
+    for place in shelf.setup.managers:
+        answers = []
+        Client(loop, place.listen.pair).ask("GET", "/v3/sites", [], b"", answers.append, ASK_US)
+        until = loop.now() + ASK_US
+        while not answers and loop.now() < until:
+            loop.turn(loop.now() + 10_000)
+        if answers and answers[0].status == 200:
+            told.append(orjson.loads(answers[0].body))
+    if not told:
+        raise NotAsked(f"{path}: managers: none could be asked")
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    for row in told:
+        click.echo(row["manager"])
+        for name, site in row["sites"].items():
+            answered = "nothing known" if site["answered"] is None else f"{site['answered']:.2f} answered"
+            click.echo(f"  {name}: {site['state']}{' (not seen from here)' if site['blind'] else ''}, {answered}, "
+                       f"{site['carried_per_s']:.1f} tries a second, limit {site['limit']:.2f}")
+
+
+@sites.command("hold")
+@click.argument("path", type=click.Path())
+@click.argument("site")
+def hold_site(path, site):
+    """Hold a site out: its workers drain, within the grace, and get nothing until it is released."""
+    ordered(path, "sites", site, True)
+    click.echo(f"{site} is held out; `sites show` says what it still carries")
+
+
+@sites.command("release")
+@click.argument("path", type=click.Path())
+@click.argument("site")
+def release_site(path, site):
+    """Let a site be used again, as far as the worker list and its state allow."""
+    ordered(path, "sites", site, False)
+    click.echo(f"{site} may be used again")
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -1,4 +1,4 @@
-"""`ospreyrouter manager | proxy | standin | rehearse | deployment | tables | custody`."""
+"""`ospreyrouter manager | proxy | standin | rehearse | deployment | tables | custody | sites`."""
 
 import json
 import os
@@ -12,7 +12,7 @@
 
 from ..deployment import BadDeployment, deployment_schema, read_deployment, read_json
 from ..manager import ManagerService
-from .custody import custody
+from .custody import custody, sites
 from .serve import BadInput, open_log, serve
 from .tables import tables
 
@@ -199,6 +199,7 @@
 
 main.add_command(tables)
 main.add_command(custody)
+main.add_command(sites)
 
 
 @main.group()
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -102,6 +102,12 @@
     keep_s: Seconds = Field(86_400.0, description="seconds after which a version that is not in force may go")
 
 
+class SitesWatch(Strict):
+    window_s: Seconds = Field(2.0, description="seconds within which a site's answers are counted")
+    bound_returns: bool = Field(False, description="whether a site that was lost gets load back by proof: its workers "
+                                                   "count for a part of their size until then")
+
+
 class Custody(Strict):
     lease_s: Seconds = Field(1.0, description="seconds; a manager that did not renew for so long stops publishing")
     drift: Part = Field(0.05, description="part by which others wait longer, for clocks that run apart")
@@ -137,6 +143,7 @@
     history: History = Field(default_factory=lambda: History())
     probes: bool = Field(True, description="whether managers may probe workers")
     probe_timeout_s: Seconds = Field(0.6, description="seconds after which a probe has timed out")
+    sites: SitesWatch = Field(default_factory=lambda: SitesWatch())
     weights_listed: bool = Field(False, description="whether the worker list gives sizes")
     levels: Literal["share", "none"] = Field("share", description="whether proxies obey levels")
     retry: Literal["none", "proven", "once", "twice"] = Field("proven", description="how proxies try again unless told")
@@ -184,7 +191,7 @@
                 interface.Repeat(row.repeat), row.dedup_scope, us(row.dedup_s), row.writes, False)
                 for row in self.classes),
             single_owner=False, lists_on_request=False, ask_within_us=0, probes_allowed=self.probes,
-            peers_allowed=False, weights_listed=self.weights_listed, report_period_us=us(self.reports.period_s),
+            peers_allowed=False, weights_listed=self.weights_listed or self.sites.bound_returns, report_period_us=us(self.reports.period_s),
             reports_per_s=self.reports.lines_per_s, lines_per_s=channel.lines_per_s,
             message_head=channel.message_head, queue_lines=channel.queue_lines,
             messages_most=channel.messages_most, messages_over_us=us(channel.messages_over_s),
--- a/ospreyrouter/digest/digest.py
+++ b/ospreyrouter/digest/digest.py
@@ -30,6 +30,7 @@
         self.demand_total = self.late_us = 0
         self.detail = True
         self.started, self.indices, self.own = {}, {}, set()
+        self.met_since = {}
 
     def worker_started(self, name, index, started_us):
         """The list says so: `started_us` None for long past. What was reported of a process before it is forgotten."""
@@ -91,6 +92,11 @@
                     row.sketch = DDSketch(SKETCH)
                 for value, count in buckets:
                     row.sketch.add(value, count * weight)
+            since = self.met_since.get(index)
+            if since is None:
+                since = self.met_since[index] = [0.0, 0.0]
+            since[0] += tries * weight
+            since[1] += lost * weight
             # A load report that is older than one already handed over is no news.
             handover.met(now, zone, index, tries * weight, lost * weight, delay * weight, begin,
                          load if load and end >= row.load_at else None)
@@ -104,6 +110,12 @@
             else:
                 self.dropped["not in charge"] += 1
 
+    def take_met(self):
+        """{worker index: [tries, lost]} of all that was reported since the last call, as it came: quicker than the
+        estimates, which wait until a span is wholly reported."""
+        met, self.met_since = self.met_since, {}
+        return met
+
     def lines(self, now):
         return self.handover.take(now)
 
--- a/ospreyrouter/helper/work.py
+++ b/ospreyrouter/helper/work.py
@@ -74,12 +74,12 @@
     def beat(self, folder, me, managers, life, number):
         self._custody(folder, me, managers).write_beat(life, number)
 
-    def look(self, folder, me, managers, known):
-        """(signs of life by number, newest epoch after `known` or None, managers held out, why those are not known)."""
+    def look(self, folder, me, managers, known, sites):
+        """(signs of life by number, newest epoch after `known` or None, operators' orders, why those are not known)."""
         files = self._custody(folder, me, managers)
         beats, epoch = files.beats(), files.newest(known)
         try:
-            return beats, epoch, read_orders(folder, managers), ""
+            return beats, epoch, read_orders(folder, managers, sites), ""
         except BadOrders as problem:
             return beats, epoch, None, str(problem)
 
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -9,9 +9,13 @@
 Nothing is decided here that the module decides: a table's content, when it is sent, who is withheld, levels.
 """
 
+from collections import Counter
+from dataclasses import replace
+
 from ..digest import Digest, Handover, Reporters
 from ..interface import ALL_TABLES, Entry, Outcome, Retry, State
 from ..policy import Manager
+from ..sites import Sites
 from ..versions import between, successor, worth
 from ..xds.documents import Line, Push
 
@@ -52,6 +56,7 @@
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
         self.states, self.held = {}, {}
+        self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
 
     # What happened.
 
@@ -78,13 +83,44 @@
             self.digest.worker_started(name, place, row.started_us)
             out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
                              STATES[state], weight, row.started_us))
-        self.intake.append(("listed", True, out))
+        self.entries = out
+        self._tell_list()
         stale = {item for item, lines in self.tables.items() if moved & lines.keys()}
         if stale:
             self.changed |= stale
             self._publish(now)
             self.effects.append(("read", sorted(stale)))
 
+    def _tell_list(self):
+        """The list as the module is told it: where returns are bound, workers of a returning site count for a part of
+        their size, and those of a site that an operator holds out drain."""
+        out = []
+        for entry in self.entries:
+            site = self.setup.zones[entry.zone]
+            part = self.sites.usable(site) if self.setup.sites.bound_returns else 1.0
+            state = State.DRAINING if self.sites.rows[site].held_out else entry.state
+            size = entry.weight if self.setup.weights_listed else 1.0
+            out.append(replace(entry, state=state, weight=size * part) if part < 1.0 or state != entry.state else
+                       replace(entry, weight=size))
+        self.intake.append(("listed", True, out))
+
+    def see_sites(self, now, held_out=()):
+        """Judge the sites by what proxies met there lately and by probes. Returns changes: (site, old, new, why)."""
+        told = [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]
+        ready = Counter(self.setup.zones[entry.zone] for entry in self.entries if entry.state == State.READY)
+        for place, (tries, lost) in self.digest.take_met().items():
+            if self.rows[place].zone:
+                self.sites.heard(now, self.rows[place].zone, "sums", tries - lost, lost)
+        total = sum(self.sites.carried(now, name) for name in self.sites.rows)
+        for name in self.sites.rows:
+            self.sites.hold_out(name, name in held_out)
+        if not self.entries:
+            return []  # no list has come: of no site it is known what it has
+        changes = self.sites.turn(now, lambda site: total * ready[site] / max(1, ready.total()), lambda site: ready[site])
+        if told != [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]:
+            self._tell_list()
+        return changes
+
     def joined(self, now, proxy, fresh):
         place, row = self.proxies[proxy], self.setup.proxies[self.proxies[proxy]]
         self.joined_now.add(place)
@@ -101,7 +137,11 @@
         if place in self.joined_now and mark in self.marks:
             self.intake.append(("applied", place, mark, now - self.marks[mark]))
 
-    def probed(self, worker, outcome, delay_us, report):
+    def probed(self, now, worker, outcome, delay_us, report):
+        if self.rows[self.workers[worker]].zone:
+            # One that is full answers: it is there.
+            good = outcome in (Outcome.PASSED, Outcome.FULL)
+            self.sites.heard(now, self.rows[self.workers[worker]].zone, "probes", good, not good)
         self.intake.append(("probed", self.workers[worker], outcome, delay_us, report))
 
     def custody(self, epoch, mine, stored):
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -38,6 +38,7 @@
 PUT_US = 3_000_000  # a proxy that has not answered a push for so long has lost this manager
 ACK_US = 5_000_000  # what a joining proxy may take to say that it has read the store
 REDIAL_US = 200_000
+SITES_US = 250_000
 CONFIRM_US = 10_000  # between learning of a takeover and the look that confirms it
 COMPRESS_FROM = 512  # bytes of a push from which it is compressed: changes shrink to a half, whole tables to a third
 JSON = ("content-type", "application/json")
@@ -68,7 +69,7 @@
         self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
         self.folder, self.names, self.calls = folder, names, calls
         self.life, self.beats = f"{os.getpid()}-{os.urandom(4).hex()}", 0
-        self.orders_problem = ""
+        self.orders_problem, self.sites_out = "", ()
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
         self.tables = TableStore(folder, name, calls, self._log_opened,
@@ -99,6 +100,7 @@
         self.server = Server(loop, setup.managers[self.me].listen.pair, self._request, self.counts)
         self.address = self.server.address
         self._mind_custody()
+        self._mind_sites()
         self._follow_list()
 
     failed = None  # why it cannot run at all, where that shows only after the start
@@ -163,7 +165,8 @@
             for manager, beat in found[0].items():
                 self.custody.beat_seen(began, self.loop.now(), manager, beat)
             if found[2] is not None:
-                self.custody.orders_seen(self.names.index(name) for name in found[2])
+                self.custody.orders_seen(self.names.index(name) for name in found[2].managers)
+                self.sites_out = found[2].sites
             elif found[3] != self.orders_problem:
                 self.log.error("orders_refused", manager=self.name, reason=found[3])  # the last good ones hold
             self.orders_problem = found[3]
@@ -173,7 +176,7 @@
             if self.custody.waits:
                 self.loop.after(CONFIRM_US, self._look)  # taken from the dead: one look more, and it is published
 
-        self.calls.ask("look", (self.folder, self.me, self.names, known), done)
+        self.calls.ask("look", (self.folder, self.me, self.names, known, self.setup.zones), done)
 
     def _propose(self, epoch):
         # What is given away is published no more from here on, whether or not the number can be had.
@@ -217,6 +220,17 @@
         self.log.info("custody", manager=self.name, epoch=epoch.number, slices=len(mine), before=before)
         self._soon()
 
+    def _mind_sites(self):
+        if self.stopped:
+            return
+        self.loop.after(SITES_US, self._mind_sites)
+        intake = len(self.core.intake)
+        for site, old, new, why in self.core.see_sites(self.loop.now(), self.sites_out):
+            log = self.log.warning if new in ("doubtful", "lost") else self.log.info
+            log(f"site_{new}", manager=self.name, site=site, was=old, why=why)
+        if len(self.core.intake) > intake:
+            self._soon()
+
     # The module's turns.
 
     def _soon(self):
@@ -405,6 +419,9 @@
         if request.path.partition("?")[0] in PATHS:
             self.callers.handle(request)
             return
+        if request.path == "/v3/sites" and request.method == "GET":
+            self._tell_sites(request)
+            return
         if request.path == "/v3/estimates" and request.method == "GET":
             self._tell_estimates(request)
             return
@@ -492,6 +509,14 @@
             self.core.answered(self.loop.now(), proxy, int(nonce))
             self._soon()
 
+    def _tell_sites(self, request):
+        """By site: its state and since when, part answered of what was tried lately, tries a second, limit."""
+        now, sites = self.loop.now(), self.core.sites
+        request.answer(200, [JSON], dump({"manager": self.name, "sites": {name: {
+            "state": "held out" if row.held_out else row.state, "for_us": now - row.since, "answered": row.part,
+            "blind": row.blind, "carried_per_s": round(sites.carried(now, name), 2), "limit": round(sites.limit(name), 3),
+            "losses": row.flaps + (row.lost_at is not None)} for name, row in sites.rows.items()}}))
+
     def _tell_estimates(self, request):
         """For people and tools: by worker tries a second, part lost, delay, age, tries behind, spread, confidence."""
         now, digest = self.loop.now(), self.core.digest
@@ -560,7 +585,7 @@
         def answered(answer):
             del self.probing[worker]
             client.close()
-            self.core.probed(worker, outcome_of(answer), self.loop.now() - began,
+            self.core.probed(self.loop.now(), worker, outcome_of(answer), self.loop.now() - began,
                              orca_report(answer.headers.get(ORCA_HEADER)))
             self._soon()
 
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -133,6 +133,7 @@
     flush: bool = True
     deltas: bool = True
     tampered: Part = Field(0.0, description="part of all pushes that a relay alters, repeats, delays or loses")
+    bound_returns: bool = False
     warm_keys: bool = True
     troubles: list[AnyTrouble] = Field(default_factory=list)
 
@@ -191,4 +192,5 @@
                   "folder": f"proxy-{k}", "usual_per_s": day.traffic.per_s / fleet.proxies}
                  for k in range(fleet.proxies)],
         worker_list={"listen": {"port": ports["list"][0]}, "wait_s": 2.0}, store="store", channel=day.channel,
-        rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush, deltas=day.deltas)
+        rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush, deltas=day.deltas,
+        sites={"bound_returns": day.bound_returns})
--- a/ospreyrouter/store/orders.py
+++ b/ospreyrouter/store/orders.py
@@ -1,9 +1,12 @@
-"""Operators' orders about custody, in the store: `custody/orders.json`, swapped whole, read by every manager's looks.
+"""Operators' orders in the store: `custody/orders.json`, swapped whole, read by every manager's looks.
 
-    {"heldOut": ["manager-1"]}: these managers are given no slices, and give away those they have.
+    {"heldOut": ["manager-1"], "sitesOut": ["south"]}
+
+Managers that are held out are given no slices and give away those they have; workers of a site that is held out drain.
 """
 
 import os
+from typing import NamedTuple
 
 import orjson
 
@@ -12,41 +15,55 @@
     """The text names file, field and reason."""
 
 
+class Orders(NamedTuple):
+    """Names in the deployment's order."""
+
+    managers: tuple = ()
+    sites: tuple = ()
+
+
 def orders_path(folder):
     return os.path.join(folder, "custody", "orders.json")
 
 
-def read_orders(folder, managers):
-    """Names held out, in order; empty where there is no file. Raises BadOrders, OSError."""
+def names_of(data, field, known, kind, path):
+    names = data.get(field, [])
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise BadOrders(f"{path}: {field}: is no list of names")
+    for name in names:
+        if name not in known:
+            raise BadOrders(f"{path}: {field}: {name!r:.60} is no {kind} of this deployment")
+    if known and len(set(names)) >= len(known):
+        raise BadOrders(f"{path}: {field}: names every {kind}, none would be left")
+    return tuple(name for name in known if name in names)
+
+
+def read_orders(folder, managers, sites):
+    """None held out where there is no file. Raises BadOrders, OSError."""
     path = orders_path(folder)
     try:
         with open(path, "rb") as file:
             body = file.read(1 << 20)
     except FileNotFoundError:
-        return ()
+        return Orders()
     try:
         data = orjson.loads(body)
     except ValueError:
         raise BadOrders(f"{path}: is no JSON") from None
-    names = data.get("heldOut") if isinstance(data, dict) else None
-    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
-        raise BadOrders(f"{path}: heldOut: is no list of names")
-    for name in names:
-        if name not in managers:
-            raise BadOrders(f"{path}: heldOut: {name!r:.60} is no manager of this deployment")
-    if len(set(names)) >= len(managers):
-        raise BadOrders(f"{path}: heldOut: names every manager, none would be left")
-    return tuple(name for name in managers if name in names)
+    if not isinstance(data, dict) or data.keys() - {"heldOut", "sitesOut"}:
+        raise BadOrders(f"{path}: has other fields than heldOut and sitesOut")
+    return Orders(names_of(data, "heldOut", managers, "manager", path), names_of(data, "sitesOut", sites, "site", path))
 
 
-def write_orders(folder, managers, held_out):
+def write_orders(folder, managers, sites, orders):
     """Whole, flushed and renamed. Raises OSError, or BadOrders where they could not be read again."""
-    if len(set(held_out)) >= len(managers):
-        raise BadOrders("heldOut: every manager, none would be left")
+    data = {"heldOut": list(orders.managers), "sitesOut": list(orders.sites)}
     path = orders_path(folder)
+    names_of(data, "heldOut", managers, "manager", path)
+    names_of(data, "sitesOut", sites, "site", path)
     beside = f"{path}.{os.getpid()}.new"
     with open(beside, "wb") as file:
-        file.write(orjson.dumps({"heldOut": [name for name in managers if name in held_out]}))
+        file.write(orjson.dumps(data))
         file.flush()
         os.fsync(file.fileno())
     os.rename(beside, path)
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -10,7 +10,7 @@
 
 from ospreyrouter.cli import main
 from ospreyrouter.custody import GIVEN, Custody, Epoch
-from ospreyrouter.store.orders import orders_path, write_orders
+from ospreyrouter.store.orders import Orders, orders_path, write_orders
 
 from .stage import StageCase, short_day
 
@@ -162,7 +162,7 @@
             self.assertEqual(call("show", path), code)
             network.run(network.time + SECOND)
             self.assertEqual(self.owners(stage), [12, 0])  # the last good orders hold
-        write_orders(store, names, ["manager-1"])
+        write_orders(store, names, stage.setup.zones, Orders(("manager-1",)))
         self.assertEqual(call("release", path, "manager-1"), 0)
         network.run(network.time + 6 * SECOND)
         self.assertEqual(self.owners(stage), [6, 6])
@@ -182,7 +182,7 @@
             create(*values)
             raise OSError(5, "Input/output error")
         work.create_epoch = loses_the_answer
-        write_orders(os.path.join(self.folder, "store"), ["manager-0", "manager-1"], ["manager-1"])
+        write_orders(os.path.join(self.folder, "store"), ["manager-0", "manager-1"], stage.setup.zones, Orders(("manager-1",)))
         for _ in range(300):
             network.run(network.time + 10_000)
             both = [stage.parts[f"manager-{k}"].custody.publishes(network.time) for k in range(2)]
