A manager without a lease tells balancers nothing

Cause: proxies refuse a former owner by its fence, but SASP has none: a manager that stood still past its lease pushed what it still had in hand when it woke. Change: pushes wait and questions are answered as an unknown group until the lease runs and the store was looked at.

--- a/ospreyrouter/balancers/service.py
+++ b/ospreyrouter/balancers/service.py
@@ -1,6 +1,6 @@
 """Balancers on sockets: registration, weights on request and by push, states; conflated, bounded, closed alone.
 
-    front = SaspFront(loop, address, slices, log, name, changes, grace_us)
+    front = SaspFront(loop, address, slices, log, name, changes, grace_us, may_publish)
     front.publish(slice, {(host, port): share}, withheld)    # whatever the manager published
     front.list(fleet); front.give_up(slice)                  # the worker list; a slice that another manager has now
 
@@ -87,7 +87,8 @@
 class SaspFront:
     """See the top of this module. Raises Refused of the loop when the address cannot be had."""
 
-    def __init__(self, loop, address, slices, log, name, changes, grace_us):
+    def __init__(self, loop, address, slices, log, name, changes, grace_us, may_publish=lambda: True):
+        self.may_publish = may_publish
         self.loop, self.log, self.name, self.changes, self.watch = loop, log, name, changes, DrainWatch(grace_us)
         self.registry, self.lines, self.by_lb, self.counts = Registry(slices), set(), {}, Counter()
         self.admission, self.turns = Admission(ADMIT_PER_S, ADMIT_BURST), Turns()
@@ -223,8 +224,8 @@
         try:
             for group in message.groups:
                 self._belongs(line, group.lb_uid)
-                if self.registry.slice_of(group.name) not in self.owned:
-                    raise Refused("unknown group")
+                if self.registry.slice_of(group.name) not in self.owned or not self.may_publish():
+                    raise Refused("unknown group")  # or not known to be in charge just now
                 groups.append(self._group(group.lb_uid, group.name, line))
         except Refused as problem:
             return GetWeightsReply(CODES[problem.reason], INTERVAL_S)
@@ -290,6 +291,11 @@
 
     def _push(self):
         """Some balancers a turn of the loop; what is told is read from the registry now, so it is the newest."""
+        if not self.may_publish():
+            # A process that stood still past its lease: its slices may be another's by now. `_mind` goes on when it may.
+            self.counts["pushes held without lease"] += 1
+            self.pushing = False
+            return
         for _ in range(PUSHES_A_TURN):
             lb = self.turns.next()
             if lb is None:
@@ -316,6 +322,9 @@
             return
         self.loop.after(100_000, self._mind)
         now = self.loop.now()
+        if not self.pushing and (self.turns.urgent or self.turns.waiting) and self.may_publish():
+            self.pushing = True
+            self.loop.soon(self._push)
         for line in list(self.lines):
             balancer = self.registry.balancers.get(line.lb)
             if line.partial_since is not None and now - line.partial_since > PARTIAL_US:
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -92,7 +92,7 @@
         sasp = setup.managers[self.me].sasp
         if sasp is not None:
             self.front = SaspFront(loop, sasp.pair, setup.slices, log, name, self.changes,
-                                   round(setup.rules.drain_grace_s * 1e6))
+                                   round(setup.rules.drain_grace_s * 1e6), lambda: self.custody.may_publish(loop.now()))
         self.changes.open(lambda: self.stopped)
         cached = read_list(folder, name)
         if cached is not None:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -53,6 +53,29 @@
         self.assertGreater(account["rules"]["drains kept"]["broken"], 0)
         self.assertTrue(all(text.startswith("balancer") for text in account["broken"]["drains kept"]))
 
+    def test_a_manager_that_stood_still_past_its_lease_tells_balancers_nothing(self):
+        stage = self.stage(short_day(30))
+        network, workers = stage.network, [("127.0.0.1", port) for port in stage.ports["workers"]]
+        for push in (True, False):
+            SaspFollower(network.host(f"lb-{push}"), [("127.0.0.1", port) for port in stage.ports["sasp"]], f"lb-{push}",
+                         {item: workers for item in range(12)}, push=push)
+        network.run(network.time + 6 * SECOND)
+        manager = stage.parts["manager-0"]
+        stage.pause("manager-0")
+        network.run(network.time + 3 * SECOND)
+        manager.front._due("lb-True", urgent=True)  # as if it had been about to
+        told = manager.front.counts["groups told"]
+        stage.resume("manager-0")
+        steps = 0
+        while not manager.custody.may_publish(network.time):
+            network.run(network.time + 1_000)
+            steps += 1
+            self.assertEqual(manager.front.counts["groups told"], told)
+            self.assertLess(steps, 2_000)
+        network.run(network.time + 20 * SECOND)
+        self.assertGreater(manager.front.counts["groups told"], told)
+        self.assertGreater(manager.front.counts["pushes held without lease"], 0)
+
     def test_a_deaf_balancer_is_reported_while_its_drain_is_not_proven(self):
         said = []
 
