Asking about a change closes its key; of several managers' words the last counts

Cause, found on reading again: a change still on its way on another connection could be done after its caller was told that it was not; and a file caller that drained at one manager and released at another was drained again when it started anew. Change: an unknown key that was asked about is refused when it comes, and what was not done goes by a new key; a caller's words carry a number that rises. What a change was overtaken by is derived from the changes after it, repeats and questions wait in one place instead of three, and the libraries' open calls are abstract. Result: both cases have a test.

--- a/ospreyrouter/balancers/service.py
+++ b/ospreyrouter/balancers/service.py
@@ -14,7 +14,7 @@
 from collections import Counter
 
 from ..advice import DrainWatch, Refused, Registry
-from ..changes import Change
+from ..changes import Change, Closed
 from ..sasp import (BadMessage, DeregistrationRequest, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest,
                     Member, MemberStateRequest, RegistrationRequest, Reply, SendWeights, WeightEntry, decode, encode)
 from ..sasp import numbers as n
@@ -169,12 +169,11 @@
                 self.counts["changes undone"] += 1
             if line.stream.open:
                 line.stream.write(encode(Reply(kind, n.NOT_ACCEPTED if change is None else change.answer), number))
-        known = self.changes.book.find(caller_of(lb), str(number), digest)
-        if known is not None:
-            if known.state == "waiting":
-                known.then.append(reply)
-            else:
-                reply(known)
+        try:
+            if self.changes.book.repeated(caller_of(lb), str(number), digest, reply):
+                return
+        except Closed:
+            reply(None)
             return
         if isinstance(message, RegistrationRequest):
             for group in message.groups:
--- a/ospreyrouter/changes/book.py
+++ b/ospreyrouter/changes/book.py
@@ -1,14 +1,15 @@
 """Which change was done: `ChangeBook`. No I/O; whoever owns the state that changes says how a change is undone.
 
     book = ChangeBook()
-    known = book.find(caller, key, digest)          # a repeat: answer as before, do nothing
+    if book.repeated(caller, key, digest, then): .. # a repeat: answered as the first was, or when that has ended
     book.enter(Change(caller, key, digest, subjects, effect, answer, undo), then)
     rows = book.batch()                             # to be stored in one write; None while one is under way
     for then, change in book.stored(): then(change) # or book.failed(): undone, and then(None)
-    book.ask(caller, key)                           # "took effect", "did not" or "waiting", and the answer
+    book.ask(caller, key, then)                     # told what became of it; one never seen is closed from then on
 
 A change is in force when it is entered and is answered when it is stored: one that was answered is never lost, and one
-that was not is found by its key, or was never done. Where the store refuses, all that waits is taken back, newest first.
+that was not is found by its key, or was never done. To ask about a key that is unknown closes it: the change may still be
+on its way on another connection, and is refused when it comes, so "did not" holds for good. Where the store refuses, all that waits is taken back, newest first.
 """
 
 from collections import OrderedDict
@@ -18,9 +19,15 @@
 KEYS_MOST = 64  # of one caller; more have no use: a caller asks about what was cut off
 CALLERS_MOST = 10_000
 
+CLOSED_MOST = 10_000
+
 TOOK_EFFECT, DID_NOT, WAITING = "took effect", "did not", "waiting"
 
 
+class Closed(Exception):
+    """A change whose caller was told already that it was not done."""
+
+
 @dataclass
 class Change:
     """`subjects` are what it touches: a later change of one of them makes a repeat of this one a change of its own."""
@@ -33,7 +40,6 @@
     answer: Any = None
     undo: Callable = lambda: None
     state: str = WAITING
-    overtaken: bool = False
     then: list = field(default_factory=list)
 
 
@@ -43,17 +49,37 @@
     def __init__(self, keys_most=KEYS_MOST, callers_most=CALLERS_MOST):
         self.keys_most, self.callers_most = keys_most, callers_most
         self.callers = OrderedDict()  # {caller: OrderedDict(key: Change)}, the one that changed last at the end
-        self.waiting, self.writing = [], []
+        self.waiting, self.writing, self.closed = [], [], OrderedDict()
         self.repeats = self.undone = 0
 
     def find(self, caller, key, digest):
         """The change of which this is a repeat, or None. The same key with another content is another change: numbers
-        wrap, and a caller that starts anew may count from one."""
-        change = self.callers.get(caller, {}).get(key)
-        if change is None or change.digest != digest or change.overtaken:
+        wrap, and a caller that starts anew may count from one. So is one whose subjects were changed since."""
+        rows = self.callers.get(caller, {})
+        change = rows.get(key)
+        if change is None or change.digest != digest:
             return None
+        later = list(rows.values())
+        later = later[later.index(change) + 1:]
+        return None if any(row.subjects & change.subjects for row in later) else change
+
+    def repeated(self, caller, key, digest, then):
+        """Whether it is a repeat: `then(change)` is called now, or when the first has ended. Raises Closed."""
+        if (caller, key) in self.closed:
+            raise Closed(key)
+        change = self.find(caller, key, digest)
+        if change is None:
+            return False
         self.repeats += 1
-        return change
+        self._when_ended(change, then)
+        return True
+
+    @staticmethod
+    def _when_ended(change, then):
+        if change.state == WAITING:
+            change.then.append(then)
+        else:
+            then(change)
 
     def enter(self, change, then):
         """A change that is in force from now on; `then` is handed back when it is stored or taken back."""
@@ -63,8 +89,6 @@
 
     def _keep(self, change):
         rows = self.callers.setdefault(change.caller, OrderedDict())
-        for older in rows.values():
-            older.overtaken = older.overtaken or bool(older.subjects & change.subjects)
         rows.pop(change.key, None)
         rows[change.key] = change
         self.callers.move_to_end(change.caller)
@@ -114,14 +138,17 @@
             out += [(then, None) for then in change.then]
         return out
 
-    def ask(self, caller, key):
-        """(state, answer). "did not" holds for good once the caller's connection of then is cut."""
+    def ask(self, caller, key, then):
+        """`then(change)`, or `then(None)` where it was not done, and will not be. The closed keys need not outlive this
+        process: with it end the connections on which such a change could still come."""
         change = self.callers.get(caller, {}).get(key)
-        return (DID_NOT, None) if change is None else (change.state, change.answer)
-
-    def wait(self, caller, key, then):
-        """Be told when a change that is being stored has ended."""
-        self.callers[caller][key].then.append(then)
+        if change is not None:
+            self._when_ended(change, then)
+            return
+        self.closed[caller, key] = None
+        if len(self.closed) > CLOSED_MOST:
+            self.closed.popitem(last=False)
+        then(None)
 
     # What outlives a restart.
 
--- a/ospreyrouter/changes/callers.py
+++ b/ospreyrouter/changes/callers.py
@@ -13,24 +13,29 @@
 
 
 class CallerDrains:
+    """The last word on each worker, by caller: also "not any more", for another manager may still hold an older word."""
+
     def __init__(self, workers_most=WORKERS_MOST, callers_most=CALLERS_MOST):
         self.workers_most, self.callers_most, self.rows = workers_most, callers_most, {}
 
     def of(self, caller):
-        return sorted(self.rows.get(caller, ()))
-
-    def set(self, caller, worker, on):
-        """Returns what undoes it. Raises TooMany."""
-        rows = self.rows.get(caller, set())
-        before = worker in rows
-        if on and not before:
-            if len(rows) >= self.workers_most or not rows and len(self.rows) >= self.callers_most:
-                raise TooMany(f"{len(rows)} workers, {len(self.rows)} callers")
-        self._put(caller, worker, on)
-        return lambda: self._put(caller, worker, before)
-
-    def _put(self, caller, worker, on):
-        rows = self.rows.setdefault(caller, set())
-        (rows.add if on else rows.discard)(worker)
+        """[(host, port, on, at)]"""
+        return [(*worker, on, at) for worker, (on, at) in sorted(self.rows.get(caller, {}).items())]
+
+    def set(self, caller, worker, on, at):
+        """Returns what undoes it; an older word than the one held changes nothing. Raises TooMany."""
+        rows = self.rows.get(caller, {})
+        before = rows.get(worker)
+        if before is None and (len(rows) >= self.workers_most or not rows and len(self.rows) >= self.callers_most):
+            raise TooMany(f"{len(rows)} workers, {len(self.rows)} callers")
+        if before is None or at > before[1]:
+            self.rows.setdefault(caller, {})[worker] = (on, at)
+        return lambda: self._back(caller, worker, before)
+
+    def _back(self, caller, worker, before):
+        rows = self.rows.setdefault(caller, {})
+        rows.pop(worker, None)
+        if before is not None:
+            rows[worker] = before
         if not rows:
             del self.rows[caller]
--- a/ospreyrouter/client/door.py
+++ b/ospreyrouter/client/door.py
@@ -42,9 +42,9 @@
         self._client(place).ask("POST", "/v3/drains", [("content-type", "application/json")], body, answered, ASK_US)
 
     def drained(self, place, caller, then):
-        """`then(workers)`, or `then(None)` where no answer came."""
+        """`then(rows)`, the last word on each worker as (host, port, on, at), or `then(None)` where no answer came."""
         def answered(answer):
-            then([tuple(row) for row in orjson.loads(answer.body)["drained"]] if answer.status == 200 else None)
+            then(orjson.loads(answer.body)["drained"] if answer.status == 200 else None)
         self._client(place).ask("GET", f"/v3/drains?caller={quote(caller, safe='')}", [], b"", answered, ASK_US)
 
     def close(self):
--- a/ospreyrouter/client/files.py
+++ b/ospreyrouter/client/files.py
@@ -9,6 +9,7 @@
 import orjson
 
 from ..files.reader import TableReader
+from ..store.tables import wall_us
 from .changes import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN
 from .door import Doors
 from .picking import Picker
@@ -21,11 +22,11 @@
 class FileFollower(Picker):
     """Reads a set whenever the link points elsewhere; a bad one is counted and the last good one stays in force."""
 
-    def __init__(self, loop, folder, seed=None, uid="", doors=()):
+    def __init__(self, loop, folder, seed=None, uid="", doors=(), wall=wall_us):
         super().__init__(seed)
         self.loop, self.reader, self.closed, self.seen = loop, TableReader(folder), False, {}
         self.uid, self.doors, self.life = uid, Doors(loop, doors), Random().getrandbits(48)
-        self.number = 0
+        self.number, self.at, self.wall, self.last_word = 0, 0, wall, {}
         for place in range(len(self.doors.addresses)):
             self._restore(place, ASK_TIMES)
         self._look()
@@ -44,32 +45,37 @@
 
     def _restore(self, place, times):
         """What this caller drained in an earlier life; what it said since counts more."""
-        def told(workers):
-            if workers is None:
+        def told(rows):
+            if rows is None:
                 if times and not self.closed:
                     self.loop.after(ASK_AGAIN_US, lambda: self._restore(place, times - 1))
                 return
-            said = {change.worker for change in self.changes}
-            self.drained.update(worker for worker in workers if worker not in said)
+            # Managers were told in turn, as they could be reached: the last word on a worker counts.
+            for host, port, on, at in rows:
+                if at > self.last_word.get((host, port), -1):
+                    self.last_word[host, port] = at
+                    (self.drained.add if on else self.drained.discard)((host, port))
         self.doors.drained(place, self.uid, told)
 
     def _tell(self, change):
         if not self.doors.addresses:
             change.parts[0, ""] = TOOK_EFFECT  # there is nobody who keeps it
             return
+        self.at = max(self.at + 1, self.wall())
+        self.last_word[change.worker] = self.at
+        self._send(change, 0, self.at)
+
+    def _send(self, change, place, at):
         self.number += 1
         key = f"{self.life:x}.{self.number}"
-        body = orjson.dumps({"caller": self.uid, "worker": list(change.worker), "on": change.on, "key": key})
-        self._send(change, 0, key, body)
-
-    def _send(self, change, place, key, body):
+        body = orjson.dumps({"caller": self.uid, "worker": list(change.worker), "on": change.on, "at": at, "key": key})
         change.parts[place, key], change.bodies[place, key] = SENT, body
 
         def became(state):
             if state == DID_NOT and place + 1 < len(self.doors.addresses):
                 # It was not reached, or refused: the next one keeps it.
                 del change.parts[place, key], change.bodies[place, key]
-                self._send(change, place + 1, key, body)
+                self._send(change, place + 1, at)
             else:
                 change.became(place, key, state)
         self.doors.drain(place, body, became)
@@ -80,10 +86,15 @@
 
     def repeat(self, change):
         for (place, key), state in list(change.parts.items()):
-            if state in (UNKNOWN, DID_NOT):
+            if state == UNKNOWN:
                 change.parts[place, key] = SENT
                 self.doors.drain(place, change.bodies[place, key],
                                  lambda state, place=place, key=key: change.became(place, key, state))
+            elif state == DID_NOT:
+                # Its key is closed: the manager would refuse it.
+                body = orjson.loads(change.bodies.pop((place, key)))
+                del change.parts[place, key]
+                self._send(change, place, body["at"])
 
     def close(self):
         self.closed = True
--- a/ospreyrouter/client/picking.py
+++ b/ospreyrouter/client/picking.py
@@ -1,5 +1,6 @@
 """What both libraries have in common: tables of whole weights, and a pick at random by weight."""
 
+from abc import ABC, abstractmethod
 from random import Random
 
 from ..advice import steady_weights
@@ -8,7 +9,7 @@
 CHANGES_MOST = 1_000  # of which the end is still open
 
 
-class Picker:
+class Picker(ABC):
     """`tables` is {slice: {worker: weight}}, weights as on the SASP front: whole, summing up to 10,000."""
 
     def __init__(self, seed=None):
@@ -35,17 +36,17 @@
         self._tell(change)
         return change
 
+    @abstractmethod
     def _tell(self, change):
         """Tell the managers; the libraries say how."""
-        raise NotImplementedError
 
+    @abstractmethod
     def ask(self, change):
         """Ask what became of the unknown parts of a change."""
-        raise NotImplementedError
 
+    @abstractmethod
     def repeat(self, change):
-        """Send what is unknown, or was not done, once more, by the same keys: done once at most."""
-        raise NotImplementedError
+        """Send what is unknown once more by the same keys, and what was not done by others: done once at most."""
 
     def subscribe(self, callback):
         """`callback(slice, weights)` after each change."""
--- a/ospreyrouter/client/sasp.py
+++ b/ospreyrouter/client/sasp.py
@@ -109,10 +109,18 @@
     def repeat(self, change):
         for (place, key), state in list(change.parts.items()):
             link = self.links[place]
-            if state in (UNKNOWN, DID_NOT) and link.stream is not None and link.stream.open:
+            if link.stream is None or not link.stream.open:
+                continue
+            if state == UNKNOWN:
                 change.parts[place, key] = SENT
                 link.asked[int(key)] = ("drain", change)
                 link.stream.write(change.bodies[place, key])
+            elif state == DID_NOT:
+                # Its key is closed: the manager would refuse it. Told anew, of the slices that it has by now.
+                del change.parts[place, key], change.bodies[place, key]
+                items = [item for item, at in sorted(self.at.items()) if at == place and change.worker in self.groups[item]]
+                if items:
+                    self._quiesce(place, link, items, [change.worker], change.on, change)
 
     def _register(self, place, link, item):
         members = tuple(Member(host, port) for host, port in self.groups[item])
--- a/ospreyrouter/manager/callers.py
+++ b/ospreyrouter/manager/callers.py
@@ -1,9 +1,10 @@
 """What callers tell a manager over HTTP: drains of their own, and what became of a change. Sockets only.
 
-`POST /v3/drains` with `{"caller", "worker": [host, port], "on", "key"}`; `GET /v3/drains?caller=` lists them.
+`POST /v3/drains` with `{"caller", "worker": [host, port], "on", "at", "key"}`; `GET /v3/drains?caller=` lists the last word
+on each worker with its `at`, which rises with each change of a caller: one may have told several managers in turn.
 `GET /v3/changes?caller=&key=` says "took effect" or "did not" of any caller's change, a balancer's too (caller
-`sasp/UID`, key the message's number); of one that is being stored it answers when that has ended. "did not" holds for
-good once the connection on which the change was sent is cut: a balancer says who it is on a new one first.
+`sasp/UID`, key the message's number); of one that is being stored it answers when that has ended. To be told "did not"
+closes the key: the change is refused should it still come, and is asked for again by another key.
 """
 
 import hashlib
@@ -11,8 +12,8 @@
 
 import orjson
 
-from ..changes import CallerDrains, Change, TooMany
-from ..changes.book import DID_NOT, TOOK_EFFECT, WAITING
+from ..changes import CallerDrains, Change, Closed, TooMany
+from ..changes.book import DID_NOT, TOOK_EFFECT
 
 PATHS = ("/v3/drains", "/v3/changes")
 NAME_MOST = 200
@@ -45,10 +46,12 @@
 
     def _drain(self, request):
         data = orjson.loads(request.body)
-        caller, key, on = text(data, "caller"), text(data, "key"), data["on"]
+        caller, key, on, at = text(data, "caller"), text(data, "key"), data["on"], data["at"]
         host, port = data["worker"]
         if caller.startswith("sasp/"):
             raise ValueError("caller: balancers say it in their protocol")
+        if type(at) is not int or not 0 <= at < 1 << 62:
+            raise ValueError("at: is no whole number")
         if type(on) is not bool or not isinstance(host, str) or len(host) > NAME_MOST or type(port) is not int:
             raise ValueError("worker: is no [host, port], or on: is neither true nor false")
         book, digest = self.service.changes.book, hashlib.blake2b(request.body, digest_size=16).hexdigest()
@@ -58,19 +61,17 @@
                 self._answer(request, 503, {"state": DID_NOT, "detail": "the store refused"})
             else:
                 self._answer(request, 200, {"state": TOOK_EFFECT, "key": key, "drained": self.drains.of(caller)})
-        known = book.find(caller, key, digest)
-        if known is not None and known.state == WAITING:
-            known.then.append(then)
-        elif known is not None:
-            then(known)
-        else:
-            try:
-                undo = self.drains.set(caller, (host, port), on)
-            except TooMany as problem:
-                self._answer(request, 429, {"state": DID_NOT, "detail": str(problem)})
+        try:
+            if book.repeated(caller, key, digest, then):
                 return
+            undo = self.drains.set(caller, (host, port), on, at)
+        except Closed:
+            self._answer(request, 409, {"state": DID_NOT, "detail": "its caller was told so"})
+        except TooMany as problem:
+            self._answer(request, 429, {"state": DID_NOT, "detail": str(problem)})
+        else:
             self.service.changes.ask_for(Change(caller, key, digest, frozenset([f"{host}:{port}"]),
-                                                ["drain", host, port, on], None, undo), then)
+                                                ["drain", host, port, on, at], None, undo), then)
 
     def _ask(self, request, caller, key):
         book = self.service.changes.book
@@ -78,18 +79,15 @@
         def then(change):
             self._answer(request, 200, {"state": DID_NOT if change is None else TOOK_EFFECT,
                                         "answer": None if change is None else change.answer})
-        state, answer = book.ask(caller, key)
-        if state == WAITING:
-            book.wait(caller, key, then)
-        else:
-            self._answer(request, 200, {"state": state, "answer": answer})
+        book.ask(caller, key, then)
 
     def _redo(self, caller, effect):
-        _, host, port, on = effect
-        self.drains.set(caller, (host, port), on)
+        _, host, port, on, at = effect
+        self.drains.set(caller, (host, port), on, at)
 
     def _standing(self):
-        return [(caller, ["drain", *worker, True]) for caller, workers in sorted(self.drains.rows.items()) for worker in sorted(workers)]
+        return [(caller, ["drain", host, port, on, at]) for caller in sorted(self.drains.rows)
+                for host, port, on, at in self.drains.of(caller)]
 
     @staticmethod
     def _answer(request, status, data, headers=()):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from ospreyrouter.advice import DrainWatch
-from ospreyrouter.changes import CallerDrains, Change, ChangeBook, TooMany
+from ospreyrouter.changes import CallerDrains, Change, ChangeBook, Closed, TooMany
 from ospreyrouter.client import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN, FileFollower, SaspFollower
 from ospreyrouter.sasp import (DeregistrationRequest, Framer, Group, LbStateRequest, Member, MemberState, MemberStateRequest, RegistrationRequest,
                                Reply, decode, encode)
@@ -23,6 +23,13 @@
     return [(row[1], row[0].code) for row in rows if isinstance(row, tuple) and isinstance(row[0], Reply)]
 
 
+def asked(book, caller, key):
+    """Whether the change took effect, as the book says."""
+    told = []
+    book.ask(caller, key, told.append)
+    return bool(told and told[0])
+
+
 class Book(unittest.TestCase):
     @settings(deadline=None, max_examples=120)
     @given(st.lists(st.tuples(st.sampled_from(["set", "clear", "repeat", "write", "stored", "failed", "restart"]),
@@ -75,7 +82,7 @@
                     book.restore(change)
         for key, good in told.items():
             # Answered is found, whatever came after; undone is not.
-            self.assertEqual(book.ask("c", key)[0] == "took effect", good)
+            self.assertEqual(asked(book, "c", key), good)
         while book.batch() or book.writing:
             for change in book.writing:
                 do(disk, change.effect)
@@ -90,17 +97,21 @@
         self.assertIsNone(book.find("c", "1", "z"))  # numbers wrapped
         book.restore(Change("c", "3", "w", frozenset(["a"]), None))
         self.assertIsNone(book.find("c", "1", "x"))  # what it did was changed since: doing it again is a change
-        self.assertEqual(book.ask("c", "1")[0], "took effect")
+        self.assertTrue(asked(book, "c", "1"))
         book.restore(Change("c", "4", "v", frozenset(), None))
-        self.assertEqual(book.ask("c", "1")[0], "did not")  # forgotten: three keys a caller
+        self.assertFalse(asked(book, "c", "1"))  # forgotten: three keys a caller
+        with self.assertRaises(Closed):
+            book.repeated("c", "1", "x", None)  # told that it was not done: should it still come, it is refused
         for caller in ("d", "e"):
             book.restore(Change(caller, "1", "x", frozenset(), None))
         self.assertEqual(sorted(book.callers), ["d", "e"])
         drains = CallerDrains(workers_most=1, callers_most=1)
-        undo = drains.set("a", ("h", 1), True)
+        undo = drains.set("a", ("h", 1), True, 5)
+        drains.set("a", ("h", 1), False, 4)  # an older word that came late
+        self.assertEqual(drains.of("a"), [("h", 1, True, 5)])
         for caller, worker in (("a", ("h", 2)), ("b", ("h", 1))):
             with self.assertRaises(TooMany):
-                drains.set(caller, worker, True)
+                drains.set(caller, worker, True, 6)
         undo()
         self.assertEqual(drains.rows, {})
 
@@ -182,7 +193,7 @@
         for k in range(2):
             manager = stage.parts[f"manager-{k}"]
             if name == "files":
-                rows.append(list(worker) in [list(row) for row in manager.callers.drains.of("caller-1")])
+                rows.append((*worker, True) in [row[:3] for row in manager.callers.drains.of("caller-1")])
             else:
                 balancer = manager.front.registry.balancers.get("lb-1")
                 rows += [state.members[worker] for state in balancer.groups.values()] if balancer else []
@@ -190,6 +201,31 @@
             return "all" if any(rows) else "none"
         return "all" if rows and all(rows) else "some" if any(rows) else "none"
 
+    def test_the_last_word_counts_and_what_was_asked_about_comes_no_more(self):
+        stage = self.stage(short_day(60))
+        network, worker = stage.network, ("127.0.0.1", 16_002)
+        host, followers = self.followers(stage)
+        network.run(network.time + 5 * SECOND)
+        followers["files"].drain(worker)  # the first manager keeps it
+        network.run(network.time + SECOND)
+        stage.kill("manager-0")
+        network.run(network.time + SECOND // 10)
+        self.assertEqual(followers["files"].drain(worker, False).state, SENT)  # the second one does
+        network.run(network.time + 2 * SECOND)
+        stage.start("manager-0")
+        network.run(network.time + 4 * SECOND)
+        _, again = self.followers(stage)
+        network.run(network.time + 2 * SECOND)
+        self.assertNotIn(worker, again["files"].drained)
+        # A change on its way while its caller is told that it was not done:
+        front, doors, told, answers = stage.parts["manager-0"].front, followers["files"].doors, [], []
+        doors.became(0, "sasp/slow", "7", told.append)
+        network.run(network.time + SECOND)
+        self.talk(stage, front, "slow", [encode(RegistrationRequest((Group("slow", f"slice-{min(front.owned)}", (Member(*worker),)),)), 7)], answers)
+        network.run(network.time + SECOND)
+        self.assertEqual((told, replies(answers)), ([DID_NOT], [(7, n.NOT_ACCEPTED)]))
+        self.assertNotIn("slow", front.registry.balancers)
+
     def test_a_store_that_refuses_takes_the_change_back_and_says_so(self):
         stage = self.stage(short_day(30))
         network, manager = stage.network, stage.parts["manager-0"]
@@ -227,7 +263,7 @@
         self.assertGreater(manager.changes.file.rewritten_size, 0)
 
         def standing(part):
-            return sorted(part.front._standing()), part.callers.drains.rows, part.changes.book.ask("caller-1", "x")
+            return sorted(part.front._standing()), part.callers.drains.rows, sorted(part.changes.book.callers)
         held = standing(manager)
         stage.kill("manager-0")
         stage.start("manager-0")
