One memory of commands, one failing disk, one model of custody; orders by hand once

Cause, found on reading again: rollbacks were remembered beside the changes by a second store of answers; the benchmark and the tests had a failing disk each; custody's tests had a second model of the store beside the searched one; hold and release were written twice. Change: rollbacks are changes like any other, and versions whose answer never came to be tell of them; one failing disk, that tears appends too; the dealing tests run on the searched model; drains that are overdue are looked at once a second, since a balancer that is gone would cost a look at all each tenth.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -20,6 +20,7 @@
 from ospreyrouter.helper.work import Work
 from ospreyrouter.rehearse import play_virtually
 from ospreyrouter.rehearse.day import Day
+from ospreyrouter.standins.failing_disk import FailingDisk, Killed
 from ospreyrouter.store import TableStore
 from ospreyrouter.versions import History, between, successor, worth
 from ospreyrouter.xds.documents import Line, Push, push_body, push_of
@@ -27,49 +28,6 @@
 SLICES, WORKERS, TABLE = 400, 78, 6
 
 
-class Killed(BaseException):
-    pass
-
-
-class DyingDisk(Disk):
-    """The process dies at its n-th write; `part` of what was to be written is there."""
-
-    def __init__(self, calls, part):
-        super().__init__(flush=True)
-        self.calls, self.part = calls, part
-
-    def _count(self):
-        self.calls -= 1
-        return self.calls < 0
-
-    def append(self, handle, body):
-        if self._count():
-            super().append(handle, body[:int(len(body) * self.part)])
-            raise Killed()
-        super().append(handle, body)
-
-    def flush_file(self, handle):
-        if self._count():
-            raise Killed()
-
-    def flush_folder(self, path):
-        if self._count():
-            raise Killed()
-
-    def write_new(self, path, body, flush=True):
-        if self._count():
-            super().write_new(path, body[:int(len(body) * self.part)])
-            raise Killed()
-        super().write_new(path, body)
-
-    def rename(self, old, new):
-        if self._count():
-            if self.part == 1.0:
-                super().rename(old, new)
-            raise Killed()
-        super().rename(old, new)
-
-
 class Direct:
     def __init__(self, disk):
         self.work = Work(disk, lock=False)
@@ -185,13 +143,13 @@
     """Die at every write of a run of appends and compactions, with none, half or all of it done; what was
     acknowledged must be there afterwards, and the next process must go on."""
     tried = lost = 0
-    for part in (0.0, 0.5, 1.0):
+    for how in ("kill", "half", "after"):
         calls = 0
         while True:
             chance, held, acknowledged, ended = Random(seed), {}, {}, True
             with tempfile.TemporaryDirectory(dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None) as folder:
                 try:
-                    store = TableStore(folder, "manager-0", Direct(DyingDisk(calls, part)), history=History(3, 10**18))
+                    store = TableStore(folder, "manager-0", Direct(FailingDisk(calls, how)), history=History(3, 10**18))
                     for turn in range(turns):
                         tables = []
                         for item in chance.sample(range(5), 2):
--- a/ospreyrouter/advice/drains.py
+++ b/ospreyrouter/advice/drains.py
@@ -12,11 +12,15 @@
 from dataclasses import dataclass
 
 
+OVERDUE_EVERY_US = 1_000_000
+
+
 @dataclass
 class Drain:
     since: int
     proven: bool = False
     overdue: bool = False
+    look_at: int = 0
 
 
 class DrainWatch:
@@ -36,8 +40,10 @@
     def look(self, now, unproven):
         out = []
         for member, row in sorted(self.rows.items()):
-            if row.proven:
+            if row.proven or now < row.look_at:
                 continue
+            if row.overdue:
+                row.look_at = now + OVERDUE_EVERY_US  # a balancer that is gone may never come back
             left = unproven(member)
             if not left:
                 row.proven = True
--- a/ospreyrouter/cli/custody.py
+++ b/ospreyrouter/cli/custody.py
@@ -13,13 +13,13 @@
 import orjson
 
 from ..custody import GIVEN, Membership
-from ..deployment import BadDeployment, read_deployment
+from ..deployment import read_deployment
 from ..files import Disk
 from ..loop import Loop
 from ..store import EpochFiles
 from ..store.orders import BadOrders, read_orders, write_orders
 from ..web import Client
-from .serve import BadInput
+from .serve import BadInput, checked
 
 
 ASK_US = 3_000_000
@@ -37,10 +37,7 @@
     """The deployment's store, as custody has it."""
 
     def __init__(self, path):
-        try:
-            self.setup = read_deployment(path)
-        except BadDeployment as problem:
-            raise BadInput(str(problem)) from None
+        self.setup = checked(read_deployment, path)
         self.folder = str(Path(path).parent / self.setup.store)
         self.names = [row.name for row in self.setup.managers]
         if not (Path(self.folder) / "custody").is_dir():
@@ -116,24 +113,6 @@
         raise BadInput(f"{problem.filename or shelf.folder}: {problem.strerror}") from None
 
 
-@custody.command()
-@click.argument("path", type=click.Path())
-@click.argument("manager")
-def hold(path, manager):
-    """Hold a manager out: it gives its slices away at once and is given none until it is released."""
-    ordered(path, "managers", manager, True)
-    click.echo(f"{manager} is held out; `custody show` says when its slices are away")
-
-
-@custody.command()
-@click.argument("path", type=click.Path())
-@click.argument("manager")
-def release(path, manager):
-    """Let a manager have its slices again: they return in steps."""
-    ordered(path, "managers", manager, False)
-    click.echo(f"{manager} gets its slices back, a quarter a lease")
-
-
 @click.group()
 def sites():
     """How each site is, and sites held out by hand."""
@@ -167,19 +146,17 @@
                        f"{site['carried_per_s']:.1f} tries a second, limit {site['limit']:.2f}")
 
 
-@sites.command("hold")
-@click.argument("path", type=click.Path())
-@click.argument("site")
-def hold_site(path, site):
-    """Hold a site out: its workers drain, within the grace, and get nothing until it is released."""
-    ordered(path, "sites", site, True)
-    click.echo(f"{site} is held out; `sites show` says what it still carries")
+def by_hand(group, field, kind, held, released):
+    """`hold` and `release` of a group; `held` and `released` say what follows, for the help and for whoever ordered it."""
+    for name, out, follows in (("hold", True, held), ("release", False, released)):
+        def run(path, one, out=out, follows=follows):
+            ordered(path, field, one, out)
+            click.echo(f"{one}: {follows}")
+        run.__doc__ = f"{name.capitalize()} a {kind}: {follows}."
+        group.command(name)(click.argument("path", type=click.Path())(click.argument("one", metavar=kind.upper())(run)))
 
 
-@sites.command("release")
-@click.argument("path", type=click.Path())
-@click.argument("site")
-def release_site(path, site):
-    """Let a site be used again, as far as the worker list and its state allow."""
-    ordered(path, "sites", site, False)
-    click.echo(f"{site} may be used again")
+by_hand(custody, "managers", "manager", "it gives its slices away and is given none until it is released",
+        "its slices return, a quarter a lease")
+by_hand(sites, "sites", "site", "its workers drain within the grace and get nothing until it is released",
+        "it may be used again, as far as the worker list and its state allow")
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -10,20 +10,13 @@
 
 import click
 
-from ..deployment import BadDeployment, deployment_schema, read_deployment, read_json
+from ..deployment import deployment_schema, read_deployment, read_json
 from ..manager import ManagerService
 from .custody import custody, sites
-from .serve import BadInput, open_log, serve
+from .serve import BadInput, checked, open_log, serve
 from .tables import tables
 
 
-def checked(read, *values):
-    try:
-        return read(*values)
-    except BadDeployment as problem:
-        raise BadInput(str(problem)) from None
-
-
 def named(rows, name, path, what):
     for row in rows:
         if row.name == name:
--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -8,6 +8,7 @@
 import click
 import structlog
 
+from ..deployment import BadDeployment
 from ..helper import ProcessCalls
 from ..loop import Loop, Refused
 from ..store.tables import NewerFormat
@@ -25,6 +26,13 @@
         click.echo(self.format_message(), err=True)
 
 
+def checked(read, *values):
+    try:
+        return read(*values)
+    except BadDeployment as problem:
+        raise BadInput(str(problem)) from None
+
+
 def open_log(level="info"):
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
--- a/ospreyrouter/cli/tables.py
+++ b/ospreyrouter/cli/tables.py
@@ -14,7 +14,7 @@
 import click
 import orjson
 
-from ..deployment import BadDeployment, read_deployment
+from ..deployment import read_deployment
 from ..files import TableReader
 from ..loop import Loop
 from ..store import TableStore
@@ -23,7 +23,7 @@
 from ..versions import verify as digests
 from ..web import Client
 from ..xds.documents import BadDocument
-from .serve import BadInput
+from .serve import BadInput, checked
 
 CODES = {"unknown": 3, "malformed": 2, "ambiguous": 2, "pruned": 4, "not in charge": 5, "no lease": 7}
 ASK_US = 30_000_000
@@ -39,10 +39,7 @@
     """The deployment's store, read only."""
 
     def __init__(self, path):
-        try:
-            self.setup = read_deployment(path)
-        except BadDeployment as problem:
-            raise BadInput(str(problem)) from None
+        self.setup = checked(read_deployment, path)
         self.root = Path(path).parent
         folder = str(self.root / self.setup.store)
         try:
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ..changes import Change
-from ..versions import Rollbacks, Unknown, lines_to_return
+from ..versions import Unknown, lines_to_return
 
 PORTION = 50  # slices brought back, or handed anew, in one turn: drains wait for no more than that
 PORTION_US = 20_000
@@ -28,22 +28,21 @@
 
 class Operators:
     def __init__(self, service):
-        self.service, self.commands, self.holding = service, Rollbacks(), False
+        self.service, self.holding = service, False
         self.under_way = {}  # {key: repeated requests that wait for the same answer}
-        for row in sorted(service.tables.history.by_digest.values(), key=lambda row: row.at_us):
-            if row.cause.startswith(CAUSE):
-                key = row.cause[len(CAUSE):]
-                answer = self.commands.known(key) or {"key": key, "slices": {}}
-                answer["slices"][str(row.slice)] = made(row)
-                self.commands.done(key, answer)
         service.changes.kinds["answer"] = (lambda caller, effect: None, lambda: ())
         service.changes.on_open.append(self._remembered)
 
     def _remembered(self):
-        """Commands that changed nothing have no version that would tell of them."""
-        for change in self.service.changes.book.remembered():
-            if change.caller.startswith(CALLER):
-                self.commands.done(change.key, change.answer)
+        """Commands whose versions are in the store though their answer never came to be."""
+        answers, book = {}, self.service.changes.book
+        for row in sorted(self.service.tables.history.by_digest.values(), key=lambda row: row.at_us):
+            if row.cause.startswith(CAUSE):
+                key = row.cause[len(CAUSE):]
+                answers.setdefault(key, {"key": key, "slices": {}})["slices"][str(row.slice)] = made(row)
+        for key, answer in answers.items():
+            if book.find(CALLER + key, key, "") is None:
+                book.restore(command(key, answer))
 
     def roll_back(self, request):
         service = self.service
@@ -53,12 +52,11 @@
             self._answer(request, 400, {"error": "malformed", "detail": str(problem)})
             return
         to, items, hold_s, key = order
-        known = self.commands.known(key)
         if key in self.under_way:
             self.under_way[key].append(request)
             return
-        if known is not None:
-            self._answer(request, 200, known | {"repeated": True})
+        if service.changes.ready and service.changes.book.repeated(
+                CALLER + key, key, "", lambda change: self._answer(request, 200, change.answer | {"repeated": True})):
             return
         if not service.changes.ready or not service.custody.may_publish(service.loop.now()):
             self._answer(request, 503, {"error": "no lease", "detail": "this manager may not publish now"})
@@ -108,13 +106,11 @@
         if returning:
             self._return(Returning(request, key, hold_s, answer, list(returning.items())))
         else:
-            self.commands.done(key, answer)
             self._remember(request, key, answer, True)
 
     def _return(self, rows):
         """The next portion; the answer follows the last. What is decided about each slice was decided at once."""
         service, core, now = self.service, self.service.core, self.service.loop.now()
-        self.commands.done(rows.key, rows.answer)
         self.under_way.setdefault(rows.key, [])
         portion, rows.left = rows.left[:PORTION], rows.left[PORTION:]
         may = not service.stopped and service.custody.may_publish(now)
@@ -148,11 +144,13 @@
         """A command's answer by its key, for repeats after a restart."""
         def done(change):
             said = answer if stored and change is not None else answer | {"stored": False}
+            if change is None:
+                self.service.changes.book.restore(command(key, answer))  # done all the same, and known until a restart
             self._answer(request, 200, said)
             for repeat in self.under_way.pop(key, ()):
                 self._answer(repeat, 200, said | {"repeated": True})
         self.under_way.setdefault(key, [])
-        self.service.changes.ask_for(Change(CALLER + key, key, "", frozenset([key]), ["answer"], answer), done)
+        self.service.changes.ask_for(command(key, answer), done)
 
     def _hold(self):
         held = self.service.core.hold(self.service.loop.now(), PORTION)
@@ -166,5 +164,10 @@
         request.answer(status, [("content-type", "application/json")], orjson.dumps(data))
 
 
+def command(key, answer):
+    """A command among the changes: each is a caller of its own."""
+    return Change(CALLER + key, key, "", frozenset(), ["answer"], answer)
+
+
 def made(table):
     return {"version": f"{table.version[0]}.{table.version[1]}", "digest": table.digest}
--- a/ospreyrouter/versions/__init__.py
+++ b/ospreyrouter/versions/__init__.py
@@ -7,8 +7,8 @@
 from .delta import Delta, WrongBase, apply, between, worth
 from .history import History, Kept, Unknown
 from .identity import NO_PARENT, Altered, digest_of, successor, verify
-from .rollback import Rollbacks, lines_to_return
+from .rollback import lines_to_return
 from .time_of_day import TimeOfDay
 
-__all__ = ["Altered", "Delta", "History", "Kept", "NO_PARENT", "Rollbacks", "TimeOfDay", "Unknown", "WrongBase", "apply", "between",
+__all__ = ["Altered", "Delta", "History", "Kept", "NO_PARENT", "TimeOfDay", "Unknown", "WrongBase", "apply", "between",
            "digest_of", "lines_to_return", "successor", "verify", "worth"]
--- a/ospreyrouter/versions/rollback.py
+++ b/ospreyrouter/versions/rollback.py
@@ -1,14 +1,8 @@
 """An earlier version comes back as a new one. Decisions only.
 
     lines, left_out = lines_to_return(old, states, now)
-    answer = rollbacks.known(key)            # of a command that was carried out before
-    rollbacks.done(key, answer)
 """
 
-from collections import OrderedDict
-
-KEYS_MOST = 10_000  # commands remembered by key; the oldest goes
-
 
 def lines_to_return(old, usable, present):
     """The old lines minus workers that now drain, are gone or are cold beyond their bound.
@@ -25,18 +19,3 @@
         now = places.get(line.worker, line)
         lines.append(type(line)(line.worker, now.host, now.port, now.zone, line.weight))
     return tuple(lines), left_out
-
-
-class Rollbacks:
-    """Commands by key: a repeated one is answered as the first was, and has no second effect."""
-
-    def __init__(self, most=KEYS_MOST):
-        self.answers, self.most = OrderedDict(), most
-
-    def known(self, key):
-        return self.answers.get(key)
-
-    def done(self, key, answer):
-        self.answers[key] = answer
-        if len(self.answers) > self.most:
-            self.answers.popitem(last=False)
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -1,12 +1,10 @@
 """Short days in virtual time, and a disk that fails or dies at a chosen call."""
 
-import errno
 import os
 import shutil
 import tempfile
 import unittest
 
-from ospreyrouter.files import Disk
 from ospreyrouter.rehearse.day import Day
 from ospreyrouter.rehearse.play import VirtualStage
 
@@ -36,38 +34,3 @@
 
     def stage(self, day=None, **more):
         return VirtualStage(day or short_day(), self.folder, **more)
-
-
-class Killed(BaseException):
-    """The process dies at this call: nothing after it happens."""
-
-
-class FailingDisk(Disk):
-    """Lets `calls` calls pass; the next ones (or the next "once") fail, or kill, or write half and kill."""
-
-    def __init__(self, calls, how):
-        super().__init__(flush=True)
-        self.calls, self.how, self.made = calls, how, 0
-
-    def _count(self):
-        self.made += 1
-        return self.made == self.calls + 1 if self.how == "once" else self.made > self.calls
-
-    def _fail(self):
-        raise OSError(errno.ENOSPC, "No space left on device") if self.how in ("full", "once") else Killed()
-
-
-def failing(name):
-    def call(self, *values, **more):
-        if self._count():
-            if self.how == "half" and name == "write_new":
-                Disk.write_new(self, values[0], values[1][:len(values[1]) // 2])
-            if self.how == "after":
-                getattr(Disk, name)(self, *values, **more)
-            self._fail()
-        return getattr(Disk, name)(self, *values, **more)
-    return call
-
-
-for call_name in ("make_folder", "write_new", "link", "flush_folder", "point", "append", "rename", "flush_file"):
-    setattr(FailingDisk, call_name, failing(call_name))
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -9,12 +9,13 @@
 
 from ospreyrouter.advice import DrainWatch
 from ospreyrouter.changes import CallerDrains, Change, ChangeBook, Closed, TooMany
-from ospreyrouter.client import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN, FileFollower, SaspFollower
-from ospreyrouter.sasp import (DeregistrationRequest, Framer, Group, LbStateRequest, Member, MemberState, MemberStateRequest, RegistrationRequest,
-                               Reply, decode, encode)
+from ospreyrouter.client import DID_NOT, SENT, TOOK_EFFECT, FileFollower, SaspFollower
+from ospreyrouter.sasp import (DeregistrationRequest, Framer, Group, LbStateRequest, Member, MemberState,
+                               MemberStateRequest, RegistrationRequest, Reply, decode, encode)
 from ospreyrouter.sasp import numbers as n
+from ospreyrouter.standins.failing_disk import FailingDisk
 
-from .stage import FailingDisk, StageCase, short_day
+from .stage import StageCase, short_day
 
 SECOND = 1_000_000
 
@@ -126,9 +127,10 @@
         self.assertEqual(look(102), [])
         left["b"], left["a"] = [], ["z"]
         watch.again("a")
-        self.assertEqual(look(150), [("unproven", "a", ["z"]), ("late", "b", 150)])
-        watch.withheld(160, {"b"})
-        self.assertEqual((look(999), watch.rows.keys()), ([], {"b"}))
+        self.assertEqual(look(150), [("unproven", "a", ["z"])])  # what is overdue is looked at once a second
+        self.assertEqual(look(2 * SECOND), [("late", "b", 2 * SECOND)])
+        watch.withheld(3 * SECOND, {"b"})
+        self.assertEqual((look(4 * SECOND), watch.rows.keys()), ([], {"b"}))
 
 
 class OnManagers(StageCase):
--- a/tests/test_custody_model.py
+++ b/tests/test_custody_model.py
@@ -1,7 +1,7 @@
 """Custody on a store that is slow, loses answers and lets nobody else speak: every short interleaving, long random ones.
 
 One slice has one publisher at any time: not by what the store says, but by what each process would write just now,
-also one that stands still or was replaced.
+also one that stands still.
 """
 
 import copy
@@ -23,7 +23,9 @@
         self.beats, self.epochs = [0] * count, [Epoch(1, tuple(k % count for k in range(slices)), (1,) * slices, (GIVEN,) * slices)]
         self.processes = [Custody(k, count, slices, LEASE, DRIFT) for k in range(count)]
         self.beating, self.creating = [None] * count, [None] * count  # (began, landed), (epoch, result or None)
-        self.former = []  # processes that were replaced and may only stand still
+
+    def restart(self, k):
+        self.processes[k] = Custody(k, self.count, self.slices, LEASE, DRIFT)
 
     def settle(self):
         for _ in range(4 * LEASE):
@@ -35,7 +37,7 @@
     def clone(self):
         other = copy.copy(self)
         other.beats, other.epochs = list(self.beats), list(self.epochs)
-        other.beating, other.creating, other.former = list(self.beating), list(self.creating), list(self.former)
+        other.beating, other.creating = list(self.beating), list(self.creating)
         other.processes = list(self.processes)
         return other
 
@@ -109,7 +111,7 @@
     def double(self):
         """Slices that two processes would write just now."""
         seen = set()
-        for one in [*self.processes, *self.former]:
+        for one in self.processes:
             mine = one.publishes(self.now)
             if seen & mine:
                 return seen & mine
@@ -174,7 +176,7 @@
     now, beats = 0, [0] * count
     rates = [1 + (chance.uniform(-0.02, 0.02) if clocks else 0) for _ in range(count)]
     clock = lambda k: round(now * rates[k])  # noqa: E731
-    epochs, former = [], []
+    epochs = []
     processes = [Custody(k, count, slices, lease, 0.05) for k in range(count)]
     asleep, slow, events = [0] * count, [0] * count, []  # events: (due, k, process, call)
 
@@ -225,7 +227,6 @@
             elif trouble < 0.008:
                 slow[k] = now + chance.randint(0, 4 * lease)
             elif trouble < 0.010:
-                former.append((processes[k], k))
                 processes[k] = Custody(k, count, slices, lease, 0.05)
         for k in range(count):
             if now >= due[k] and asleep[k] <= now:
@@ -239,7 +240,7 @@
             elif row[2] is processes[row[1]]:
                 row[3]()
         seen = {}
-        for one, k in [(one, k) for k, one in enumerate(processes)]:
+        for k, one in enumerate(processes):
             for item in one.publishes(clock(k)):
                 if item in seen:
                     return f"seed {seed} at {now}: slice {item} has two publishers, {seen[item]} and {k}", worst
--- a/tests/test_files.py
+++ b/tests/test_files.py
@@ -8,11 +8,12 @@
 
 from ospreyrouter.files import FileSet, Ledger, Rejected, TableReader
 from ospreyrouter.helper.work import Work
+from ospreyrouter.standins.failing_disk import FailingDisk, Killed
 from ospreyrouter.store import TableStore
 from ospreyrouter.versions import History, digest_of
 from ospreyrouter.xds.documents import CLA, Line, Push, Table, dump, response, table_resource
 
-from .stage import FailingDisk, Killed, StageCase
+from .stage import StageCase
 
 
 def table(item, count, fence=1, manager="manager-0", workers=("w-0",)):
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -12,11 +12,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ospreyrouter.changes import ChangeBook
 from ospreyrouter.cli import main
 from ospreyrouter.files import Ledger, Rejected, TableReader, ledger
-from ospreyrouter.manager.operators import Operators
 from ospreyrouter.rehearse import audit
-from ospreyrouter.versions import (Altered, History, Rollbacks, TimeOfDay, Unknown, WrongBase, apply, between, lines_to_return,
+from ospreyrouter.versions import (Altered, History, TimeOfDay, Unknown, WrongBase, apply, between, lines_to_return,
                                    successor, verify)
 from ospreyrouter.versions import delta as delta_module
 from ospreyrouter.web import Client
@@ -250,10 +250,6 @@
         self.assertEqual([(row.worker, row.port, row.weight) for row in found], [("a", 9000, 1.0), ("b", 9999, 1.0)])
         self.assertEqual(left_out, ["c"])
         self.assertEqual(lines_to_return(old, lambda name: False, present)[0], ())
-        keys = Rollbacks(most=2)
-        for key in "abc":
-            keys.done(key, key.upper())
-        self.assertEqual([keys.known(key) for key in "abc"], [None, "B", "C"])
 
 
 class Background(unittest.TestCase):
@@ -341,9 +337,12 @@
         status, answer = self.post(stage, "manager-0", {"to": at[0], "slices": [0], "key": "k-0"})
         self.assertTrue(answer["repeated"])
         self.assertEqual(self.tables()[0].version, versions[0])  # held, and no second effect
-        again = Operators(manager)  # as after a restart: from the store
-        self.assertEqual(set(again.commands.answers), {f"k-{item}" for item in range(12)
-                                                       if manager.operators.commands.known(f"k-{item}")["slices"][str(item)].get("version")})
+        answers = {change.key: change.answer for change in manager.changes.book.remembered()}
+        self.assertEqual(answers.keys(), {f"k-{item}" for item in range(12)})
+        manager.changes.book = ChangeBook()  # as if killed before the answers were stored: the versions tell
+        manager.operators._remembered()
+        self.assertEqual({change.key for change in manager.changes.book.remembered()},
+                         {key for key, answer in answers.items() if "version" in answer["slices"][key[2:]]})
 
     def test_while_a_deploy_runs_and_the_channel_is_slow_the_rules_hold(self):
         day = short_day(16, [{"what": "worker_crash", "at_s": 1, "for_s": 2, "workers": [1]},
