Spill by tiers with reserves; what sites left cannot carry is refused ahead by utility

Need: when a site is lost the module sees it by slow answers, some seconds late. At 0.8 of all capacity with a third of it gone, whole managers fell to a third of what they could let in and stayed there for ten seconds and more.

Change: sites/capacity learns what each worker can do from ORCA's throughput and utilization; sites/tiers and sites/spill plan what each site carries (preference tiers by hand, or by distance and cost; a reserve at each) and what nobody can; sites/control does so over time: levels fall within half a second of a loss, rise later, and later still after repeated losses. Proxies say what they refused as LRS's dropped_requests. Stand-ins: a front layer that learns late which proxies are dead, clients that repeat a keyed transaction while every worker drops repeats, repeats dropped by the class's own scope.

Tried and taken back: judging crowding by utilization (a full half second is no queue); waiting for a level to settle before believing what it lets in (levels stayed low for 7 s after queues were empty).

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -22,7 +22,7 @@
 
 def day(name, load, troubles, seconds, bound, seed):
     return Day.model_validate({
-        "name": name, "seconds": seconds, "seed": seed, "slices": 48, "flush": False, "bound_returns": bound,
+        "name": name, "seconds": seconds, "seed": seed, "slices": 48, "flush": False, "sites": {"bound_returns": bound},
         "classes": [{"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 3.0, "repeat": "safe"},
                     {"name": "order", "quoted_s": 1.0, "client_timeout_s": 4.0, "utility": 3.0, "repeat": "keyed", "dedup_s": 4.0}],
         "fleet": {"zones": ZONES, "managers": 3, "proxies": 6, "workers": WORKERS, "cores": 3, "queue": 40, "cold_s": 9.0,
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -72,7 +72,7 @@
         for _ in range(round(710 / len(self.setup.proxies) * self.setup.reports.period_s) + 1):
             item = self.chance.randrange(self.setup.slices)
             row = self.reader.tables.get(item)
-            count = demand.setdefault((item, self.chance.choice(("look-up", "look-up", "order"))), [0, 0])
+            count = demand.setdefault((item, self.chance.choice(("look-up", "look-up", "order"))), [0, 0, 0])
             count[0] += 1
             lines = [line for line in row[0].lines if line.worker not in row[1]] if row else []
             if lines:
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -9,10 +9,13 @@
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from .. import interface
+from ..sites.tiers import BadTiers, tiers_of
 
 Seconds = Annotated[float, Field(gt=0, le=86_400, allow_inf_nan=False)]
 SecondsOrNone = Annotated[float, Field(ge=0, le=86_400, allow_inf_nan=False)]
 Part = Annotated[float, Field(ge=0, le=1, allow_inf_nan=False)]
+Reserve = Annotated[float, Field(ge=0, lt=1, allow_inf_nan=False)]
+Distance = Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Port = Annotated[int, Field(ge=0, le=65_535)]
 
@@ -108,6 +111,25 @@
                                                    "count for a part of their size until then")
 
 
+    reserve: Reserve = Field(0.1, description="part of what a site can do that stays free of what spills over from others")
+    reserves: dict[Name, Reserve] = Field(default_factory=dict, description="the same for single sites, by name")
+    groups: dict[Name, list[Name]] = Field(default_factory=dict, description="names for several sites, or other groups")
+    spill: dict[Name, list[Name]] = Field(default_factory=dict, description="for a site, the tiers that carry what it "
+                                          "cannot, most preferred first: sites or groups; others carry nothing for it")
+    distance_ms: dict[Name, dict[Name, Distance]] = Field(default_factory=dict, description="milliseconds between sites; "
+                                                          "tiers of sites that spill does not name follow from it")
+    cost: dict[Name, Distance] = Field(default_factory=dict, description="price of carrying at a site, any unit; within a "
+                                       "band of distance the cheaper is the earlier tier; 1 unless given")
+    band_ms: Seconds = Field(5.0, description="milliseconds; distances within one band count as equal")
+    refuse_ahead: bool = Field(True, description="whether what the sites that are left cannot carry is refused at once, by "
+                                                 "utility, and not only once answers are slow")
+
+    @property
+    def shaped(self):
+        """Whether sites are told apart when one is lost; without, all that are left are alike to the module."""
+        return bool(self.spill or self.distance_ms or self.reserves or self.cost)
+
+
 class Custody(Strict):
     lease_s: Seconds = Field(1.0, description="seconds; a manager that did not renew for so long stops publishing")
     drift: Part = Field(0.05, description="part by which others wait longer, for clocks that run apart")
@@ -164,6 +186,13 @@
             for place, row in enumerate(rows):
                 if row.zone not in self.zones:
                     raise ValueError(f"{what}.{place}.zone: {row.zone!r} is not among zones")
+        for site in self.sites.reserves:
+            if site not in self.zones:
+                raise ValueError(f"sites.reserves: {site!r} is not among zones")
+        try:
+            self.tiers()
+        except BadTiers as problem:
+            raise ValueError(f"sites.{problem}") from None
         if not self.open_network:
             addresses = [(f"managers.{k}.listen", row.listen) for k, row in enumerate(self.managers)]
             addresses += [(f"proxies.{k}.agent", row.agent) for k, row in enumerate(self.proxies)]
@@ -178,6 +207,14 @@
                              f"{len(self.proxies)} proxies take {least:g} lines")
         return self
 
+    def tiers(self):
+        """{site: [[site, ...], ...]}: who carries what a site cannot, most preferred first."""
+        sites = self.sites
+        return tiers_of(self.zones, sites.spill, sites.groups, sites.distance_ms, sites.cost, sites.band_ms)
+
+    def reserve(self):
+        return {site: self.sites.reserves.get(site, self.sites.reserve) for site in self.zones}
+
     def interface(self, me):
         """What the module of manager number `me` is given at start."""
         retry = {"none": interface.Retry.NONE, "proven": interface.Retry.PROVEN, "once": interface.Retry.ONCE,
@@ -191,7 +228,8 @@
                 interface.Repeat(row.repeat), row.dedup_scope, us(row.dedup_s), row.writes, False)
                 for row in self.classes),
             single_owner=False, lists_on_request=False, ask_within_us=0, probes_allowed=self.probes,
-            peers_allowed=False, weights_listed=self.weights_listed or self.sites.bound_returns, report_period_us=us(self.reports.period_s),
+            peers_allowed=False, weights_listed=self.weights_listed or self.sites.bound_returns or self.sites.shaped,
+            report_period_us=us(self.reports.period_s),
             reports_per_s=self.reports.lines_per_s, lines_per_s=channel.lines_per_s,
             message_head=channel.message_head, queue_lines=channel.queue_lines,
             messages_most=channel.messages_most, messages_over_us=us(channel.messages_over_s),
--- a/ospreyrouter/digest/digest.py
+++ b/ospreyrouter/digest/digest.py
@@ -30,7 +30,7 @@
         self.demand_total = self.late_us = 0
         self.detail = True
         self.started, self.indices, self.own = {}, {}, set()
-        self.met_since = {}
+        self.met_since, self.asked_since = {}, {}
 
     def worker_started(self, name, index, started_us):
         """The list says so: `started_us` None for long past. What was reported of a process before it is forgotten."""
@@ -62,6 +62,8 @@
         for _, _, came, lost in report.demand:
             if not 0 <= lost or not 0 <= came <= most:
                 return "implausible"
+        if any(not 0 <= count <= most for _, _, count in report.refused):
+            return "implausible"
         return None
 
     def _add(self, now, report):
@@ -94,9 +96,10 @@
                     row.sketch.add(value, count * weight)
             since = self.met_since.get(index)
             if since is None:
-                since = self.met_since[index] = [0.0, 0.0]
+                since = self.met_since[index] = [0.0, 0.0, 0.0]
             since[0] += tries * weight
             since[1] += lost * weight
+            since[2] += delay * weight
             # A load report that is older than one already handed over is no news.
             handover.met(now, zone, index, tries * weight, lost * weight, delay * weight, begin,
                          load if load and end >= row.load_at else None)
@@ -106,16 +109,33 @@
                 self.dropped["unknown class or slice"] += 1
             elif item in self.own:
                 self.demand_total += came * weight
+                asked = self.asked_since.get((report.zone, kind))
+                if asked is None:
+                    asked = self.asked_since[report.zone, kind] = [0.0, 0.0]
+                asked[0] += came * weight
                 handover.demand(now, item, place, came * weight, lost * weight, begin)
             else:
                 self.dropped["not in charge"] += 1
+        for item, kind, count in report.refused:
+            if item in self.own and (report.zone, kind) in self.asked_since:
+                self.asked_since[report.zone, kind][1] += count * weight
 
     def take_met(self):
-        """{worker index: [tries, lost]} of all that was reported since the last call, as it came: quicker than the
+        """{worker index: [tries, lost, delay of the good in us]} of all that was reported since the last call, as it came: quicker than the
         estimates, which wait until a span is wholly reported."""
         met, self.met_since = self.met_since, {}
         return met
 
+    def load_of(self, worker):
+        """The newest load report of a worker, or None."""
+        row = self.rows.get(worker)
+        return None if row is None else row.load
+
+    def take_asked(self):
+        """{(zone, class): [came, refused]} for the slices in charge, of all that was reported since the last call."""
+        asked, self.asked_since = self.asked_since, {}
+        return asked
+
     def lines(self, now):
         return self.handover.take(now)
 
--- a/ospreyrouter/intake/bodies.py
+++ b/ospreyrouter/intake/bodies.py
@@ -68,7 +68,7 @@
 def json_report(row):
     node = row["node"]
     about, zone = node["metadata"], node["locality"]["zone"]
-    met, demand, span = [], [], None
+    met, demand, refused, span = [], [], [], None
     for cluster in row["clusterStats"]:
         name = cluster["clusterName"]
         if span is None:
@@ -100,11 +100,15 @@
                     if lost != 0 or type(lost) is bool:
                         lost = measure_of(lost, "lost")
                     demand.append((item, metric["metricName"], came, lost))
-    return finished(node["id"], zone, about, span, met, demand)
+        if cluster.get("droppedRequests"):
+            item = slice_number(name)
+            refused += [(item, dropped["category"], count_of(dropped["droppedCount"], "droppedCount"))
+                        for dropped in cluster["droppedRequests"]]
+    return finished(node["id"], zone, about, span, met, demand, refused)
 
 
-def finished(name, zone, about, span, met, demand):
-    if len(met) + len(demand) > ROWS_MOST:
+def finished(name, zone, about, span, met, demand, refused):
+    if len(met) + len(demand) + len(refused) > ROWS_MOST:
         raise BadBody("too many rows", name)
     if not (type(name) is str and 0 < len(name) < 200 and type(zone) is str):
         raise BadBody("malformed", "node.id")
@@ -117,7 +121,8 @@
     life, sequence, sent = about["life"], about["sequence"], about["sent_us"]
     if type(life) is not str or not (0 <= sequence < 1 << 53 and 0 <= sent < 1 << 53):
         raise BadBody("malformed", "node.metadata: life, sequence or sent_us")
-    return Report(name, zone, life, int(sequence), int(sent), span if span is not None else 0, met, demand)
+    return Report(name, zone, life, int(sequence), int(sent), span if span is not None else 0, met, demand,
+                  refused=refused)
 
 
 def varint(data, place):
@@ -154,7 +159,7 @@
     node = message.node
     about = {name: getattr(value, value.WhichOneof("kind")) for name, value in node.metadata.fields.items()
              if value.WhichOneof("kind")}
-    met, demand, span = [], [], None
+    met, demand, refused, span = [], [], [], None
     for cluster in message.cluster_stats:
         name = cluster.cluster_name
         if span is None:
@@ -186,7 +191,10 @@
                     if not 0 <= value < math.inf:
                         raise BadBody("malformed", "lost: is no measure")
                     demand.append((item, metric.metric_name, metric.num_requests_finished_with_metric, value))
+        if cluster.dropped_requests:
+            item = slice_of(name)
+            refused += [(item, dropped.category, dropped.dropped_count) for dropped in cluster.dropped_requests]
     try:
-        return finished(node.id, node.locality.zone, about, span, met, demand)
+        return finished(node.id, node.locality.zone, about, span, met, demand, refused)
     except (KeyError, TypeError) as problem:
         raise BadBody("malformed", f"node.metadata: {problem}") from None
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -15,7 +15,7 @@
 from ..digest import Digest, Handover, Reporters
 from ..interface import ALL_TABLES, Entry, Outcome, Retry, State
 from ..policy import Manager
-from ..sites import Sites
+from ..sites import Sites, SpillControl
 from ..versions import between, successor, worth
 from ..xds.documents import Line, Push
 
@@ -57,6 +57,8 @@
         self.missed, self.deltas = set(), setup.deltas
         self.states, self.held = {}, {}
         self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
+        kinds = {row.name: (row.utility, row.quoted_us) for row in self.facts.classes}
+        self.spill = SpillControl(setup.zones, kinds, setup.tiers(), setup.reserve(), self.facts.cold_share, self.facts.cold_us)
 
     # What happened.
 
@@ -84,43 +86,71 @@
             out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
                              STATES[state], weight, row.started_us))
         self.entries = out
-        self._tell_list()
+        self._tell_list(now)
         stale = {item for item, lines in self.tables.items() if moved & lines.keys()}
         if stale:
             self.changed |= stale
             self._publish(now)
             self.effects.append(("read", sorted(stale)))
 
-    def _tell_list(self):
+    def _tell_list(self, now):
         """The list as the module is told it: where returns are bound, workers of a returning site count for a part of
-        their size, and those of a site that an operator holds out drain."""
+        their size; where tiers say who carries for a lost site, those of the others for as much as is planned; those of a
+        site that an operator holds out drain."""
+        sites, shaped = self.setup.sites, self.setup.sites.shaped
+        sizes = [entry.weight if self.setup.weights_listed else 1.0 for entry in self.entries]
+        parts = [(self.sites.usable(self.setup.zones[entry.zone]) if sites.bound_returns else 1.0) *
+                 (self.spill.parts[self.setup.zones[entry.zone]] if shaped else 1.0) for entry in self.entries]
+        # What makes others smaller must not make a cold one's part of the whole larger.
+        whole = sum(size * part for size, part in zip(sizes, parts)) / max(1e-9, sum(sizes)) if shaped else 1.0
         out = []
-        for entry in self.entries:
-            site = self.setup.zones[entry.zone]
-            part = self.sites.usable(site) if self.setup.sites.bound_returns else 1.0
-            state = State.DRAINING if self.sites.rows[site].held_out else entry.state
-            size = entry.weight if self.setup.weights_listed else 1.0
-            out.append(replace(entry, state=state, weight=size * part) if part < 1.0 or state != entry.state else
-                       replace(entry, weight=size))
+        for entry, size, part in zip(self.entries, sizes, parts):
+            held = self.sites.rows[self.setup.zones[entry.zone]].held_out
+            cold = entry.started_us is not None and now - entry.started_us < self.facts.cold_us
+            out.append(replace(entry, state=State.DRAINING if held else entry.state, weight=size * (min(part, whole) if cold else part)))
         self.intake.append(("listed", True, out))
 
     def see_sites(self, now, held_out=()):
         """Judge the sites by what proxies met there lately and by probes. Returns changes: (site, old, new, why)."""
         told = [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]
         ready = Counter(self.setup.zones[entry.zone] for entry in self.entries if entry.state == State.READY)
-        for place, (tries, lost) in self.digest.take_met().items():
-            if self.rows[place].zone:
-                self.sites.heard(now, self.rows[place].zone, "sums", tries - lost, lost)
+        for place, (tries, lost, delay) in self.digest.take_met().items():
+            row = self.rows[place]
+            if row.zone:
+                self.sites.heard(now, row.zone, "sums", tries - lost, lost)
+                self.spill.tried(now, row.name, row.zone, tries - lost, lost, delay)
+                load = self.digest.load_of(row.name)
+                if load:
+                    self.spill.reported(now, row.name, row.zone, load, None if row.started_us is None else now - row.started_us)
+        for (site, kind), (came, refused) in self.digest.take_asked().items():
+            if kind in self.classes:
+                self.spill.asked(now, site, kind, came, refused)
         total = sum(self.sites.carried(now, name) for name in self.sites.rows)
         for name in self.sites.rows:
             self.sites.hold_out(name, name in held_out)
         if not self.entries:
             return []  # no list has come: of no site it is known what it has
         changes = self.sites.turn(now, lambda site: total * ready[site] / max(1, ready.total()), lambda site: ready[site])
-        if told != [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]:
-            self._tell_list()
+        shifted = self._see_spill(now)
+        if shifted or told != [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]:
+            self._tell_list(now)
         return changes
 
+    def _see_spill(self, now):
+        """Plan what the sites carry and tell the module its bounds. Whether sizes have changed by it."""
+        workers, parts, most = [], self.spill.parts, self.spill.most
+        for entry in self.entries:
+            row = self.rows[entry.worker]
+            workers.append((row.name, row.zone, entry.state == State.READY and entry.worker not in self.withheld,
+                            None if row.started_us is None else now - row.started_us))
+        down = {name for name, row in self.sites.rows.items() if row.state == "returning" or self.sites.gone(name)}
+        proven = lambda site: 0.0 if self.sites.gone(site) else self.sites.usable(site) if self.setup.sites.bound_returns else 1.0  # noqa: E731
+        levels = {name: self.levels.get(name, (1.0, ""))[0] for name in self.classes}
+        self.spill.turn(now, workers, down, proven, levels, len(self.tables) / self.setup.slices)
+        if self.spill.most != most and self.setup.sites.refuse_ahead:
+            self.intake.append(("bounded", [self.spill.most.get(row.name, 1.0) for row in self.setup.classes]))
+        return self.setup.sites.shaped and self.spill.parts != parts
+
     def joined(self, now, proxy, fresh):
         place, row = self.proxies[proxy], self.setup.proxies[self.proxies[proxy]]
         self.joined_now.add(place)
@@ -141,6 +171,7 @@
         if self.rows[self.workers[worker]].zone:
             # One that is full answers: it is there.
             good = outcome in (Outcome.PASSED, Outcome.FULL)
+            self.spill.probed(now, worker, self.rows[self.workers[worker]].zone, good)
             self.sites.heard(now, self.rows[self.workers[worker]].zone, "probes", good, not good)
         self.intake.append(("probed", self.workers[worker], outcome, delay_us, report))
 
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -31,6 +31,7 @@
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again;
 LOSING = 0.7  # they fall too where answers take long and no more than this part of all tries has one
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
+BOUND_US = 4_000_000  # answers are quick again only so long after a bound fell: until then they say nothing new
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP, IDLE = 0.03, 1.3  # beyond the last jam only this, unless answers take the least seen times that
 CALM_COUNT, STEP = 50, 0.02  # answers that make a mean; change of a level that is worth a message to all
@@ -171,6 +172,7 @@
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
+        self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines = [], setup.lines_per_s
         # Withheld as all joined proxies know; not let in since; let in again; perhaps not at all proxies.
@@ -273,6 +275,13 @@
     def told(self, manager, text):
         pass
 
+    def bounded(self, most):
+        """Where a site is lost, others know before answers get slow what the rest can carry: a bound by class."""
+        if any(now < before for now, before in zip(most, self.most)):
+            self.level_at = self.now + BOUND_US  # or what waits from before would be refused for a second time
+        self.most, self.urgent = most, True
+        self.set_levels(self.chosen)
+
     def vouch(self, worker):
         row = self.workers[worker]
         self.urgent = self.urgent or not row.proved
@@ -432,6 +441,7 @@
         self.set_levels(levels)
 
     def set_levels(self, levels):
+        self.chosen, levels = levels, [min(level, most) for level, most in zip(levels, self.most)]
         if self.setup.level_kind is LevelKind.RATE:
             levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
         for k in range(len(levels)):
--- a/ospreyrouter/rehearse/bench_day.py
+++ b/ospreyrouter/rehearse/bench_day.py
@@ -66,7 +66,8 @@
         "traffic": {"per_s": traffic["load"] * able * 1000 / mean_ms, "shares": shares, "work_ms": work,
                     "keys": max(1, traffic["keys"]), "zipf": traffic["key_zipf"], "retries": data["clients"]["retries"],
                     "try_share": min(1.0, data["clients"]["try_share"]),
-                    "backoff_ms": max(1.0, data["clients"]["backoff_us"] / 1000)},
+                    "backoff_ms": max(1.0, data["clients"]["backoff_us"] / 1000),
+                    "front_s": seconds(data.get("front_notice", 1_500_000))},
         "rules": {"bare_s": seconds(fam["bare"]), "drain_grace_s": seconds(data["drain_grace"]),
                   "gone_binds": not data.get("only_draining_binds", False), "cold_share": tier["stated_cold_from"],
                   "cold_s": seconds(tier["stated_cold"]), "fall_multiple": data["fall_multiple"],
@@ -104,6 +105,11 @@
     def _vanish(self, row, when):
         return self._workers("worker_vanish", row, when)
 
+    def _zone_loss(self, row, when):
+        self.unplayed.append(f"zone_loss at {row['at'] / 1e6:.1f} s: only of workers; whether proxies and managers go with "
+                             "them the day does not say")
+        return self._workers("worker_crash", row, when)
+
     def _hang(self, row, when):
         return self._workers("worker_hang", row, when)
 
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -6,7 +6,7 @@
 from pydantic import Field, model_validator
 
 from ..deployment import DeploymentFile
-from ..deployment.model import Channel, Custody, Part, Reports, Rules, Seconds, Strict, TransactionClass
+from ..deployment.model import Channel, Custody, Part, Reports, Rules, Seconds, SitesWatch, Strict, TransactionClass
 
 
 class Fleet(Strict):
@@ -36,6 +36,8 @@
     retries: int = Field(2, ge=0, le=10, description="times a client tries again")
     try_share: Part = Field(0.6, description="part of the client timeout after which a try is given up")
     backoff_ms: float = Field(150.0, gt=0)
+    elsewhere: bool = Field(False, description="whether a client that could not connect to a proxy tries next at another site")
+    front_s: float = Field(1.5, ge=0, le=60, description="seconds for which the front layer goes on sending to a dead proxy")
 
     seconds: float = Field(0.0, exclude=True)
 
@@ -133,7 +135,7 @@
     flush: bool = True
     deltas: bool = True
     tampered: Part = Field(0.0, description="part of all pushes that a relay alters, repeats, delays or loses")
-    bound_returns: bool = False
+    sites: SitesWatch = Field(default_factory=lambda: SitesWatch())
     warm_keys: bool = True
     troubles: list[AnyTrouble] = Field(default_factory=list)
 
@@ -193,4 +195,4 @@
                  for k in range(fleet.proxies)],
         worker_list={"listen": {"port": ports["list"][0]}, "wait_s": 2.0}, store="store", channel=day.channel,
         rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush, deltas=day.deltas,
-        sites={"bound_returns": day.bound_returns})
+        sites=day.sites)
--- a/ospreyrouter/sites/__init__.py
+++ b/ospreyrouter/sites/__init__.py
@@ -1,9 +1,14 @@
-"""What state each site is in, and how much of a returning one may be used. No I/O; the clock is an argument.
+"""What state each site is in, what the others carry for it, and how much of a returning one may be used. No I/O; the
+clock is an argument.
 
 `evidence` counts what was seen, by kind; `states` turns it into up, doubtful, lost and returning, with hysteresis.
+`capacity` learns what workers can do; `tiers` says who carries for whom; `spill` plans what each site carries and what is
+refused; `control` does so over time.
 """
 
+from .control import SpillControl
 from .evidence import Evidence
 from .states import SiteState, Sites
+from .tiers import BadTiers, tiers_of
 
-__all__ = ["Evidence", "SiteState", "Sites"]
+__all__ = ["BadTiers", "Evidence", "SiteState", "Sites", "SpillControl", "tiers_of"]
--- a/ospreyrouter/sites/states.py
+++ b/ospreyrouter/sites/states.py
@@ -64,6 +64,10 @@
         row = self.rows[site]
         return 1.0 if row.state in ("up", "doubtful") else max(row.limit, FIRST_LIMIT)
 
+    def gone(self, site):
+        """Nothing of it counts: lost, or held out by hand."""
+        return self.rows[site].held_out or self.rows[site].state == "lost"
+
     def blind(self, site):
         return self.rows[site].blind
 
--- a/ospreyrouter/standins/balancer.py
+++ b/ospreyrouter/standins/balancer.py
@@ -46,7 +46,7 @@
     def asked(self, item, kind):
         pass  # the protocol has no place for demand
 
-    lost = asked
+    lost = refused = asked
 
     def met_one(self, item, worker, good, took, report):
         pass
--- a/ospreyrouter/standins/clients.py
+++ b/ospreyrouter/standins/clients.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from ..web import Client
+from .front import Front
 from .reporters import Flood
 
 
@@ -13,9 +14,10 @@
 
     def __init__(self, loop, setup, traffic, proxies, journal, seed, start_us):
         self.loop, self.setup, self.traffic, self.journal = loop, setup, traffic, journal
-        self.chance, self.proxies = Random(f"clients/{seed}"), proxies  # proxies: [(name, zone, address)]
+        self.chance, self.sites = Random(f"clients/{seed}"), [row[1] for row in proxies]  # [(name, zone, address)]
+        self.front = Front(loop, proxies, round(traffic.front_s * 1e6))
         self.classes = {row.name: row for row in setup.classes}
-        self.pools, self.number, self.down = defaultdict(list), 0, {}
+        self.pools, self.number = defaultdict(list), 0
         self.start_us, self.end_us = start_us, start_us + round(traffic.seconds * 1e6)
         self.key_weights = list(accumulate(1 / (rank + 1) ** traffic.zipf for rank in range(traffic.keys)))
         self.open, self.hot, self.floods = 0, None, []
@@ -51,8 +53,9 @@
         key = f"{rank}"
         work = max(1000, round(self.chance.lognormvariate(0, 0.6) / 1.197 * self.traffic.work_us[kind.name]))
         self.open += 1
+        # As many clients at a site as it has proxies.
         self._try({"number": self.number, "kind": kind, "key": key, "work": work, "asked": now, "tries": 0,
-                   "group": None})
+                   "site": self.chance.choice(self.sites)})
 
     def _try(self, row):
         now, kind = self.loop.now(), row["kind"]
@@ -61,7 +64,7 @@
             self._end(row, "given up")
             return
         row["tries"] += 1
-        name, _, address = self.chance.choice(self.proxies)
+        name, at, address = self.front.pick(self.chance, row["site"], row.get("but"))
         pool, client = self.pools[name], None
         while pool and client is None:
             client = pool.pop()
@@ -71,17 +74,24 @@
         transaction = f"t{row['number']}"
         headers = [("x-class", kind.name), ("x-key", row["key"]), ("x-work-us", str(row["work"])),
                    ("x-transaction", transaction), ("x-try", f"{transaction}.{row['tries']}"), ("x-timeout-us", str(limit))]
-        client.ask("POST", "/t", headers, b"", lambda answer: self._answered(row, name, client, answer), limit)
+        client.ask("POST", "/t", headers, b"", lambda answer: self._answered(row, name, at, client, answer), limit)
 
-    def _answered(self, row, proxy, client, answer):
+    def _answered(self, row, proxy, at, client, answer):
+        reached = answer.status != 0 or answer.reason == "timed out"
+        self.front.told(proxy, reached)
+        if not reached and self.traffic.elsewhere:
+            row["but"] = at
         if not client.closed and answer.status:
             self.pools[proxy].append(client)
         if answer.status == 200:
             self._end(row, "answered")
             return
         refused = answer.status in (429, 503) or answer.status == 0 and not answer.sent
-        # What must not run twice is repeated by clients only where it was refused.
-        if row["tries"] <= self.traffic.retries and (row["kind"].repeat == "safe" or refused):
+        # What must not run twice is repeated by clients only where it was refused, or while every worker drops repeats.
+        kind, age = row["kind"], self.loop.now() - row["asked"]
+        again = kind.repeat == "safe" or refused or (
+            kind.repeat == "keyed" and kind.dedup_scope == "all" and age < kind.dedup_s * 1e6)
+        if row["tries"] <= self.traffic.retries and again:
             wait = self.traffic.backoff_us * (1 << min(4, row["tries"] - 1)) * self.chance.uniform(0.5, 1.5)
             self.loop.after(round(wait), lambda: self._try(row))
         else:
@@ -91,4 +101,4 @@
         self.open -= 1
         now = self.loop.now()
         self.journal.write("transaction", number=row["number"], cls=row["kind"].name, asked=row["asked"],
-                           took=now - row["asked"], how=how, tries=row["tries"])
+                           took=now - row["asked"], how=how, tries=row["tries"], site=row["site"])
--- a/ospreyrouter/standins/forwarder.py
+++ b/ospreyrouter/standins/forwarder.py
@@ -35,7 +35,7 @@
 
 
 class Forwarder:
-    """Heirs have lines(item), level(item, class), way(item, class), asked, lost and met_one."""
+    """Heirs have lines(item), level(item, class), way(item, class), asked, refused, lost and met_one."""
 
     def __init__(self, loop, setup, name, address, seed):
         self.loop, self.setup, self.name = loop, setup, name
@@ -55,6 +55,7 @@
         item = slice_of_key(head["x-key"], self.setup.slices)
         self.asked(item, head["x-class"])
         if not let_in(head["x-transaction"], self.level(item, head["x-class"])):
+            self.refused(item, head["x-class"])
             request.answer(429)
             return
         self._try(Passing(request, head, item, self.loop.now() + int(head["x-timeout-us"])))
--- a/ospreyrouter/standins/proxy.py
+++ b/ospreyrouter/standins/proxy.py
@@ -52,10 +52,13 @@
     # What is told to managers, in sums.
 
     def asked(self, item, kind):
-        self.demand[self.agent.owner(item)].setdefault((item, kind), [0, 0])[0] += 1
+        self.demand[self.agent.owner(item)].setdefault((item, kind), [0, 0, 0])[0] += 1
+
+    def refused(self, item, kind):
+        self.demand[self.agent.owner(item)].setdefault((item, kind), [0, 0, 0])[2] += 1
 
     def lost(self, item, kind):
-        self.demand[self.agent.owner(item)].setdefault((item, kind), [0, 0])[1] += 1
+        self.demand[self.agent.owner(item)].setdefault((item, kind), [0, 0, 0])[1] += 1
 
     def met_one(self, item, worker, good, took, report):
         row = self.met[self.agent.owner(item)].setdefault(worker, [0, 0, 0.0, {}])
--- a/ospreyrouter/standins/workers.py
+++ b/ospreyrouter/standins/workers.py
@@ -91,15 +91,15 @@
             return  # it died meanwhile
         self.busy -= 1
         self.busy_us += takes
-        self.done += 1
         done()
         self._next()
 
     def _fulfil(self, request, kind, key, attempt):
+        self.done += 1
         if not request.connection.open:
             return  # cancelled: the one who asked is gone
         if self.fleet.keyed(kind):
-            memory = self.fleet.memory(self.spec.cell)
+            memory = self.fleet.memory(kind, self.spec)
             if memory.get((kind, key), -1) > self.loop.now():
                 self.fleet.journal.write("dropped repeat", worker=self.name, key=key, attempt=attempt)
                 request.answer(200, self._load())
@@ -149,8 +149,10 @@
     def window_us(self, kind):
         return round(self.classes[kind].dedup_s * 1e6)
 
-    def memory(self, cell):
-        return self.memories.setdefault(cell, {})
+    def memory(self, kind, spec):
+        """What the workers that drop a class's repeats together have met."""
+        place = {"all": "", "zone": spec.zone, "cell": spec.cell}[self.classes[kind].dedup_scope]
+        return self.memories.setdefault(place, {})
 
     def control(self, name, workers, **more):
         """A trouble or its end, at the named workers."""
--- a/ospreyrouter/xds/reports.py
+++ b/ospreyrouter/xds/reports.py
@@ -1,7 +1,8 @@
 """Sums and load reports: LoadStatsRequest (envoy.service.load_stats.v3) and ORCA's header (xds.data.orca.v3).
 
 What proxies met at workers is one ClusterStats named `workers`, by endpoint; what came for a slice is one named
-`slice-N`, by class as load metrics: finished = came, value = admitted without an answer.
+`slice-N`, by class as load metrics: finished = came, value = admitted without an answer; what came and was refused at
+once by a level is in its `dropped_requests`, by class as category.
 """
 
 import math
@@ -52,7 +53,8 @@
 
 
 def sums_request(proxy, zone, met, demand, span_us, life="1", sequence=0, sent_us=0):
-    """`met` by worker: (tries, lost, total delay of the good in us, report); `demand` by (slice, class): (came, lost)."""
+    """`met` by worker: (tries, lost, total delay of the good in us, report); `demand` by (slice, class): (came, lost,
+    refused)."""
     endpoints = []
     for worker, (tries, lost, delay, report) in sorted(met.items()):
         metrics = [{"metricName": DELAY, "numRequestsFinishedWithMetric": str(tries - lost), "totalMetricValue": delay}]
@@ -61,14 +63,17 @@
         endpoints.append({"metadata": {"worker": worker}, "totalIssuedRequests": str(tries),
                           "totalSuccessfulRequests": str(tries - lost), "totalErrorRequests": str(lost),
                           "loadMetricStats": metrics})
-    slices = {}
-    for (item, kind), (came, lost) in sorted(demand.items()):
+    slices, dropped = {}, {}
+    for (item, kind), (came, lost, refused) in sorted(demand.items()):
+        if refused:
+            dropped.setdefault(item, []).append({"category": kind, "droppedCount": str(refused)})
         slices.setdefault(item, []).append({"metricName": kind, "numRequestsFinishedWithMetric": str(came),
                                             "totalMetricValue": lost})
     stats = [{"clusterName": "workers", "loadReportInterval": interval(span_us),
               "upstreamLocalityStats": [{"locality": {"zone": zone}, "upstreamEndpointStats": endpoints}]}]
     stats += [{"clusterName": f"slice-{item}", "loadReportInterval": interval(span_us),
-               "upstreamLocalityStats": [{"locality": {"zone": zone}, "loadMetricStats": rows}]}
-              for item, rows in slices.items()]
+               "upstreamLocalityStats": [{"locality": {"zone": zone}, "loadMetricStats": rows}],
+               **({"totalDroppedRequests": str(sum(int(row["droppedCount"]) for row in dropped[item])),
+                   "droppedRequests": dropped[item]} if item in dropped else {})} for item, rows in slices.items()]
     about = {"life": life, "sequence": sequence, "sent_us": sent_us}
     return {"node": {"id": proxy, "locality": {"zone": zone}, "metadata": about}, "clusterStats": stats}
--- a/tests/test_digest.py
+++ b/tests/test_digest.py
@@ -244,7 +244,7 @@
 
 
 def sums(number, name="p-0", tries=4):
-    return sums_request(name, "a", {"w-0": [tries, 1, 99.0, {"utilization": 0.5}]}, {(3, "look-up"): [5, 1]}, 500_000, "l",
+    return sums_request(name, "a", {"w-0": [tries, 1, 99.0, {"utilization": 0.5}]}, {(3, "look-up"): [5, 1, 0]}, 500_000, "l",
                         number, 10**9)
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -53,7 +53,7 @@
         for part in orjson.loads(push_body(push)):
             published(discovery_pb2.DiscoveryResponse, part)
         published(discovery_pb2.DiscoveryResponse, list_body("3", [("w", "::1", 1, "a", "std", 0, "draining", 1.0, "x", 5)]))
-        sums = sums_request("p", "a", {"w": [4, 1, 99.0, {"utilization": 0.5}]}, {(3, "order"): [5, 1]}, 500_000)
+        sums = sums_request("p", "a", {"w": [4, 1, 99.0, {"utilization": 0.5}]}, {(3, "order"): [5, 1, 2]}, 500_000)
         self.assertEqual(published(lrs_pb2.LoadStatsRequest, sums).cluster_stats[1].cluster_name, "slice-3")
         rows = []
         agent = stage.parts["proxy-0"].agent
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -156,7 +156,7 @@
                     def __getattr__(self, level):
                         return lambda event, **fields: event.startswith("site_") and said.append((event, fields["site"]))
                 stage = self.stage(short_day(24, [{"what": "worker_crash", "at_s": 4, "for_s": 5, "workers": [1, 3, 5]}],
-                                             traffic={"per_s": 100.0}, bound_returns=bound), log=Log())
+                                             traffic={"per_s": 100.0}, sites={"bound_returns": bound}), log=Log())
                 stage.run()
                 self.assertEqual(audit(stage.day, stage.rows)["broken"], {})
                 self.assertEqual({site for _, site in said}, {"b"})
--- /dev/null
+++ b/tests/test_spill.py
@@ -0,0 +1,270 @@
+"""What sites carry for each other: tables of tiers, properties of plans, and control over a fleet that is a few lines."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ospreyrouter.sites import BadTiers, SpillControl, tiers_of
+from ospreyrouter.sites.capacity import Capacities
+from ospreyrouter.sites.spill import levels, plan_spill, shares
+
+from .helper import READY, Stand, entry
+from .stage import StageCase, short_day
+
+SECOND = 1_000_000
+SITES = ["north", "south", "west", "east"]
+
+
+class Tiers(unittest.TestCase):
+    def test_tables(self):
+        far = {"north": {"south": 2, "west": 4, "east": 12}}
+        for name, spill, groups, distance, cost, site, tiers in (
+                ("none given: all others are alike", {}, {}, {}, {}, "north", [["south", "west", "east"]]),
+                ("by hand, the site itself left out of a group", {"south": ["coast", "east"]}, {"coast": ["north", "south"]}, {}, {},
+                 "south", [["north"], ["east"]]),
+                ("groups of groups", {"east": ["all"]}, {"all": ["coast", "west"], "coast": ["north", "south"]}, {}, {},
+                 "east", [["north", "south", "west"]]),
+                ("bands of distance", {}, {}, far, {}, "north", [["south", "west"], ["east"]]),
+                ("the cheaper first within a band", {}, {}, far, {"west": 0.5}, "north", [["west"], ["south"], ["east"]]),
+                ("distances count both ways, unknown ones last", {}, {}, far, {}, "east", [["north"], ["south", "west"]])):
+            with self.subTest(name):
+                self.assertEqual(tiers_of(SITES, spill, groups, distance, cost, 5.0)[site], tiers)
+
+    def test_bad_ones_name_field_and_reason(self):
+        for spill, groups, distance, cost, text in (
+                ({"south": ["moon"]}, {}, {}, {}, "spill.south.0: 'moon' is neither a site nor a group"),
+                ({"moon": ["south"]}, {}, {}, {}, "spill: 'moon' is no site of this deployment"),
+                ({"south": ["south"]}, {}, {}, {}, "spill.south.0: a site cannot spill to itself"),
+                ({"south": ["west", "c"]}, {"c": ["west", "north"]}, {}, {}, "spill.south.1: 'west' stands in an earlier tier"),
+                ({}, {"a": ["b"], "b": ["c"], "c": ["a"]}, {}, {}, "groups.c: the groups a -> b -> c -> a form a cycle"),
+                ({}, {"west": ["south"]}, {}, {}, "groups.west: is the name of a site"),
+                ({}, {}, {"north": {"south": 2}, "south": {"north": 3}}, {}, "distance_ms.north.south: differs from distance_ms.south.north"),
+                ({}, {}, {}, {"moon": 2}, "cost: 'moon' is no site of this deployment")):
+            with self.subTest(text):
+                with self.assertRaises(BadTiers) as caught:
+                    tiers_of(SITES, spill, groups, distance, cost, 5.0)
+                self.assertEqual(str(caught.exception), text)
+
+
+amounts = st.lists(st.floats(0, 100), min_size=4, max_size=4)
+tier_lists = st.permutations(SITES).flatmap(lambda order: st.integers(0, 4).map(lambda cut: [order[:cut], order[cut:]]))
+
+
+class Plans(unittest.TestCase):
+    def test_the_first_tier_carries_what_it_can_and_the_second_the_rest(self):
+        usual, able = dict.fromkeys(SITES, 100.0), dict.fromkeys(SITES, 100.0) | {"south": 0.0}
+        tiers = {site: [[other for other in SITES if other != site]] for site in SITES} | {"south": [["west"], ["north", "east"]]}
+        for need, reserve, load, refused in (
+                (200.0, 0.1, (55, 0, 90, 55), 0), (160.0, 0.1, (40, 0, 80, 40), 0), (340.0, 0.1, (90, 0, 90, 90), 70),
+                (200.0, 0.4, (60, 0, 60, 60), 20), (440.0, 0.0, (100, 0, 100, 100), 140)):
+            with self.subTest(need=need, reserve=reserve):
+                plan = plan_spill(need, usual, able, tiers, dict.fromkeys(SITES, reserve))
+                self.assertEqual(tuple(round(plan.load[site]) for site in SITES), load)
+                self.assertAlmostEqual(sum(plan.refused.values()), refused)
+        parts = shares(plan_spill(200.0, usual, able, tiers, dict.fromkeys(SITES, 0.1)), able)
+        self.assertEqual({site: round(part, 2) for site, part in parts.items()}, {"north": 0.61, "south": 1.0, "west": 1.0, "east": 0.61})
+
+    @settings(deadline=None, max_examples=300)
+    @given(st.floats(0, 500), amounts, amounts, st.lists(st.floats(0, 0.9), min_size=4, max_size=4),
+           st.lists(tier_lists, min_size=4, max_size=4))
+    def test_nobody_gets_more_than_room_and_nothing_is_lost(self, need, usual, able, reserve, tiers):
+        usual, able, reserve = (dict(zip(SITES, row)) for row in (usual, able, reserve))
+        tiers = {site: [[other for other in tier if other != site] for tier in rows] for site, rows in zip(SITES, tiers)}
+        plan, total = plan_spill(need, usual, able, tiers, reserve), sum(usual.values())
+        own = {site: need * usual[site] / total if total else 0.0 for site in SITES}
+        self.assertAlmostEqual(plan.carried + sum(plan.refused.values()), need if total else 0.0, places=5)
+        for site in SITES:
+            taken = sum(amount for (_, to), amount in plan.spilled.items() if to == site)
+            self.assertLessEqual(plan.load[site], able[site] + 1e-6)
+            if taken > 1e-6:
+                self.assertLessEqual(plan.load[site], able[site] * (1 - reserve[site]) + 1e-6)
+                self.assertLessEqual(own[site], able[site] + 1e-6)  # who gives takes nothing
+            if plan.refused.get(site, 0.0) > 1e-6:
+                # Everyone it may ask is full: no more could have been carried for it.
+                for other in (other for tier in tiers[site] for other in tier):
+                    self.assertGreaterEqual(plan.load[other], min(able[other] * (1 - reserve[other]), plan.load[other]) - 1e-5)
+                    self.assertLessEqual(able[other] * (1 - reserve[other]) - plan.load[other], 1e-3)
+
+    @settings(deadline=None, max_examples=200)
+    @given(st.floats(1, 500), amounts, amounts, st.floats(0, 0.5))
+    def test_where_all_others_are_one_tier_the_refused_part_is_the_least_possible(self, need, usual, able, reserve):
+        usual, able = dict(zip(SITES, usual)), dict(zip(SITES, able))
+        tiers = {site: [[other for other in SITES if other != site]] for site in SITES}
+        plan, total = plan_spill(need, usual, able, tiers, dict.fromkeys(SITES, reserve)), sum(usual.values())
+        own = {site: need * usual[site] / total if total else 0.0 for site in SITES}
+        short = sum(max(0.0, own[site] - able[site]) for site in SITES)
+        free = sum(max(0.0, able[site] * (1 - reserve) - own[site]) for site in SITES if own[site] <= able[site])
+        self.assertAlmostEqual(sum(plan.refused.values()), max(0.0, short - free), places=4)
+
+    def test_levels_refuse_the_least_utility_first(self):
+        came, value, even = {"look-up": 75.0, "order": 25.0}, {"look-up": 1.0, "order": 3.0}, {"look-up": 1.0, "order": 1.0}
+        for room, expected in ((100, (1.0, 1.0)), (80, (55 / 75, 1.0)), (25, (0.0, 1.0)), (10, (0.0, 0.4)), (-1, (0.0, 0.0))):
+            with self.subTest(room=room):
+                found = levels(came, even, value, float(room))
+                self.assertAlmostEqual(found["look-up"], expected[0])
+                self.assertAlmostEqual(found["order"], expected[1])
+
+
+class Learning(unittest.TestCase):
+    def test_what_a_worker_can_do_is_learned_when_it_is_warm_and_used(self):
+        capacities = Capacities(0.2, 10 * SECOND)
+        self.assertIsNone(capacities.full("a"))
+        for k in range(40):
+            capacities.reported("a", {"utilization": 0.5 + 0.001 * k, "throughput": 50.0 + 0.1 * k}, None)
+        self.assertAlmostEqual(capacities.full("a"), 100.0)
+        self.assertAlmostEqual(capacities.full("b"), 100.0)  # as the mean of those known
+        self.assertAlmostEqual(capacities.able("b", 5 * SECOND), 60.0)
+        for load, age in (({"utilization": 0.05, "throughput": 1.0}, None), ({"utilization": 0.5, "throughput": 1.0}, SECOND),
+                          ({"utilization": 0.5, "throughput": 0.0}, None), ({}, None)):
+            capacities.reported("a", load, age)
+        self.assertAlmostEqual(capacities.full("a"), 100.0)
+
+
+class Fleet:
+    """Three sites of four workers, each 10 a second; two managers with half of all each; sums come half a second late."""
+
+    def __init__(self, load, tiers=None, own=0.5, reports=True):
+        sites = SITES[:3]
+        self.workers = [(f"w-{k}", sites[k % 3]) for k in range(12)]
+        tiers = tiers or {site: [[other for other in sites if other != site]] for site in sites}
+        self.control = SpillControl(sites, {"look-up": (1.0, SECOND), "order": (3.0, SECOND)}, tiers,
+                                    dict.fromkeys(sites, 0.1), 0.2, 10 * SECOND)
+        self.now, self.load, self.own, self.reports = 100 * SECOND, load, own, reports
+        self.down, self.started, self.changes, self.late = set(), {}, [], []
+
+    def pace(self, name, site):
+        age = self.now - self.started.get(name, -100 * SECOND)
+        return 0.0 if site in self.down else 10.0 * min(1.0, 0.2 + 0.08 * age / SECOND)
+
+    def play(self, seconds, listed=True):
+        control, step = self.control, SECOND // 4
+        for _ in range(round(seconds * 4)):
+            self.now += step
+            level = {kind: control.most.get(kind, 1.0) for kind in control.classes}
+            asked = {"look-up": 0.75 * self.load, "order": 0.25 * self.load}
+            let_in = sum(asked[kind] * level[kind] for kind in asked)
+            self.late.append((asked, dict(level), let_in))
+            asked, was, through = self.late[-3] if len(self.late) > 2 else self.late[0]
+            able = {name: self.pace(name, site) for name, site in self.workers}
+            total = sum(able.values()) or 1.0
+            for kind in asked:
+                came = asked[kind] * self.own / 4
+                control.asked(self.now, "north", kind, came * (1 + 2 * (1 - was[kind])), came * 3 * (1 - was[kind]))  # they come thrice
+            for name, site in self.workers:
+                part = through * able[name] / total
+                good = min(part, able[name])
+                control.tried(self.now, name, site, good * self.own / 4, 0.0 if able[name] else 1.0, good * self.own / 4 * 100_000)
+                if able[name] and self.reports:
+                    control.reported(self.now, name, site, {"utilization": min(1.0, part / able[name]), "throughput": good},
+                                     self.now - self.started.get(name, 0))
+            workers = [(name, site, listed or site not in self.down, self.now - self.started.get(name, 0)) for name, site in self.workers]
+            if control.turn(self.now, workers, set(self.down), lambda site: 1.0, level, self.own):
+                self.changes.append((self.now, dict(control.most), dict(control.parts)))
+        return self
+
+    def lose(self, site):
+        self.down.add(site)
+        return self
+
+    def back(self, site):
+        self.down.discard(site)
+        self.started |= {name: self.now for name, at in self.workers if at == site}
+        return self
+
+    @property
+    def let_in(self):
+        return sum({"look-up": 0.75, "order": 0.25}[kind] * self.control.most.get(kind, 1.0) for kind in self.control.classes)
+
+
+class Control(unittest.TestCase):
+    def test_a_lost_site_is_refused_for_at_once_and_no_more_than_needed(self):
+        for load, least, most in ((40, 1.0, 1.0), (70, 0.98, 1.0), (100, 0.70, 0.74), (130, 0.58, 0.63)):
+            with self.subTest(load=load):
+                fleet = Fleet(load).play(10)
+                self.assertEqual(fleet.control.most, {})
+                began = fleet.now
+                fleet.lose("south").play(2, listed=True)
+                if load >= 100:
+                    self.assertLessEqual(fleet.changes[0][0] - began, SECOND)
+                fleet.play(10)
+                self.assertTrue(least <= fleet.let_in <= most, fleet.let_in)
+                self.assertEqual(fleet.control.most.get("order", 1.0), 1.0)
+                changed = len(fleet.changes)
+                fleet.play(20)
+                self.assertLessEqual(len(fleet.changes) - changed, 3)  # it has settled
+                fleet.back("south").play(25)
+                self.assertTrue(fleet.let_in == 1.0 or load == 130, fleet.let_in)
+
+    def test_without_load_reports_nothing_is_known_and_nothing_bounded(self):
+        fleet = Fleet(100, reports=False).play(10).lose("south").play(10)
+        self.assertEqual((fleet.control.most, fleet.changes), ({}, []))
+
+    def test_a_whole_fleets_jam_is_the_modules(self):
+        self.assertEqual(Fleet(150).play(30).control.most, {})
+
+    def test_tiers_shift_sizes_only_as_far_as_planned(self):
+        tiers = {"north": [["south", "west"]], "south": [["north"], ["west"]], "west": [["north", "south"]]}
+        fleet = Fleet(60, tiers).play(10).lose("south").play(8)
+        self.assertEqual(fleet.control.parts["north"], 1.0)
+        # North carries 36 of its 40, west the rest, 24 of 40.
+        self.assertAlmostEqual(fleet.control.parts["west"], 24 / 36, delta=0.08)
+        self.assertEqual(set(fleet.control.totals.spilled), {("south", "north"), ("south", "west")})
+        fleet.back("south").play(25)
+        self.assertEqual(fleet.control.parts, dict.fromkeys(SITES[:3], 1.0))
+
+    def test_flapping_bounds_what_is_told(self):
+        fleet = Fleet(100).play(10)
+        for _ in range(6):
+            fleet.lose("south").play(5)
+            fleet.back("south").play(5)
+        self.assertLessEqual(len(fleet.changes), 36)  # a minute: not more than some six each time
+        self.assertLessEqual(max(let for let in [fleet.let_in]), 1.0)
+
+    def test_a_site_that_is_gone_for_good_keeps_its_part_while_it_is_down_and_not_after(self):
+        fleet = Fleet(100).play(10).lose("south").play(120)
+        self.assertAlmostEqual(fleet.control.usual["south"], 40.0, delta=2.0)
+        fleet.workers = [row for row in fleet.workers if row[1] != "south"]
+        fleet.down.clear()
+        fleet.play(70)
+        self.assertEqual((fleet.control.usual["south"], fleet.control.active), (0.0, False))
+
+
+class InTheModule(unittest.TestCase):
+    def test_a_bound_holds_beside_its_own_levels(self):
+        stand = Stand(entries=[entry(w, READY) for w in range(4)])
+        stand.run(2, demand={0: 5})
+        stand.round(("bounded", [0.4, 1.0]), after=0.1)
+        self.assertEqual([row for row in stand.sheet.all("level")][-1][1:3], (1, 0.4))
+        stand.sheet.orders.clear()
+        stand.run(4, demand={0: 5})
+        self.assertEqual(stand.sheet.all("level"), [])  # its own say 1 each second: the bound stays
+        stand.round(("bounded", [1.0, 1.0]), after=0.1)
+        self.assertEqual([row[1:3] for row in stand.sheet.all("level")], [(1, 1.0)])
+
+
+class OnManagers(StageCase):
+    def test_what_two_sites_cannot_carry_is_refused_by_utility_before_answers_are_slow(self):
+        day = short_day(16, [{"what": "worker_crash", "at_s": 6, "for_s": 9, "workers": [1, 4, 7]}],
+                        fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2}, warm_keys=False,
+                        traffic={"per_s": 270.0, "retries": 0})  # 0.75 of all; two sites have 0.67
+        stage = self.stage(day)
+        network = stage.network
+        network.run(network.time + 8_500_000)
+        self.assertTrue(all(stage.parts[f"manager-{k}"].core.spill.most == {} for k in range(2)))
+        network.run(network.time + 3_500_000)
+        for k in range(2):
+            core = stage.parts[f"manager-{k}"].core
+            self.assertTrue(0.3 < core.levels["look-up"][0] < 0.97, core.levels)
+            self.assertEqual(core.levels["order"][0], 1.0)
+            self.assertGreater(sum(core.spill.totals.short.values()), 0)
+        for k in range(3):  # and it stands in the proxies' files
+            proxy = stage.parts[f"proxy-{k}"]
+            self.assertTrue(any(proxy.level(item, "look-up") < 0.97 for item in range(12)))
+        refused = sum(core.spill.totals.refused.get((site, "look-up"), 0) for core in
+                      (stage.parts[f"manager-{k}"].core for k in range(2)) for site in ("a", "b", "c"))
+        self.assertGreater(refused, 20)
+
+
+if __name__ == "__main__":
+    unittest.main()
