--- a/ospreyrouter/helper/calls.py
+++ b/ospreyrouter/helper/calls.py
@@ -12,19 +12,31 @@
 
 
 class InlineCalls:
-    """Does each call at once; its result comes after `delay_us`, as from a slow disk. `hung` calls never end."""
+    """Does each call at once; its result comes after `delay_us`, as from a slow disk. `hung` calls never end; `held` ones are
+    done when `release` is called, as on a disk that hangs for a while; of `deaf` ones the answer is lost."""
 
     def __init__(self, loop, disk, delay_us=0):
         self.loop, self.work, self.delay_us, self.hung = loop, Work(disk, lock=False), delay_us, False
-        self.free_at = 0
+        self.free_at, self.held, self.deaf, self.parked = 0, False, False, []
+
+    def release(self):
+        self.held = False
+        parked, self.parked = self.parked, []
+        for row in parked:
+            self.ask(*row)
 
     def ask(self, name, values, on_done):
         if self.hung:
             return
+        if self.held:
+            self.parked.append((name, values, on_done))
+            return
         try:
             result, problem = getattr(self.work, name)(*values), None
         except OSError as error:
             result, problem = None, error
+        if self.deaf:
+            result, problem = None, OSError(errno.EIO, "the answer was lost")
         if self.delay_us:
             self.free_at = max(self.free_at, self.loop.now()) + self.delay_us
             self.loop.at(self.free_at, lambda: on_done(result, problem))
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -55,7 +55,7 @@
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
-        self.states, self.held = {}, {}
+        self.states, self.held = None, {}  # by worker, as the newest list has it
         self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
         kinds = {row.name: (row.utility, row.quoted_us) for row in self.facts.classes}
         self.spill = SpillControl(setup.zones, kinds, setup.tiers(), setup.reserve(), self.facts.cold_share, self.facts.cold_us)
@@ -128,8 +128,8 @@
         total = sum(self.sites.carried(now, name) for name in self.sites.rows)
         for name in self.sites.rows:
             self.sites.hold_out(name, name in held_out)
-        if not self.entries:
-            return []  # no list has come: of no site it is known what it has
+        if self.states is None:
+            return []  # no list has come: of no site it is known what it has. An empty one is another matter
         changes = self.sites.turn(now, lambda site: total * ready[site] / max(1, ready.total()), lambda site: ready[site])
         shifted = self._see_spill(now)
         if shifted or told != [(self.sites.usable(name), row.held_out) for name, row in self.sites.rows.items()]:
@@ -139,10 +139,13 @@
     def _see_spill(self, now):
         """Plan what the sites carry and tell the module its bounds. Whether sizes have changed by it."""
         workers, parts, most = [], self.spill.parts, self.spill.most
-        for entry in self.entries:
-            row = self.rows[entry.worker]
-            workers.append((row.name, row.zone, entry.state == State.READY and entry.worker not in self.withheld,
-                            None if row.started_us is None else now - row.started_us))
+        for place, row in enumerate(self.rows):
+            if row.zone:
+                # As the module has it: one that left the list without draining may stay while it answers.
+                state = self.states.get(row.name)
+                may = state == "ready" or state is None and not self.facts.gone_binds and self.spill.answering(now, row.name)
+                workers.append((row.name, row.zone, may and place not in self.withheld,
+                                None if row.started_us is None else now - row.started_us))
         down = {name for name, row in self.sites.rows.items() if row.state == "returning" or self.sites.gone(name)}
         proven = lambda site: 0.0 if self.sites.gone(site) else self.sites.usable(site) if self.setup.sites.bound_returns else 1.0  # noqa: E731
         levels = {name: self.levels.get(name, (1.0, ""))[0] for name in self.classes}
@@ -227,7 +230,7 @@
         """Whether a worker may be in a table that is brought back: listed as ready, and warm by the stated time."""
         place = self.workers.get(worker)
         row = self.rows[place] if place is not None else None
-        return row is not None and self.states.get(worker) == "ready" and (
+        return row is not None and (self.states or {}).get(worker) == "ready" and (
             row.started_us is None or now - row.started_us >= self.facts.cold_us)
 
     def roll_back(self, now, returning, hold_until):
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -576,7 +576,9 @@
         """
         changes, lost, tables = [], set(), self.tables
         wanted = {item: self.wanted(item) for item in sorted(self.own)}
-        usable = sizes.keys() - self.barred
+        # Whom no table names may be let in together with its first line: else the first one let in would get all.
+        named = {w for item in self.own for w in tables[item]}
+        usable = sizes.keys() - (self.barred & named)
         for item, lines in wanted.items():
             table = tables[item]
             gone = table.keys() - usable
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -76,6 +76,30 @@
     proxy: int = Field(ge=0)
 
 
+class SiteLoss(Trouble):
+    what: Literal["site_loss"]
+    site: str = Field(description="one of the fleet's zones")
+    parts: list[Literal["workers", "managers", "proxies"]] = Field(default=["workers", "managers", "proxies"], min_length=1)
+
+
+class Unreached(Trouble):
+    what: Literal["unreached"]
+    workers: list[int] = Field(min_length=1, description="numbers of workers, from 0")
+    by: Literal["managers", "proxies"] = Field(description="whose packets they do not get")
+
+
+class StoreTrouble(Trouble):
+    what: Literal["store_hang", "store_answers_lost"]
+    managers: list[int] = Field(min_length=1, description="managers whose calls to the store hang, or whose answers are lost "
+                                                          "though the store did what was asked")
+
+
+class ClockStep(Trouble):
+    what: Literal["clock_step"]
+    manager: int = Field(ge=0)
+    by_s: float = Field(ge=-1e6, le=1e6, description="seconds by which its time of day steps, and back at the end")
+
+
 class LoseManager(Trouble):
     what: Literal["lose_manager"]
     proxy: int = Field(ge=0)
@@ -115,7 +139,8 @@
 
 
 AnyTrouble = Annotated[Union[WorkersTrouble, SharedTrouble, ManagerTrouble, ProxyTrouble, LoseManager, SlowChannel,
-                             Ghosts, HotKey, ReportFlood, RollBack, BalancerDeaf], Field(discriminator="what")]
+                             Ghosts, HotKey, ReportFlood, RollBack, BalancerDeaf, SiteLoss, Unreached, StoreTrouble,
+                             ClockStep], Field(discriminator="what")]
 
 
 class Day(Strict):
@@ -142,7 +167,9 @@
     @model_validator(mode="after")
     def numbers_exist(self):
         for place, row in enumerate(self.troubles):
-            for field, most in (("workers", self.fleet.workers), ("manager", self.fleet.managers),
+            if isinstance(row, SiteLoss) and row.site not in self.fleet.zones:
+                raise ValueError(f"troubles.{place}.site: {row.site!r} is not among fleet.zones")
+            for field, most in (("workers", self.fleet.workers), ("manager", self.fleet.managers), ("managers", self.fleet.managers),
                                 ("proxy", self.fleet.proxies), ("balancer", self.fleet.balancers)):
                 value = getattr(row, field, None)
                 if value is not None and max(value if isinstance(value, list) else [value]) >= most:
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -67,7 +67,9 @@
         return [f"worker-{k}" for k in row.workers]
 
     def _worker_crash(self, row, on):
-        names = self._names(row)
+        self._crash(self._names(row), on)
+
+    def _crash(self, names, on):
         self.stage.control("workers", "stop" if on else "start", workers=names)
         self.stage.control("list", "state", workers=names, state="gone" if on else "ready", fresh=not on)
 
@@ -120,6 +122,32 @@
         addresses = {f"ghost-{k}": ["127.0.0.1", 9, zone] for k in range(row.count)}
         self.stage.control("list", "ghosts" if on else "true", addresses=addresses)
 
+    def _site_loss(self, row, on):
+        fleet = self.day.fleet
+        place = fleet.zones.index(row.site)
+        at = lambda count: range(place, count, len(fleet.zones))  # noqa: E731
+        if "workers" in row.parts:
+            self._crash([f"worker-{k}" for k in at(fleet.workers - fleet.spare)], on)
+        for part, count in (("managers", fleet.managers), ("proxies", fleet.proxies)):
+            if part in row.parts:
+                for k in at(count):
+                    (self.stage.kill if on else self.stage.start)(f"{'manager' if part == 'managers' else 'proxy'}-{k}")
+
+    def _unreached(self, row, on):
+        paths = ["/probe" if row.by == "managers" else "/t"] if on else []
+        self.stage.control("workers", "unheard", workers=self._names(row), paths=paths)
+
+    def _store_hang(self, row, on):
+        for k in row.managers:
+            self.stage.hold_store(f"manager-{k}", on)
+
+    def _store_answers_lost(self, row, on):
+        for k in row.managers:
+            self.stage.lose_answers(f"manager-{k}", on)
+
+    def _clock_step(self, row, on):
+        self.stage.step_clock(f"manager-{row.manager}", round(row.by_s * 1e6) if on else 0)
+
     def _manager_kill(self, row, on):
         (self.stage.kill if on else self.stage.start)(f"manager-{row.manager}")
 
@@ -182,6 +210,7 @@
         self.setup, self.rows = deployment(day, self.ports), []
         self.host = self.network.host("rehearsal")
         self.journal, self.hosts, self.parts, self.lives = Journal(self.host), {}, {}, 0
+        self.calls, self.steps = {}, Counter()  # disk helpers, and how far times of day have stepped, by name
         self.journal.rows = self.rows
         specs = worker_specs(day, self.ports["workers"])
         self.parts["workers"] = Workers(self.host, self.setup, specs, self.journal, day.seed, fleet.spare)
@@ -212,11 +241,11 @@
     def start(self, name):
         self.lives += 1
         host = self.network.host(name)
-        calls = InlineCalls(host, Disk(flush=False))
+        calls = self.calls[name] = InlineCalls(host, Disk(flush=False))
         log = TeeLog(self.journal, self.log)
         if name.startswith("manager"):
             self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), calls, log,
-                                              self.day.seed * 1000 + self.lives, self.module, host.now)
+                                              self.day.seed * 1000 + self.lives, self.module, lambda: host.now() + self.steps[name])
         else:
             place = int(name.rpartition("-")[2])
             self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
@@ -240,6 +269,18 @@
         what = "manager" if name.startswith("manager") else "proxy"
         self.journal.write(f"{what}_down", **{what: name})
 
+    def hold_store(self, name, on):
+        if on:
+            self.calls[name].held = True
+        else:
+            self.calls[name].release()
+
+    def lose_answers(self, name, on):
+        self.calls[name].deaf = on
+
+    def step_clock(self, name, by_us):
+        self.steps[name] = by_us
+
     def pause(self, name):
         self.hosts[name].pause()
 
--- a/ospreyrouter/rehearse/processes.py
+++ b/ospreyrouter/rehearse/processes.py
@@ -73,6 +73,7 @@
         (self.folder / "stage.json").write_bytes(orjson.dumps({"day": day.model_dump(), "ports": self.ports}))
         self.journal = Journal(loop, self.folder / "rehearsal.journal", at_once=True)
         self.processes, self.lives, self.clients, self.ended = {}, {}, {}, []
+        self.held = {}  # helpers that stand still, by whose they are
         self.controls = {"workers": self.ports["control"][0], "list": self.ports["control"][1],
                          "clients": self.ports["control"][2], "balancers": self.ports["control"][-1]}
         self.controls |= {f"proxy-{k}": self.ports["control"][3 + k] for k in range(fleet.proxies)}
@@ -133,11 +134,41 @@
     def resume(self, name):
         self.processes[name].send_signal(signal.SIGCONT)
 
+    def hold_store(self, name, on):
+        """Its disk helper, a child of the process that was started here, stands still."""
+        process = self.processes[name]
+        if not on:
+            # Also where the process was killed meanwhile: its helper ends by itself once it may run.
+            for child in self.held.pop(name, ()):
+                self._signal(child, signal.SIGCONT)
+        elif process.poll() is None:
+            try:
+                self.held[name] = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
+            except OSError:
+                return
+            for child in self.held[name]:
+                self._signal(child, signal.SIGSTOP)
+
+    @staticmethod
+    def _signal(child, what):
+        try:
+            os.kill(int(child), what)
+        except ProcessLookupError:
+            pass
+
+    def lose_answers(self, name, on):
+        self.journal.write("unplayed", trouble="store_answers_lost", name=name)  # only in virtual time
+
+    def step_clock(self, name, by_us):
+        self.journal.write("unplayed", trouble="clock_step", name=name)  # the machine's clock is not ours to set
+
     def wipe(self, name):
         shutil.rmtree(self.folder / name, ignore_errors=True)
 
     def stop_all(self):
         """Ask each to stop, and end those that do not; only processes that were started here."""
+        for name in list(self.held):
+            self.hold_store(name, False)
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -22,7 +22,7 @@
 
 from .capacity import Capacities
 from .rates import Rates
-from .spill import Plan, levels, plan_spill, shares
+from .spill import LITTLE, Plan, levels, plan_spill, shares
 
 SECOND_US = 1_000_000
 SPAN_US = 2_000_000  # of rates
@@ -84,6 +84,7 @@
         self.rates, self.workers, self.totals = Rates(SPAN_US), {}, Totals()
         self.demand = {kind: Demand() for kind in classes}
         self.most, self.parts = {}, dict.fromkeys(self.sites, 1.0)
+        self.good_at = 0
         self.losses, self.gone, self.began_at = [], set(), None
         self.bad_runs = dict.fromkeys(self.sites, 0.0)  # by site, as WorkerSight has them by worker
         self.levels_at = self.parts_at = self.turned_at = self.lost_at = None
@@ -104,6 +105,7 @@
         self.rates.add(now, ("good", worker), good)
         self.rates.add(now, ("bad", worker), bad)
         self.totals.carried[site] = self.totals.carried.get(site, 0.0) + good
+        self.good_at = now if good else self.good_at
         row = self._row(worker, site)
         row.bad_run = 0.0 if good else row.bad_run + bad
         self.bad_runs[site] = 0.0 if good else self.bad_runs[site] + bad
@@ -143,7 +145,7 @@
         if lacks and self.began_at is not None and now - self.began_at >= LEARN_US:
             self.lost_at = now
             gone = {site for site in lacks if self.able[site] < GONE * self.usual[site]}
-            if gone - self.gone:
+            if gone - self.gone and (not self.losses or now - self.losses[-1] >= CALM_US):
                 self.losses = [*(at for at in self.losses if now - at < REMEMBER_US), now][-LOSSES_MOST:]
             self.gone = gone
         self.active = self.lost_at is not None and now - self.lost_at < CALM_US
@@ -161,6 +163,10 @@
             self.totals.short[site] = self.totals.short.get(site, 0.0) + amount * part * span / 1e6
         return self._bound(now, need, part) | self._share(now)
 
+    def answering(self, now, worker):
+        """Whether it answered tries within the span of rates."""
+        return self.rates.per_s(now, ("good", worker)) > 0
+
     def _count(self, now, workers, down, proven):
         """What each site can do now, and usually; the names that count now."""
         able, usual, counting = dict.fromkeys(self.sites, 0.0), dict.fromkeys(self.sites, 0.0), set()
@@ -225,12 +231,16 @@
     def _bound(self, now, need, part):
         first = {kind: row.first for kind, row in self.demand.items()}
         total = sum(first.values())
-        if not total or not self.able or self.plan.carried <= 0:
+        room = self.plan.carried
+        if room <= LITTLE and now - self.good_at >= SECOND_US:
+            # Nothing answers. What comes back is cold, and all that waited would be there before this manager knows of it.
+            room = sum(self.usual.values()) * self.capacities.cold_share
+        if not total or room <= LITTLE:
             return False
         mean = sum(first[kind] * self.classes[kind][1] for kind in first) / total
         weight = {kind: quoted / mean for kind, (_, quoted) in self.classes.items()}
         value = {kind: utility / quoted for kind, (utility, quoted) in self.classes.items()}
-        wanted = levels(first, weight, value, self.plan.carried * part)
+        wanted = levels(first, weight, value, room * part)
         held = {kind: self.most.get(kind, 1.0) for kind in first}
         hold = HOLD_US * max(1, len(self.losses))
         waited = hold if self.levels_at is None else now - self.levels_at
--- a/ospreyrouter/standins/workers.py
+++ b/ospreyrouter/standins/workers.py
@@ -16,6 +16,7 @@
         self.loop, self.chance = fleet.loop, Random(f"{fleet.seed}/{spec.name}")
         self.server, self.port, self.up, self.starts = None, spec.port, False, 0
         self.hung = self.silent = self.fallen = False
+        self.unheard = ()  # paths that do not reach it: "/probe", "/t"
         self.errors = self.lost = 0.0
         if runs:
             self.start(cold=False)
@@ -50,7 +51,7 @@
         if request.connection.context is None:
             request.connection.context = True
             self._run(self.spec.connection_us, lambda: None)
-        if self.silent:
+        if self.silent or request.path in self.unheard:
             return
         if request.path == "/probe":
             self._run(self.spec.probe_us, lambda: request.answer(200, self._load()))
@@ -166,6 +167,8 @@
                 worker.hung = more["on"]
             elif name == "vanish":
                 worker.silent = more["on"]
+            elif name == "unheard":
+                worker.unheard = tuple(more["paths"])
             elif name == "errors":
                 worker.errors = more["share"]
             elif name == "answer_lost":
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -43,7 +43,7 @@
         return self.stream.open
 
     def _closed(self, reason):
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
         if self.on_closed is not None:
             self.on_closed(reason)
 
@@ -53,7 +53,7 @@
     def abort(self, reason):
         self.stream.abort(reason)
         if self.on_closed is None:
-            self.server.connections.discard(self)
+            self.server.connections.pop(self, None)
 
     def _refuse(self, status, why):
         self.server.counts[why] += 1
@@ -133,7 +133,7 @@
     def __init__(self, loop, address, handle, counts=None, body_most=8 << 20, connections_most=4096):
         self.loop, self.handle, self.body_most = loop, handle, body_most
         self.counts = Counter() if counts is None else counts
-        self.connections, self.connections_most = set(), connections_most
+        self.connections, self.connections_most = {}, connections_most  # in order: a day ends them as it did before
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
 
@@ -143,7 +143,7 @@
             stream.start(None, None)
             stream.abort("too many connections")
             return
-        self.connections.add(Connection(self, stream))
+        self.connections[Connection(self, stream)] = None
 
     def close(self):
         self.listener.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -59,6 +59,10 @@
             (lambda d: d["managers"][0].update(zone="mars"), "managers.0.zone", "mars"),
             (lambda d: d["proxies"][1].update(name="proxy-0"), "proxies", "twice"),
             (lambda d: d["channel"].update(queue_lines=50.0), "channel.queue_lines", "too short"),
+            (lambda d: d.update(sites={"reserve": 1.2}), "sites.reserve", "less than 1"),
+            (lambda d: d.update(sites={"reserves": {"moon": 0.1}}), "sites.reserves", "'moon'"),
+            (lambda d: d.update(sites={"spill": {"moon": []}}), "sites.spill", "'moon' is no site"),
+            (lambda d: d.update(sites={"groups": {"x": ["y"], "y": ["x"]}}), "sites.groups", "x -> y -> x form a cycle"),
         ]
         for change, *words in cases:
             with self.subTest(words=words):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -308,7 +308,8 @@
         days = []
         for _ in range(2):
             self.setUp()
-            rows = self.stage(short_day(6, [{"what": "manager_kill", "at_s": 2, "for_s": 2, "manager": 1}])).run()
+            rows = self.stage(short_day(6, [
+                {"what": "manager_kill", "at_s": 2, "for_s": 2, "manager": 1}, {"what": "worker_crash", "at_s": 3, "for_s": 1, "workers": [0, 1]}])).run()
             days.append([row for row in rows if row["what"] in ("transaction", "pushed", "custody")])
         self.assertEqual(days[0], days[1])
 
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -5,6 +5,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ospreyrouter.interface import Outcome
+from ospreyrouter.rehearse import audit
 from ospreyrouter.sites import BadTiers, SpillControl, tiers_of
 from ospreyrouter.sites.capacity import Capacities
 from ospreyrouter.sites.spill import levels, plan_spill, shares
@@ -243,7 +245,30 @@
         self.assertEqual([row[1:3] for row in stand.sheet.all("level")], [(1, 1.0)])
 
 
+    def test_after_all_were_gone_the_first_one_let_in_does_not_get_every_slice(self):
+        stand = Stand(workers=5, tables={item: {item % 4: 1.0} for item in range(8)})
+        stand.manager.probed(4, Outcome.PASSED, 0, {})
+        stand.round(("listed", True, []), after=0.1)
+        stand.run(1)
+        self.assertEqual((set(map(len, stand.sheet.tables.values())), stand.manager.barred), ({0}, {0, 1, 2, 3}))
+        stand.sheet.orders.clear()
+        stand.round(("listed", True, [entry(w, started=stand.now) for w in range(5)]), after=3)
+        self.assertLessEqual(max(stand.load(dict.fromkeys(range(8), 1)).values()), 3)
+        self.assertEqual([row[1] for row in stand.sheet.all("withhold")], [False] * 4)
+
+
 class OnManagers(StageCase):
+    def test_a_fleet_that_comes_back_cold_and_whole_is_not_pushed_over(self):
+        day = short_day(16, [{"what": "worker_crash", "at_s": 7, "for_s": 3, "workers": list(range(6))}], traffic={"per_s": 60.0, "retries": 2})
+        stage = self.stage(day)
+        stage.network.run(stage.network.time + 12_200_000)
+        for k in range(2):  # while nothing answers, no more is let in than a cold fleet could do
+            core = stage.parts[f"manager-{k}"].core
+            self.assertLess(core.levels["look-up"][0], 0.6)
+        account = audit(day, stage.run())
+        self.assertEqual((account["broken"], account["fell_over"]), ({}, 0))
+
+
     def test_what_two_sites_cannot_carry_is_refused_by_utility_before_answers_are_slow(self):
         day = short_day(16, [{"what": "worker_crash", "at_s": 6, "for_s": 9, "workers": [1, 4, 7]}],
                         fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2}, warm_keys=False,
