A manager that starts anew goes on with the levels that stand at its proxies

Need: a process that restarts while a site is lost pushed levels of 1 with its first message and flooded those who are left until it had learned anew.

Change: a joining proxy says which levels it holds of this manager; within 5 s of the first join they are bounds, kept until capacities can be known, then eased or replaced by what is planned.

--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -288,7 +288,8 @@
         joined = self.joined[manager]
         data = {"node": {"id": self.place.name, "locality": {"zone": self.place.zone}, "metadata": {
                     "host": self.address[0], "port": self.address[1], "usual_per_s": self.place.usual_per_s,
-                    "fresh": manager not in self.ledger.orders}},
+                    "fresh": manager not in self.ledger.orders,
+                    "levels": {kind: level for kind, (level, _) in self.ledger.ordered(manager).levels.items()}}},
                 "typeUrl": CLA, "initialResourceVersions": self.ledger.versions(), "responseNonce": nonce}
         if items is not None:
             data["resourceNamesSubscribe"] = [f"slice-{item}" for item in items]
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -20,6 +20,7 @@
 from ..xds.documents import Line, Push
 
 RETRY_NAMES = {Retry.NONE: "none", Retry.PROVEN: "proven", Retry.ONCE: "once", Retry.TWICE: "twice"}
+RECOVER_US = 5_000_000  # from the first proxy's joining: what proxies hold by then is of a life before
 STATES = {"ready": State.READY, "draining": State.DRAINING}
 
 
@@ -55,6 +56,7 @@
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
+        self.started_at = None  # when the first proxy joined
         self.states, self.held = None, {}  # by worker, as the newest list has it
         self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
         kinds = {row.name: (row.utility, row.quoted_us) for row in self.facts.classes}
@@ -151,10 +153,19 @@
         levels = {name: self.levels.get(name, (1.0, ""))[0] for name in self.classes}
         self.spill.turn(now, workers, down, proven, levels, len(self.tables) / self.setup.slices)
         if self.spill.most != most and self.setup.sites.refuse_ahead:
-            self.intake.append(("bounded", [self.spill.most.get(row.name, 1.0) for row in self.setup.classes]))
+            self._tell_bounds()
         return self.setup.sites.shaped and self.spill.parts != parts
 
-    def joined(self, now, proxy, fresh):
+    def _tell_bounds(self):
+        self.intake.append(("bounded", [self.spill.most.get(row.name, 1.0) for row in self.setup.classes]))
+
+    def joined(self, now, proxy, fresh, levels=None):
+        """`levels` by class are those that stand at the proxy from this manager's life before: what was bound by sites that
+        are lost stays bound until it is known anew what sites can carry."""
+        self.started_at = now if self.started_at is None else self.started_at
+        if now - self.started_at < RECOVER_US and self.setup.sites.refuse_ahead and self.spill.restore(
+                now, {kind: level for kind, level in (levels or {}).items() if kind in self.classes and level < 1.0}):
+            self._tell_bounds()
         place, row = self.proxies[proxy], self.setup.proxies[self.proxies[proxy]]
         self.joined_now.add(place)
         self.intake.append(("joined", place, self.zones[row.zone], row.usual_per_s, fresh))
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -478,11 +478,14 @@
     def _join(self, request, proxy, data, nonce):
         about = need(data["node"], "metadata", dict, "request.node")
         address = (need(about, "host", str, "request.node"), need(about, "port", int, "request.node"))
+        levels = about.get("levels", {})
+        if not isinstance(levels, dict) or not all(type(level) in (int, float) and 0 <= level <= 1 for level in levels.values()):
+            raise BadDocument("request.node.metadata.levels: is no part by class")
         self.joins += 1
         session = self.sessions[proxy] = Session(proxy, request.connection, nonce, address)
         request.connection.on_closed = lambda reason: self._stream_broke(session, reason)
         self.channel.joined(proxy)
-        self.core.joined(self.loop.now(), proxy, bool(about.get("fresh", False)))
+        self.core.joined(self.loop.now(), proxy, bool(about.get("fresh", False)), levels)
         self.log.info("proxy_joined", manager=self.name, proxy=proxy)
         self.loop.after(ACK_US, lambda: session.ready or self._stream_broke(session, "never read the store"))
         self._soon()
--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -84,7 +84,7 @@
         self.rates, self.workers, self.totals = Rates(SPAN_US), {}, Totals()
         self.demand = {kind: Demand() for kind in classes}
         self.most, self.parts = {}, dict.fromkeys(self.sites, 1.0)
-        self.good_at = 0
+        self.good_at, self.restored_at = 0, None
         self.losses, self.gone, self.began_at = [], set(), None
         self.bad_runs = dict.fromkeys(self.sites, 0.0)  # by site, as WorkerSight has them by worker
         self.levels_at = self.parts_at = self.turned_at = self.lost_at = None
@@ -129,6 +129,15 @@
         row.site = site
         return row
 
+    def restore(self, now, most):
+        """Levels that stand from a life before, bound until LEARN_US later. Whether that changed anything."""
+        before = dict(self.most)
+        for kind, level in most.items():
+            self.most[kind] = min(level, self.most.get(kind, 1.0))
+        if self.most != before:
+            self.levels_at = self.restored_at = now
+        return self.most != before
+
     # What is made of it.
 
     def turn(self, now, workers, down, proven, in_force, own):
@@ -263,7 +272,8 @@
         """Nothing is lost: levels return to the module step by step, sizes at once."""
         changed = any(part < 1.0 for part in self.parts.values())
         self.parts = dict.fromkeys(self.sites, 1.0)
-        if self.most and now - self.levels_at >= SECOND_US:
+        if self.most and now - self.levels_at >= SECOND_US and (
+                self.restored_at is None or now - self.restored_at >= LEARN_US):
             self.most = {kind: min(1.0, level + EASING) for kind, level in self.most.items()}
             self.levels_at, changed = now, True
             if all(level >= 1.0 for level in self.most.values()):
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -133,11 +133,11 @@
         self.control = SpillControl(sites, {"look-up": (1.0, SECOND), "order": (3.0, SECOND)}, tiers,
                                     dict.fromkeys(sites, 0.1), 0.2, 10 * SECOND)
         self.now, self.load, self.own, self.reports = 100 * SECOND, load, own, reports
-        self.down, self.started, self.changes, self.late = set(), {}, [], []
+        self.dead, self.down, self.started, self.changes, self.late = set(), set(), {}, [], []
 
     def pace(self, name, site):
         age = self.now - self.started.get(name, -100 * SECOND)
-        return 0.0 if site in self.down else 10.0 * min(1.0, 0.2 + 0.08 * age / SECOND)
+        return 0.0 if site in self.down or name in self.dead else 10.0 * min(1.0, 0.2 + 0.08 * age / SECOND)
 
     def play(self, seconds, listed=True):
         control, step = self.control, SECOND // 4
@@ -198,6 +198,22 @@
                 fleet.back("south").play(25)
                 self.assertTrue(fleet.let_in == 1.0 or load == 130, fleet.let_in)
 
+    def test_half_a_site_is_seen_by_its_workers_whatever_the_list_says(self):
+        fleet = Fleet(110).play(10)
+        fleet.dead |= {"w-1", "w-4"}  # south keeps w-7 and w-10
+        fleet.play(8)
+        self.assertAlmostEqual(fleet.control.able["south"], 20.0, delta=1.0)
+        self.assertTrue(0.82 < fleet.let_in < 0.94, fleet.let_in)  # 100 of 110, less what queues took
+        fleet.dead.clear()
+        fleet.play(10)
+        self.assertEqual(fleet.let_in, 1.0)
+
+    def test_losses_while_nothing_is_known_yet_bound_nothing(self):
+        fleet = Fleet(100).play(1).lose("south").play(3)
+        self.assertEqual(fleet.control.most, {})
+        fleet.play(4)
+        self.assertLess(fleet.let_in, 1.0)
+
     def test_without_load_reports_nothing_is_known_and_nothing_bounded(self):
         fleet = Fleet(100, reports=False).play(10).lose("south").play(10)
         self.assertEqual((fleet.control.most, fleet.changes), ({}, []))
@@ -269,6 +285,22 @@
         self.assertEqual((account["broken"], account["fell_over"]), ({}, 0))
 
 
+    def test_a_manager_that_starts_anew_goes_on_with_the_levels_that_stand(self):
+        loss = {"what": "worker_crash", "at_s": 6, "for_s": 12, "workers": [1, 4, 7]}
+        stage = self.stage(short_day(20, [loss, {"what": "manager_kill", "at_s": 10, "for_s": 0.3, "manager": 0}],
+                                     fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2}, warm_keys=False,
+                                     traffic={"per_s": 270.0, "retries": 0}))
+        network, seen = stage.network, []
+        network.run(network.time + 12_400_000)
+        held = stage.parts["manager-0"].core.levels["look-up"][0]
+        self.assertLess(held, 0.97)
+        for _ in range(60):  # three seconds, in every proxy's files
+            network.run(network.time + 50_000)
+            seen += [stage.parts[f"proxy-{k}"].agent.ledger.ordered("manager-0").levels["look-up"][0] for k in range(3)]
+        self.assertIsNot(stage.parts["manager-0"].core.started_at, None)
+        self.assertGreater(stage.parts["manager-0"].joins, 0)
+        self.assertLess(max(seen), 0.99)
+
     def test_what_two_sites_cannot_carry_is_refused_by_utility_before_answers_are_slow(self):
         day = short_day(16, [{"what": "worker_crash", "at_s": 6, "for_s": 9, "workers": [1, 4, 7]}],
                         fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2}, warm_keys=False,
