sites show and plan: what is asked, carried, spilled and refused, and what losing a site would cost

Need: what cannot be carried has to be refused in the open, by site and class, and operators want to know before a site is lost whether the others have room.

Change: GET /v3/sites gives by site what it can do now and usually, what is planned for it, what was asked and refused at its proxies by class, and what spilled from where to where. Sites have a file of their own in the command line and in the manager.

--- a/ospreyrouter/cli/custody.py
+++ b/ospreyrouter/cli/custody.py
@@ -1,7 +1,6 @@
-"""`ospreyrouter custody` and `sites`: who is in charge of what, how sites are, and what is held out by hand.
+"""`ospreyrouter custody`: who is in charge of what, and managers held out by hand.
 
-Reads and writes the store; only `sites show` asks managers. Exit codes: 0 done, 2 bad input, 6 orders or an epoch that
-cannot be read, 7 no manager could be asked.
+Reads and writes the store. Exit codes: 0 done, 2 bad input, 6 orders or an epoch that cannot be read.
 """
 
 import json
@@ -10,29 +9,19 @@
 from pathlib import Path
 
 import click
-import orjson
 
 from ..custody import GIVEN, Membership
 from ..deployment import read_deployment
 from ..files import Disk
-from ..loop import Loop
 from ..store import EpochFiles
 from ..store.orders import BadOrders, read_orders, write_orders
-from ..web import Client
 from .serve import BadInput, checked
 
 
-ASK_US = 3_000_000
-
-
 class Unreadable(BadInput):
     exit_code = 6
 
 
-class NotAsked(BadInput):
-    exit_code = 7
-
-
 class Shelf:
     """The deployment's store, as custody has it."""
 
@@ -113,39 +102,6 @@
         raise BadInput(f"{problem.filename or shelf.folder}: {problem.strerror}") from None
 
 
-@click.group()
-def sites():
-    """How each site is, and sites held out by hand."""
-
-
-@sites.command("show")
-@click.argument("path", type=click.Path())
-@click.option("--json", "as_json", is_flag=True)
-def show_sites(path, as_json):
-    """Each site as every manager sees it."""
-    shelf, loop, told = Shelf(path), Loop(), []
-    shelf.orders()
-    for place in shelf.setup.managers:
-        answers = []
-        Client(loop, place.listen.pair).ask("GET", "/v3/sites", [], b"", answers.append, ASK_US)
-        until = loop.now() + ASK_US
-        while not answers and loop.now() < until:
-            loop.turn(loop.now() + 10_000)
-        if answers and answers[0].status == 200:
-            told.append(orjson.loads(answers[0].body))
-    if not told:
-        raise NotAsked(f"{path}: managers: none could be asked")
-    if as_json:
-        click.echo(json.dumps(told))
-        return
-    for row in told:
-        click.echo(row["manager"])
-        for name, site in row["sites"].items():
-            answered = "nothing known" if site["answered"] is None else f"{site['answered']:.2f} answered"
-            click.echo(f"  {name}: {site['state']}{' (not seen from here)' if site['blind'] else ''}, {answered}, "
-                       f"{site['carried_per_s']:.1f} tries a second, limit {site['limit']:.2f}")
-
-
 def by_hand(group, field, kind, held, released):
     """`hold` and `release` of a group; `held` and `released` say what follows, for the help and for whoever ordered it."""
     for name, out, follows in (("hold", True, held), ("release", False, released)):
@@ -158,5 +114,3 @@
 
 by_hand(custody, "managers", "manager", "it gives its slices away and is given none until it is released",
         "its slices return, a quarter a lease")
-by_hand(sites, "sites", "site", "its workers drain within the grace and get nothing until it is released",
-        "it may be used again, as far as the worker list and its state allow")
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -12,8 +12,9 @@
 
 from ..deployment import deployment_schema, read_deployment, read_json
 from ..manager import ManagerService
-from .custody import custody, sites
+from .custody import custody
 from .serve import BadInput, checked, open_log, serve
+from .sites import sites
 from .tables import tables
 
 
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -33,6 +33,7 @@
 from .changes import Changes
 from .core import ManagerCore
 from .operators import Operators
+from .sites import sites_as_seen
 
 TURN_US = 5_000  # what happens within so long is told to the module in one round
 PUT_US = 3_000_000  # a proxy that has not answered a push for so long has lost this manager
@@ -420,7 +421,7 @@
             self.callers.handle(request)
             return
         if request.path == "/v3/sites" and request.method == "GET":
-            self._tell_sites(request)
+            request.answer(200, [JSON], dump(sites_as_seen(self.core, self.loop.now())))
             return
         if request.path == "/v3/estimates" and request.method == "GET":
             self._tell_estimates(request)
@@ -512,14 +513,6 @@
             self.core.answered(self.loop.now(), proxy, int(nonce))
             self._soon()
 
-    def _tell_sites(self, request):
-        """By site: its state and since when, part answered of what was tried lately, tries a second, limit."""
-        now, sites = self.loop.now(), self.core.sites
-        request.answer(200, [JSON], dump({"manager": self.name, "sites": {name: {
-            "state": "held out" if row.held_out else row.state, "for_us": now - row.since, "answered": row.part,
-            "blind": row.blind, "carried_per_s": round(sites.carried(now, name), 2), "limit": round(sites.limit(name), 3),
-            "losses": row.flaps + (row.lost_at is not None)} for name, row in sites.rows.items()}}))
-
     def _tell_estimates(self, request):
         """For people and tools: by worker tries a second, part lost, delay, age, tries behind, spread, confidence."""
         now, digest = self.loop.now(), self.core.digest
--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -138,6 +138,10 @@
             self.levels_at = self.restored_at = now
         return self.most != before
 
+    def need(self, own):
+        """Transactions a second that are asked for in all, where this manager has so large a part of all slices."""
+        return sum(row.first for row in self.demand.values()) / max(1e-3, min(1.0, own * self.skew))
+
     # What is made of it.
 
     def turn(self, now, workers, down, proven, in_force, own):
@@ -163,7 +167,7 @@
             return self._let_go(now)
         self._mind_queues(now, counting, span / 1e6)
         part = max(1e-3, min(1.0, own * self.skew))
-        need = sum(row.first for row in self.demand.values()) / part
+        need = self.need(own)
         able = {site: amount * self.ease for site, amount in self.able.items()}
         self.plan = plan_spill(need, self.usual, able, self.tiers, self.reserve)
         for key, amount in self.plan.spilled.items():
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -135,7 +135,7 @@
         for k in range(3):
             self.assertFalse(self.usable(stage, k) & there)
             self.assertTrue(self.usable(stage, k))
-        for words, code in ((("hold", path, "a"), 2), (("hold", path, "z"), 2), (("show", path), 7)):
+        for words, code in ((("hold", path, "a"), 2), (("hold", path, "z"), 2), (("show", path), 7), (("plan", path, "--lose", "z"), 2), (("plan", path, "--lose", "a"), 7)):
             with self.subTest(words=words):  # nobody answers outside the stage
                 result = call(*words)
                 self.assertEqual((result.exit_code, result.output.count("\n")), (code, 1))
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -1,11 +1,18 @@
 """What sites carry for each other: tables of tiers, properties of plans, and control over a fleet that is a few lines."""
 
+import json
+import os
 import unittest
+from unittest import mock
 
+import orjson
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ospreyrouter.cli import main
 from ospreyrouter.interface import Outcome
+from ospreyrouter.manager.sites import sites_as_seen
 from ospreyrouter.rehearse import audit
 from ospreyrouter.sites import BadTiers, SpillControl, tiers_of
 from ospreyrouter.sites.capacity import Capacities
@@ -285,6 +292,30 @@
         self.assertEqual((account["broken"], account["fell_over"]), ({}, 0))
 
 
+    def test_what_losing_a_site_would_cost_is_told_by_what_was_learned(self):
+        stage = self.stage(short_day(12, fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2}, warm_keys=False,
+                                     traffic={"per_s": 200.0, "retries": 0}))
+        stage.network.run(stage.network.time + 14_000_000)
+        path = os.path.join(self.folder, "deployment.json")
+        with open(path, "w") as file:
+            file.write(stage.setup.model_dump_json())
+        told = [orjson.loads(orjson.dumps(sites_as_seen(stage.parts[f"manager-{k}"].core, stage.network.time))) for k in range(2)]
+        with mock.patch("ospreyrouter.cli.sites.asked", lambda shelf, path: told):
+            call = lambda *words: CliRunner().invoke(main, ["sites", "plan", path, "--json", *words])  # noqa: E731
+            for words, carried, order in ((("--lose", "b", "--need", "200"), 200, 1.0), (("--lose", "b", "--need", "300"), 216, 1.0),
+                                          (("--lose", "b", "--lose", "c", "--need", "300"), 108, 0.9)):
+                with self.subTest(words=words):
+                    result = json.loads(call(*words).output)
+                    self.assertAlmostEqual(result["carried_per_s"], carried, delta=0.15 * carried)  # 9 workers do 360 a second
+                    self.assertAlmostEqual(result["let_in"]["order"], order, delta=0.2)
+            seen = told[0]["sites"]["a"]["classes"]["look-up"]
+            self.assertGreater(seen["asked"], 100)
+            shown = CliRunner().invoke(main, ["sites", "show", path])
+            self.assertIn("a: up", shown.output)
+            told[:] = [row | {"sites": {name: site | {"usual_per_s": 0.0} for name, site in row["sites"].items()}} for row in told]
+            unknown = call("--lose", "b")
+            self.assertEqual((unknown.exit_code, unknown.output.count("\n")), (8, 1))
+
     def test_a_manager_that_starts_anew_goes_on_with_the_levels_that_stand(self):
         loss = {"what": "worker_crash", "at_s": 6, "for_s": 12, "workers": [1, 4, 7]}
         stage = self.stage(short_day(20, [loss, {"what": "manager_kill", "at_s": 10, "for_s": 0.3, "manager": 0}],
