--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -248,7 +248,6 @@
     parser.add_argument("--short", action="store_true")
     parser.add_argument("--plot", default=None, help="folder for plots")
     options = parser.parse_args()
-    from benchmarks.custody import main as custody_main  # noqa: F401  (its figures are in the same line)
     days = [row for seed in range(1, 2 if options.short else 1 + options.seeds) for row in sides(seed)]
     days = [row for row in days if row[0] in ("carried, ahead",)] if options.short else days + hard_cases(1)
     with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 2)) as pool:
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -72,7 +72,7 @@
         self.folder, self.names, self.calls = folder, names, calls
         self.life, self.beats = f"{os.getpid()}-{os.urandom(4).hex()}", 0
         self.orders_problem, self.sites_out = "", ()
-        self.look_due = None
+        self.look_due, self.bounds_said = None, {}
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
         self.tables = TableStore(folder, name, calls, self._log_opened,
@@ -245,6 +245,13 @@
         for site, old, new, why in self.core.see_sites(self.loop.now(), self.sites_out):
             log = self.log.warning if new in ("doubtful", "lost") else self.log.info
             log(f"site_{new}", manager=self.name, site=site, was=old, why=why)
+        most = {kind: round(level, 2) for kind, level in self.core.spill.most.items() if level < 1.0}
+        if most != self.bounds_said:
+            self.bounds_said = most
+            if most:
+                self.log.warning("levels_bounded", manager=self.name, most=most)
+            else:
+                self.log.info("levels_free", manager=self.name)
         if len(self.core.intake) > intake or self.core.effects:
             self._soon()
 
