Tiers hold: workers beyond a lost site's plan keep no more than their size says

Cause: with tiers set, the smaller sizes of less preferred sites changed little. The module leaves a server what it holds as long as it answers well, whatever its size, so a lost site's slices stayed where they fell first: 0.65 north, 0.54 west where 0.8 and 0.4 were planned.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -156,7 +156,7 @@
             "lost": sum(event == "site_lost" for event, _, _ in said.rows), "returning": sum(event == "site_returning" for event, _, _ in said.rows),
             "others_called_lost": sum(event == "site_lost" and site != "south" for event, site, _ in said.rows),
             "spilled": round(sum(sum(row.spilled.values()) for row in totals)), "planned_to_refuse": round(sum(sum(row.short.values()) for row in totals)),
-            "level_changes": changes_of(sampler), "seconds": [round(part.get(at, 1.0), 4) for at in range(int(one.seconds))],
+            "carried_by_site": carried_by(stage, window), "level_changes": changes_of(sampler), "seconds": [round(part.get(at, 1.0), 4) for at in range(int(one.seconds))],
             **sampler.times(start, lost_at, back_at, part)}
 
 
@@ -218,6 +218,25 @@
     return [(name, day(name, load, troubles, seconds, seed=seed), more) for name, load, troubles, seconds, more in rows]
 
 
+def tiers(seed):
+    """South's load goes north first, as far as north's reserve allows, then west."""
+    out = []
+    for load, sites in ((0.4, {"spill": {"south": ["north", "west"]}}), (0.55, {"spill": {"south": ["north", "west"]}, "reserves": {"north": 0.3}})):
+        one = day("tiers", load, [lost(LOST_AT, 30.0)], 60.0, cores=8, warm=False, seed=seed, sites=sites)
+        out.append((f"tiers at {load}", one, {"window": (15, 40), "back_at": 40.0}))
+    return out
+
+
+def carried_by(stage, window):
+    """Part of what it can do that came to each site within a span of the day, by the work that arrived at its workers."""
+    start = min(row["asked"] for row in stage.rows if row["what"] == "transaction")
+    out, per_site = dict.fromkeys(ZONES, 0.0), WORKERS // len(ZONES) * stage.day.fleet.cores * (window[1] - window[0]) * 1e6
+    for row in stage.rows:
+        if row["what"] == "arrived" and window[0] * 1e6 <= row["t"] - start < window[1] * 1e6:
+            out[ZONES[int(row["worker"][7:]) % len(ZONES)]] += row["work"] / per_site
+    return {site: round(part, 3) for site, part in out.items()}
+
+
 def run(row):
     name, one, more = row
     return name, play(one, **more)
@@ -249,7 +268,7 @@
     parser.add_argument("--plot", default=None, help="folder for plots")
     options = parser.parse_args()
     days = [row for seed in range(1, 2 if options.short else 1 + options.seeds) for row in sides(seed)]
-    days = [row for row in days if row[0] in ("carried, ahead",)] if options.short else days + hard_cases(1)
+    days = [row for row in days if row[0] in ("carried, ahead",)] if options.short else days + tiers(1) + hard_cases(1)
     with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 2)) as pool:
         rows = []
         for name, found in pool.map(run, days):
@@ -271,6 +290,11 @@
         load = table["not carried, ahead"]
         line |= {"refused": load["not_fulfilled_while_lost"], "refused_alone": table["not carried, alone"]["not_fulfilled_while_lost"],
                  "least_refused": round(least_refused(0.8), 4), "least_refused_with_reserve": round(least_refused(0.8, 0.1), 4)}
+    if not options.short:
+        # Own load may use all of a site; what spills only up to the reserve. 5% for the chance of a span of 25 s.
+        bounds = {"tiers at 0.4": 0.9, "tiers at 0.55": 0.7}
+        line["carried_by_site"] = {name: next(row["carried_by_site"] for one, row in rows if one == name) for name in bounds}
+        line["spill_bound_kept"] = all(line["carried_by_site"][name]["north"] <= 1.05 * bound for name, bound in bounds.items())
     print(json.dumps(line | {"cases": table}))
     return 1 if line["double_owners"] else 0
 
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -57,7 +57,7 @@
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
-        self.probed_lost_at = 0
+        self.probed_lost_at, self.within = 0, frozenset()  # workers that are to have no more than their size says
         self.started_at = None  # when the first proxy joined
         self.states, self.held = None, {}  # by worker, as the newest list has it
         self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
@@ -114,6 +114,11 @@
             cold = entry.started_us is not None and now - entry.started_us < self.facts.cold_us
             out.append(replace(entry, state=state, weight=size * (min(part, whole) if cold else part)))
         self.intake.append(("listed", True, out))
+        within = frozenset(entry.worker for entry in self.entries
+                           if shaped and self.spill.parts[self.setup.zones[entry.zone]] < 1.0)
+        if within != self.within:
+            self.within = within
+            self.intake.append(("confined", within))
 
     def see_sites(self, now, held_out=()):
         """Judge the sites by what proxies met there lately and by probes. Returns changes: (site, old, new, why)."""
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -31,7 +31,7 @@
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again;
 LOSING = 0.7  # they fall too where answers take long and no more than this part of all tries has one
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
-BOUND_US = 4_000_000  # answers are quick again only so long after a bound fell: until then they say nothing new
+BOUND_US = 4_000_000  # so long after a bound fell answers still tell of before
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP, IDLE = 0.03, 1.3  # beyond the last jam only this, unless answers take the least seen times that
 CALM_COUNT, STEP = 50, 0.02  # answers that make a mean; change of a level that is worth a message to all
@@ -172,6 +172,7 @@
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken = 1.0  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
+        self.within = frozenset()
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines = [], setup.lines_per_s
@@ -275,10 +276,14 @@
     def told(self, manager, text):
         pass
 
+    def confined(self, workers):
+        """Who is to have no more than its size says, however well: for a lost site others are preferred."""
+        self.urgent, self.within = self.urgent or workers != self.within, workers
+
     def bounded(self, most):
-        """Where a site is lost, others know before answers get slow what the rest can carry: a bound by class."""
+        """Where a site is lost it is known before answers get slow what the rest can carry, by class."""
         if any(now < before for now, before in zip(most, self.most)):
-            self.level_at = self.now + BOUND_US  # or what waits from before would be refused for a second time
+            self.level_at = self.now + BOUND_US  # or what waits from before is refused a second time
         self.most, self.urgent = most, True
         self.set_levels(self.chosen)
 
@@ -510,7 +515,8 @@
         standing, limits = pack(popularity, bins, held), dict(bins)
         for w, load in loads(standing).items():
             # A server that answers well within the quoted time is not too full, whatever the counts say.
-            if not self.workers[w].strained and self.workers[w].health > 0.9 and self.warmth(w) == 1.0:
+            row = self.workers[w]
+            if not row.strained and row.health > 0.9 and self.warmth(w) == 1.0 and w not in self.within:
                 limits[w] = max(bins[w], load)
         fresh = match(pack(popularity, bins, held, limits), bins, held)
         old, new = (max(load / limits[w] for w, load in loads(way).items()) for way in (standing, fresh))
@@ -576,7 +582,7 @@
         """
         changes, lost, tables = [], set(), self.tables
         wanted = {item: self.wanted(item) for item in sorted(self.own)}
-        # Whom no table names may be let in together with its first line: else the first one let in would get all.
+        # Whom no table names is let in with its first line: else the first one let in would get all.
         named = {w for item in self.own for w in tables[item]}
         usable = sizes.keys() - (self.barred & named)
         for item, lines in wanted.items():
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -268,6 +268,20 @@
         self.assertEqual([row[1:3] for row in stand.sheet.all("level")], [(1, 1.0)])
 
 
+    def test_who_is_confined_gives_up_what_is_beyond_its_size_though_it_answers_well(self):
+        loads = {}
+        for confined in (False, True):
+            stand = Stand(workers=4, weights_listed=True)
+            demand, met = dict.fromkeys(range(8), 20), {w: (40, 0, 0.1) for w in range(4)}
+            stand.run(20, demand=demand, met=met)
+            stand.round(("listed", True, [entry(w, weight=0.4 if w > 1 else 1.0) for w in range(4)]),
+                        *([("confined", frozenset({2, 3}))] if confined else []), after=0.1)
+            stand.run(10, demand=demand, met=met)
+            load = stand.load(demand)
+            loads[confined] = (load[2] + load[3]) / sum(load.values())
+        self.assertAlmostEqual(loads[False], 0.5, delta=0.05)
+        self.assertLess(loads[True], 0.36)  # 0.8 of 2.8, in bins that are rounded up
+
     def test_after_all_were_gone_the_first_one_let_in_does_not_get_every_slice(self):
         stand = Stand(workers=5, tables={item: {item % 4: 1.0} for item in range(8)})
         stand.manager.probed(4, Outcome.PASSED, 0, {})
@@ -281,6 +295,17 @@
 
 
 class OnManagers(StageCase):
+    def test_a_lost_site_is_carried_by_its_first_tier(self):
+        stage = self.stage(short_day(24, [{"what": "worker_crash", "at_s": 8, "for_s": 30, "workers": [1, 4, 7]}], slices=36, warm_keys=False,
+                                     fleet={"zones": ["a", "b", "c"], "workers": 9, "cores": 4, "managers": 2},
+                                     traffic={"per_s": 130.0}, sites={"spill": {"b": ["a", "c"]}}))
+        start = stage.network.time
+        stage.network.run(start + 24_000_000)
+        load = {site: sum(row["work"] for row in stage.rows if row["what"] == "arrived" and row["t"] > start + 16_000_000
+                          and int(row["worker"][7:]) % 3 == place) for place, site in enumerate("abc")}
+        self.assertEqual(load["b"], 0)
+        self.assertGreater(load["a"], 1.5 * load["c"])  # twice as much, as planned; 1 without tiers
+
     def test_a_fleet_that_comes_back_cold_and_whole_is_not_pushed_over(self):
         day = short_day(16, [{"what": "worker_crash", "at_s": 7, "for_s": 3, "workers": list(range(6))}], traffic={"per_s": 60.0, "retries": 2})
         stage = self.stage(day)
