Spill keeps to its reserves: sizes aim a little below them; takeovers in the sites benchmark

Cause: with a reserve of 0.3 north carried 0.736 of what it can do: bins are rounded up, slices go whole.

Change: sizes are planned with 0.95 of what a reserve leaves; bounds on levels stay as they were. The benchmark's last line has spill_bound_kept, carried_by_site, takeover_p99_ms with and without hints. A guard on probes that no test could miss is gone.

--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -237,6 +237,30 @@
     return {site: round(part, 3) for site, part in out.items()}
 
 
+def takeovers(row):
+    """Milliseconds from each of two deaths until every slice has a publisher again, and slices seen with two. Five managers, a
+    lease of 1 s, looked at each 5 ms."""
+    seed, peers = row
+    data = day("takeovers", 0.02, [], 30.0, seed=seed).model_dump()
+    data["fleet"]["managers"], data["custody"] = 5, {"lease_s": 1.0, "peers": peers}
+    found, double = [], 0
+    with tempfile.TemporaryDirectory(dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None) as folder:
+        stage = VirtualStage(Day.model_validate(data), folder)
+        network = stage.network
+        network.run(network.time + 6_000_000)
+        for place in (1, 3):
+            network.run(network.time + 137_000 * place + 31_000 * seed)  # at another moment of the lease each time
+            stage.kill(f"manager-{place}")
+            began, owned = network.time, []
+            while len(set(owned)) < stage.day.slices and network.time - began < 10_000_000:
+                network.run(network.time + 5_000)
+                owned = [item for row in one_managers(stage) for item in stage.parts[row.name].custody.publishes(network.time)]
+                double += len(owned) - len(set(owned))
+            found.append((network.time - began) / 1000)
+            network.run(network.time + 4_000_000)
+    return found, double
+
+
 def run(row):
     name, one, more = row
     return name, play(one, **more)
@@ -291,10 +315,17 @@
         line |= {"refused": load["not_fulfilled_while_lost"], "refused_alone": table["not carried, alone"]["not_fulfilled_while_lost"],
                  "least_refused": round(least_refused(0.8), 4), "least_refused_with_reserve": round(least_refused(0.8, 0.1), 4)}
     if not options.short:
-        # Own load may use all of a site; what spills only up to the reserve. 5% for the chance of a span of 25 s.
-        bounds = {"tiers at 0.4": 0.9, "tiers at 0.55": 0.7}
+        # Own load may use all of a site; what spills only up to the reserve. 3% for the chance of a span of 25 s.
+        bounds = {"tiers at 0.4": {"north": 0.9, "west": 0.9}, "tiers at 0.55": {"north": 0.7, "west": 0.9}}
         line["carried_by_site"] = {name: next(row["carried_by_site"] for one, row in rows if one == name) for name in bounds}
-        line["spill_bound_kept"] = all(line["carried_by_site"][name]["north"] <= 1.05 * bound for name, bound in bounds.items())
+        line["spill_bound_kept"] = all(line["carried_by_site"][name][site] <= 1.03 * bound
+                                       for name, row in bounds.items() for site, bound in row.items())
+    with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 2)) as pool:
+        for peers, field in ((False, "takeover"), (True, "takeover_with_hints")):
+            found = list(pool.map(takeovers, [(seed, peers) for seed in range(1, 2 if options.short else 9)]))
+            times = sorted(time for row, _ in found for time in row)
+            line |= {f"{field}_p99_ms": times[-1], f"{field}_mean_ms": round(sum(times) / len(times), 1)}
+            line["double_owners"] += sum(double for _, double in found)
     print(json.dumps(line | {"cases": table}))
     return 1 if line["double_owners"] else 0
 
--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -34,6 +34,7 @@
 LEARN_US = 5_000_000  # before that nothing is known of what is usual
 LACKS, GONE = 0.7, 0.1  # of what a site usually can do: below it something of it is lost, or all
 CALM_US = 3_000_000  # nothing is lost for so long: it ends
+AIM = 0.95  # of what a reserve leaves is aimed at by sizes: the module rounds bins up, and a slice goes whole
 FALLS, RISES, SHIFTS = 0.05, 0.02, 0.05  # changes of a level or a part that are worth telling
 EASING = 0.15  # what levels rise by a second once nothing is lost
 REMEMBER_US = 60_000_000  # a worker that a site that is up has lost for so long no longer belongs to it
@@ -174,7 +175,8 @@
             self.totals.spilled[key] = self.totals.spilled.get(key, 0.0) + amount * part * span / 1e6
         for site, amount in self.plan.refused.items():
             self.totals.short[site] = self.totals.short.get(site, 0.0) + amount * part * span / 1e6
-        return self._bound(now, need, part) | self._share(now)
+        aimed = {site: 1 - (1 - reserve) * AIM for site, reserve in self.reserve.items()}
+        return self._bound(now, need, part) | self._share(now, plan_spill(need, self.usual, able, self.tiers, aimed), able)
 
     def answering(self, now, worker):
         """Whether it answered tries within the span of rates."""
@@ -264,8 +266,8 @@
             return True
         return False
 
-    def _share(self, now):
-        wanted = {site: round(part, 2) for site, part in shares(self.plan, self.able).items()}
+    def _share(self, now, plan, able):
+        wanted = {site: round(part, 2) for site, part in shares(plan, able).items()}
         waited = HOLD_US if self.parts_at is None else now - self.parts_at
         if waited >= HOLD_US and any(abs(wanted[site] - self.parts[site]) > SHIFTS for site in self.sites):
             self.parts, self.parts_at = wanted, now
--- a/ospreyrouter/sites/states.py
+++ b/ospreyrouter/sites/states.py
@@ -42,7 +42,6 @@
     part: float | None = None
     run: float = 0.0  # tries lost since one was answered, and since when
     run_since: int = 0
-    probed_at: int | None = None  # a probe was answered
     blind: bool = False
 
 
@@ -56,8 +55,6 @@
     def heard(self, now, site, kind, good, bad):
         row = self.rows[site]
         row.evidence.heard(now, kind, good, bad)
-        if kind == "probes" and good:
-            row.probed_at = now
         if kind == "sums" and (good or bad):
             row.run_since = row.run_since if row.run and not good else now
             row.run = 0.0 if good else row.run + bad
@@ -108,9 +105,9 @@
         row.part = met if met is not None else 0.0 if unlisted else seen
         row.blind = met is not None and seen is not None and met >= DOUBT_BELOW and seen < LOST_BELOW
         if row.state in ("up", "doubtful") and row.run >= DARK_TRIES and now - row.run_since >= DARK_US \
-                and seen is not None and seen < DOUBT_BELOW and not self._probed_lately(now, row):
+                and seen is not None and seen < DOUBT_BELOW:
             self._lose(now, row)
-            return f"{row.run:.0f} tries in a row lost, and no probe answered"
+            return f"{row.run:.0f} tries in a row lost, and probes fail"
         if row.part is None:
             return ""  # nothing is known: nothing changes
         if row.state in ("up", "doubtful"):
@@ -137,10 +134,6 @@
             return ""
         return self._returning(now, name, row, met, usual)
 
-    def _probed_lately(self, now, row):
-        """Whether a probe was answered within half of the window."""
-        return row.probed_at is not None and now - row.probed_at < self.window_us // 2
-
     def _lose(self, now, row):
         calm = row.lost_at is None or now - row.lost_at > CALM * self.window_us
         row.flaps = 0 if calm else min(FLAPS_MOST, row.flaps + 1)
