A manager without a lease lets its proxies go when a drain cannot be kept

Change: once a drain or a loss that the list told has waited for half the grace without a lease, the proxies are dropped, and none may join until the lease runs again or the drain is over. They keep what they hold and know that they have no manager.

Its test fails without it.

--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -57,6 +57,7 @@
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
         self.now, self.unsupported, self.lines, self.fences, self.giving = 0, 0, 0, {}, frozenset()
         self.missed, self.deltas = set(), setup.deltas
+        self.unready_since = {}  # by worker's name: when it was first heard to drain or be gone
         self.probed_lost_at, self.within = 0, frozenset()  # workers that are to have no more than their size says
         self.started_at = None  # when the first proxy joined
         self.states, self.held = None, {}  # by worker, as the newest list has it
@@ -90,6 +91,12 @@
             out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
                              STATES[state], weight, row.started_us))
         self.entries = out
+        for row in self.rows:
+            state = self.states.get(row.name)
+            if state == "ready" or state is None and not self.facts.gone_binds:
+                self.unready_since.pop(row.name, None)
+            else:
+                self.unready_since.setdefault(row.name, now)
         self._tell_list(now)
         stale = {item for item, lines in self.tables.items() if moved & lines.keys()}
         if stale:
@@ -97,6 +104,11 @@
             self._publish(now)
             self.effects.append(("read", sorted(stale)))
 
+    def unkept(self, now, after_us):
+        """Whether the tables in charge still name a worker that drains or is gone, as was heard so long ago, and nobody withholds it."""
+        late = {self.workers[name] for name, since in self.unready_since.items() if now - since >= after_us} - self.withheld
+        return bool(late) and any(late & lines.keys() for lines in self.tables.values())
+
     def _tell_list(self, now):
         """The list as the module is told it: where returns are bound, workers of a returning site count for a part of
         their size; where tiers say who carries for a lost site, those of the others for as much as is planned; those of a
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -273,9 +273,17 @@
             self._look()
             if not self.custody.may_publish(self.loop.now()):
                 self.loop.after(self.lease_us // 8, self._soon)
+                if self._cannot_keep_drains():
+                    # It may write nothing, also no withdrawal: proxies are told that they have no manager, and keep what they hold.
+                    for proxy in list(self.sessions):
+                        self._drop(proxy, "no lease, and a drain cannot be kept")
                 return
         self._carry_out(self.core.turn(self.loop.now()))
 
+    def _cannot_keep_drains(self):
+        grace_us = self.core.facts.grace_us
+        return not self.custody.may_publish(self.loop.now()) and self.core.unkept(self.loop.now(), grace_us // 2)
+
     def _carry_out(self, effects):
         if self.front is not None:
             self._advise(effects)
@@ -486,7 +494,7 @@
         if session is not None and session.audited:
             session.audited = False
             self.background.claimed(proxy, len(items), len(tables))
-        if session is None and self.custody.epoch is None or not self.reads.admit(now, lines):
+        if session is None and (self.custody.epoch is None or self._cannot_keep_drains()) or not self.reads.admit(now, lines):
             self.counts["joins put off"] += 1
             wait = self.reads.wait_us(lines) / 1e6
             close = [] if session is not None else [("connection", "close")]
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -10,6 +10,7 @@
 
 from ospreyrouter.cli import main
 from ospreyrouter.custody import GIVEN, Custody, Epoch
+from ospreyrouter.rehearse import audit
 from ospreyrouter.store.orders import Orders, orders_path, write_orders
 from ospreyrouter.web import Client
 
@@ -134,6 +135,18 @@
         self.assertEqual(self.owners(stage), [12, 0])
 
 
+class StoreThatHangs(StageCase):
+    def test_a_drain_that_no_manager_may_write_leaves_no_proxy_joined_to_one(self):
+        stage = self.stage(short_day(18, [{"what": "store_hang", "at_s": 4, "for_s": 7, "managers": [0, 1]},
+                                          {"what": "drain", "at_s": 5.5, "for_s": 8, "workers": [0, 3]}], traffic={"per_s": 80.0}))
+        stage.network.run(stage.network.time + 10_500_000)
+        self.assertEqual([len(stage.parts[f"manager-{k}"].sessions) for k in range(2)], [0, 0])
+        account = audit(stage.day, stage.run())
+        self.assertEqual(account["broken"], {})
+        self.assertGreater(account["rules"]["drains kept"]["checked"], 0)
+        self.assertEqual([len(stage.parts[f"manager-{k}"].sessions) for k in range(2)], [3, 3])  # they are back
+
+
 class HintsOnManagers(StageCase):
     def day(self, peers):
         return short_day(60, fleet={"managers": 3}, custody={"lease_s": 1.0, "peers": peers}, traffic={"per_s": 4.0}, slices=24)
