--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -197,6 +197,7 @@
             elif row.counted_at >= 0:
                 del self.workers[name]
                 self.capacities.forget(name)
+                self.rates.forget(("good", name), ("bad", name), ("delay", name))
         self.able, self.usual = able, usual
         return counting
 
--- a/ospreyrouter/sites/rates.py
+++ b/ospreyrouter/sites/rates.py
@@ -21,6 +21,10 @@
             row[:] = [number, 0.0]
         row[1] += count
 
+    def forget(self, *keys):
+        for key in keys:
+            self.rows.pop(key, None)
+
     def per_s(self, now, key):
         first = now // self.step - BUCKETS + 1
         count = sum(row[1] for row in self.rows.get(key, ()) if row[0] >= first)
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -294,6 +294,38 @@
         self.assertEqual([row[1] for row in stand.sheet.all("withhold")], [False] * 4)
 
 
+class HardCases(StageCase):
+    """South (b) goes wrong in ways that no other test causes: rules kept, one publisher a slice, service above a floor."""
+
+    def test_days(self):
+        south = [1, 4, 7]
+        gone = {"what": "worker_crash", "at_s": 5, "for_s": 5, "workers": south}
+        cut = [{"what": "lose_manager", "at_s": 5, "for_s": 5, "proxy": proxy, "manager": manager}
+               for proxy in range(3) for manager in range(3) if (proxy == 1) != (manager == 1)]
+        for name, floor, troubles in (
+                ("proxies do not reach it, managers do", 0.85, [{"what": "unreached", "by": "proxies", "at_s": 5, "for_s": 5, "workers": south}]),
+                ("managers do not reach it, proxies do", 0.97, [{"what": "unreached", "by": "managers", "at_s": 5, "for_s": 5, "workers": south}]),
+                ("another site in turn", 0.95, [gone, gone | {"at_s": 12, "workers": [2, 5, 8]}]),
+                ("during a deploy", 0.95, [gone, {"what": "drain", "at_s": 4, "for_s": 5, "workers": [0]}]),
+                ("its manager alive, cut off with its proxies", 0.9, [gone, *cut]),
+                ("a clock that steps", 0.95, [gone, {"what": "clock_step", "at_s": 4, "for_s": 8, "manager": 0, "by_s": -3600}]),
+                ("store writes whose answers are lost", 0.93, [{"what": "site_loss", "at_s": 5, "for_s": 5, "site": "b"},
+                                                              {"what": "store_answers_lost", "at_s": 5, "for_s": 2, "managers": [0]}])):
+            with self.subTest(name):
+                self.setUp()
+                stage = self.stage(short_day(18, troubles, fleet={"zones": ["a", "b", "c"], "workers": 9, "managers": 3}, traffic={
+                    "per_s": 50.0, "retries": 2, "elsewhere": True}))
+                network = stage.network
+                while network.time < stage.end:
+                    network.run(network.time + 50_000)
+                    owned = [item for row in stage.setup.managers if stage.hosts[row.name].alive
+                             for item in stage.parts[row.name].custody.publishes(network.time)]
+                    self.assertEqual(len(owned), len(set(owned)))
+                account = audit(stage.day, stage.run())
+                self.assertEqual((account["broken"], account["fell_over"]), ({}, 0))
+                self.assertGreater(account["service"], floor)
+
+
 class OnManagers(StageCase):
     def test_a_lost_site_is_carried_by_its_first_tier(self):
         stage = self.stage(short_day(24, [{"what": "worker_crash", "at_s": 8, "for_s": 30, "workers": [1, 4, 7]}], slices=36, warm_keys=False,
