One ring of counts in sites: evidence is kept in rates

Cause: evidence and rates each had a ring of fixed buckets of their own.

Change: evidence uses rates, with its own number of buckets; a list of kinds that nobody read is gone.

--- a/ospreyrouter/sites/states.py
+++ b/ospreyrouter/sites/states.py
@@ -19,7 +19,6 @@
 
 from .evidence import Evidence
 
-KINDS = ("sums", "probes")
 LEAST = {"sums": 5.0, "probes": 2.0}  # seen within a window, or nothing is known
 LOST_BELOW, DOUBT_BELOW, PROVEN_FROM = 0.1, 0.6, 0.9  # parts answered
 FIRST_LIMIT, GROWTH = 0.15, 1.6  # what a returning site may carry at first, and by how much a proof raises it
@@ -50,7 +49,7 @@
 
     def __init__(self, names, window_us):
         self.window_us = window_us
-        self.rows = {name: SiteState(Evidence(KINDS, window_us)) for name in names}
+        self.rows = {name: SiteState(Evidence(window_us)) for name in names}
 
     def heard(self, now, site, kind, good, bad):
         row = self.rows[site]
