--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -303,13 +303,13 @@
         cut = [{"what": "lose_manager", "at_s": 5, "for_s": 5, "proxy": proxy, "manager": manager}
                for proxy in range(3) for manager in range(3) if (proxy == 1) != (manager == 1)]
         for name, floor, troubles in (
-                ("proxies do not reach it, managers do", 0.85, [{"what": "unreached", "by": "proxies", "at_s": 5, "for_s": 5, "workers": south}]),
-                ("managers do not reach it, proxies do", 0.97, [{"what": "unreached", "by": "managers", "at_s": 5, "for_s": 5, "workers": south}]),
-                ("another site in turn", 0.95, [gone, gone | {"at_s": 12, "workers": [2, 5, 8]}]),
-                ("during a deploy", 0.95, [gone, {"what": "drain", "at_s": 4, "for_s": 5, "workers": [0]}]),
-                ("its manager alive, cut off with its proxies", 0.9, [gone, *cut]),
-                ("a clock that steps", 0.95, [gone, {"what": "clock_step", "at_s": 4, "for_s": 8, "manager": 0, "by_s": -3600}]),
-                ("store writes whose answers are lost", 0.93, [{"what": "site_loss", "at_s": 5, "for_s": 5, "site": "b"},
+                ("proxies do not reach it, managers do", 0.961, [{"what": "unreached", "by": "proxies", "at_s": 5, "for_s": 5, "workers": south}]),
+                ("managers do not reach it, proxies do", 0.995, [{"what": "unreached", "by": "managers", "at_s": 5, "for_s": 5, "workers": south}]),
+                ("another site in turn", 0.99, [gone, gone | {"at_s": 12, "workers": [2, 5, 8]}]),
+                ("during a deploy", 0.995, [gone, {"what": "drain", "at_s": 4, "for_s": 5, "workers": [0]}]),
+                ("its manager alive, cut off with its proxies", 0.995, [gone, *cut]),
+                ("a clock that steps", 0.995, [gone, {"what": "clock_step", "at_s": 4, "for_s": 8, "manager": 0, "by_s": -3600}]),
+                ("store writes whose answers are lost", 0.995, [{"what": "site_loss", "at_s": 5, "for_s": 5, "site": "b"},
                                                               {"what": "store_answers_lost", "at_s": 5, "for_s": 2, "managers": [0]}])):
             with self.subTest(name):
                 self.setUp()
