One door for names, units and settings, shared by the simulator's adapter

Pulled out of benchlink: its settings reader and its name tables move to ospreyrouter/door, so that the program on sockets comes in by the same door and nothing is copied.

--- a/ospreyrouter/benchlink/host.py
+++ b/ospreyrouter/benchlink/host.py
@@ -7,9 +7,9 @@
 import json
 import traceback
 
-from ..interface import Entry, Outcome, State
+from ..door import Door, Malformed, micros
+from ..interface import Outcome, State
 from ..policy import Manager
-from .start import Malformed, deployment, micros
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 OUTCOMES = {"pass": Outcome.PASSED, "fault": Outcome.ERROR, "no_room": Outcome.FULL,
@@ -55,26 +55,11 @@
 
 
 class Instance:
-    """A manager, its names and indices, and the actions of the reply being written."""
+    """A manager, its door, and the actions of the reply being written."""
 
     def __init__(self, seed, profile):
-        self.setup = deployment(profile)
-        self.workers, self.names, self.kinds = {}, [], {}
-        self.classes = {row.name: place for place, row in enumerate(self.setup.classes)}
-        self.zones = {name: place for place, name in enumerate(self.setup.zones)}
-        self.outbox = []
-        self.manager = Manager(self.setup, seed)
-
-    def worker(self, name):
-        if name not in self.workers:
-            self.workers[name] = len(self.names)
-            self.names.append(name)
-        return self.workers[name]
-
-    def named(self, table, name, what):
-        if name not in table:
-            raise Malformed(f"unknown {what} {name!r:.60}")
-        return table[name]
+        self.door, self.outbox = Door(profile), []
+        self.manager = Manager(self.door.setup, seed)
 
     def entry(self, row):
         if not isinstance(row, list) or len(row) != 7:
@@ -83,9 +68,8 @@
         if not (isinstance(name, str) and isinstance(kind, str) and FITS[WHOLE](cell) and FITS[NUMBER](weight)
                 and (ready_at is None or FITS[NUMBER](ready_at))):
             raise Malformed(f"SNAPSHOT_ROWS: an entry has a value of the wrong type: {row!r:.120}")
-        return Entry(self.worker(name), self.named(self.zones, zone, "zone"),
-                     self.kinds.setdefault(kind, len(self.kinds)), cell, self.named(STATES, state, "condition"),
-                     float(weight), micros(ready_at) if ready_at else None)
+        return self.door.entry(name, zone, kind, cell, self.door.named(STATES, state, "condition"), weight,
+                               micros(ready_at) if ready_at else None)
 
     def report(self, fields):
         return {key: float(value) for key, value in (fields or {}).items()
@@ -93,7 +77,7 @@
 
     def intake(self, item, lists):
         """One event as a method of the manager and its arguments."""
-        name, *v = item
+        (name, *v), door = item, self.door
         if name == "MEMBERSHIP":
             if v[0] == "failed":
                 return ("list_failed",)
@@ -103,31 +87,31 @@
                 raise Malformed(f"MEMBERSHIP: no list has number {v[2]}")
             return ("listed", v[0] != "delta", [self.entry(row) for row in lists[v[2]]])
         if name == "STATS":
-            return ("met", self.named(self.zones, v[0], "zone"), self.worker(v[1]), v[2], v[3], micros(v[4]),
+            return ("met", door.zone(v[0]), door.worker(v[1]), v[2], v[3], micros(v[4]),
                     micros(v[5]), self.report(v[6]))
         if name == "KEY_LOAD":
-            return ("demanded", v[0], self.named(self.classes, v[1], "class"), v[2], v[3], micros(v[4]))
+            return ("demanded", v[0], door.kind(v[1]), v[2], v[3], micros(v[4]))
         if name == "USAGE":
-            return ("used", v[0], self.named(self.classes, v[1], "class"), v[2], v[3], micros(v[4]))
+            return ("used", v[0], door.kind(v[1]), v[2], v[3], micros(v[4]))
         if name == "FIRED":
             return ("woke", v[0])
         if name == "STATUS_BACK":
-            return ("probed", self.worker(v[0]), self.named(OUTCOMES, v[1], "outcome"), micros(v[2]),
+            return ("probed", door.worker(v[0]), door.named(OUTCOMES, v[1], "outcome"), micros(v[2]),
                     self.report(v[3]))
         if name == "DATAGRAM":
             return ("told", v[0], v[1])
         if name == "ENROLLED":
-            return ("joined", v[0], self.named(self.zones, v[1], "zone"), float(v[2]), v[3])
+            return ("joined", v[0], door.zone(v[1]), float(v[2]), v[3])
         if name == "PARTED":
             return ("left", v[0])
         if name == "CUSTODY":
             return ("charged", v[1], v[0])
         if name == "RECORDED":
-            return ("stored", v[1], self.worker(v[2]), float(v[0]))
+            return ("stored", v[1], door.worker(v[2]), float(v[0]))
         return ("applied", v[0], v[2], micros(v[1]))
 
     def line(self, table, worker, weight):
-        self.outbox.append(["PUT_LINE", table, self.names[worker], weight])
+        self.outbox.append(["PUT_LINE", table, self.door.name(worker), weight])
 
     def wipe(self, table):
         self.outbox.append(["WIPE", table])
@@ -136,7 +120,7 @@
         self.outbox.append(["PIN", proxy, table, classes])
 
     def withhold(self, worker, out):
-        self.outbox.append(["HOLD_BACK", self.names[worker], out])
+        self.outbox.append(["HOLD_BACK", self.door.name(worker), out])
 
     def level(self, table, classes, amount, retry):
         self.outbox.append(["THROTTLE", table, classes, amount, int(retry)])
@@ -145,7 +129,7 @@
         self.outbox.append(["FENCE_POST", number, everyone])
 
     def probe(self, worker):
-        self.outbox.append(["CHECK", self.names[worker]])
+        self.outbox.append(["CHECK", self.door.name(worker)])
 
     def wake(self, after_us, token):
         self.outbox.append(["SET_ALARM", after_us / 1_000_000, token])
--- a/ospreyrouter/door/settings.py
+++ b/ospreyrouter/door/settings.py
@@ -1,4 +1,7 @@
-"""The wire's settings object, read into a Deployment. Keys it does not know are left alone."""
+"""The settings object that the simulator and the platform both send, read into a Deployment.
+
+Keys it does not know are left alone.
+"""
 
 from ..interface import Deployment, LevelKind, Repeat, Retry, TransactionClass
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -5,7 +5,7 @@
 import unittest
 
 from ospreyrouter.benchlink.host import Host, serve
-from ospreyrouter.benchlink.start import Malformed, deployment, micros
+from ospreyrouter.door import Malformed, deployment, micros
 
 PROFILE = {
     "Azs": ["a", "b"], "Balancers": 1, "Discovery": "push", "Me": 0, "Weights": "nominal", "Zone": "a", "Later": 1,
