--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,3 +9,4 @@
     .venv/bin/python -m pip -q install --disable-pip-version-check --no-deps -e .
     cat requirements.txt pyproject.toml > .venv/built-from
 fi
+.venv/bin/python -m compileall -q ospreyrouter  # the disk is read-only where the program runs
--- /dev/null
+++ b/ospreyrouter/node/calls.py
@@ -0,0 +1,94 @@
+"""Orders on their way to the relay: gathered, last value wins, one call in flight, in order. No I/O.
+
+    calls = Calls(door, counts)
+    calls.line(...), calls.mark(...)       # the writer that the manager orders at
+    data = calls.take()                    # the next call's bytes, or None
+    calls.answered(n)                      # n orders were taken; or
+    calls.unsettled()                      # it may have been carried out or not
+
+A call in doubt goes first in the next one: orders are absolute, so repeating it brings about what was meant
+whether or not it was carried out, and nothing later overtakes it.
+"""
+
+from ..interface import ALL_TABLES
+from . import relay_lines
+
+
+class Calls:
+    def __init__(self, door, counts):
+        self.door, self.counts = door, counts
+        self.waiting = {}  # order by what it sets: its text, in the order written
+        self.flying = []  # (what it sets, text) of the call in flight, in order
+        self.most = None  # orders in a call, while one of them makes calls unreadable
+
+    # The writer.
+
+    def _put(self, key, text):
+        # What is set anew moves to the end: a mark stays behind all that was ordered before it.
+        self.waiting.pop(key, None)
+        self.waiting[key] = text
+
+    def line(self, table, worker, weight):
+        self._put(("line", table, worker), relay_lines.share(table, self.door.name(worker), weight))
+
+    def wipe(self, table):
+        self.drop_table(table)
+        self._put(("wipe", table), relay_lines.clear(table))
+
+    def withhold(self, worker, out):
+        self._put(("out", worker), relay_lines.withdraw(self.door.name(worker), out))
+
+    def level(self, table, classes, amount, retry):
+        names = [row.name for place, row in enumerate(self.door.setup.classes) if classes >> place & 1]
+        text = relay_lines.admit(None if table == ALL_TABLES else table, names, amount, int(retry))
+        self._put(("level", table, classes), text)
+
+    def mark(self, number, everyone):
+        self._put(("mark",), relay_lines.mark(number, everyone))
+
+    # The calls.
+
+    def drop_table(self, table):
+        """What waits for a table is void: it was wiped, or changed hands."""
+        for key in [key for key in self.waiting if key[0] != "out" and len(key) > 1 and key[1] == table]:
+            del self.waiting[key]
+
+    def pending(self, table, worker):
+        """Whether that line of the table is ordered but not known to stand."""
+        return ("line", table, worker) in self.waiting or ("wipe", table) in self.waiting
+
+    def take(self):
+        if self.flying or not self.waiting:
+            return None
+        size = 0
+        for key, text in self.waiting.items():
+            size += len(text) + 1
+            if self.flying and (size > relay_lines.ORDERS_MOST or len(self.flying) == self.most):
+                break
+            self.flying.append((key, text))
+        for key, _ in self.flying:
+            del self.waiting[key]
+        self.counts["calls"] += 1
+        self.counts["orders"] += len(self.flying)
+        return relay_lines.call([text for _, text in self.flying])
+
+    def answered(self, taken):
+        """So many orders were taken: the one after them is dropped and the rest goes on. None: cannot be."""
+        if taken > len(self.flying):
+            return None
+        done, refused, rest = self.flying[:taken], self.flying[taken:taken + 1], self.flying[taken + 1:]
+        self.flying, self.most = [], None
+        self._again(rest)
+        self.counts["orders refused"] += len(refused)
+        return [key for key, _ in done], [text for _, text in refused]
+
+    def unsettled(self):
+        flying, self.flying = self.flying, []
+        if flying:
+            self.counts["calls in doubt"] += 1
+        self._again(flying)
+
+    def _again(self, orders):
+        """Ahead of what waits; where that sets the same, the later value stands."""
+        later = self.waiting
+        self.waiting = {key: text for key, text in orders if key not in later} | later
--- /dev/null
+++ b/ospreyrouter/node/collectors.py
@@ -0,0 +1,131 @@
+"""The manager's address: collectors that join and report, and strangers that are shown out.
+
+    Collectors(loop, address, door, counts, heard, strangers_most)
+
+Who has not named its zone within JOIN_US is told NACK and closed, also after a PING; so is who says anything else
+first. Before joining only short frames are read. Where strangers come by hundreds the eldest goes at once, so that
+descriptors are left for collectors and for this manager's own links. To a collector nothing is written but PONG.
+"""
+
+from ..door import Malformed
+from . import frames
+from .frames import FrameReader, Unreadable
+
+JOIN_US = 900_000
+SWEEP_US = 100_000
+SHORT_MOST = 1024  # bytes of a frame before joining
+ZONE_MOST = 4  # collectors of one zone: the one that has been silent longest gives way, it may be half-open
+
+
+class Caller:
+    """One connection to the manager's address."""
+
+    __slots__ = ("stream", "reader", "since", "zone", "heard_at")
+
+    def __init__(self, stream, since):
+        self.stream, self.reader, self.since = stream, FrameReader(), since
+        self.zone, self.heard_at = None, since
+
+
+class Collectors:
+    def __init__(self, loop, address, door, counts, heard, strangers_most):
+        self.loop, self.door, self.counts, self.heard, self.strangers_most = loop, door, counts, heard, strangers_most
+        self.strangers, self.collectors = {}, {}
+        self.listener = loop.listen(address, self._accepted)
+        self.address = self.listener.address
+        self._sweep()
+
+    def _accepted(self, stream):
+        caller = Caller(stream, self.loop.now())
+        self.strangers[caller] = None
+        stream.start(lambda data: self._data(caller, data), lambda reason: self._closed(caller))
+        self.counts["callers"] += 1
+        if len(self.strangers) > self.strangers_most:
+            self._show_out(next(iter(self.strangers)), "crowded out")
+
+    def _closed(self, caller):
+        self.strangers.pop(caller, None)
+        if self.collectors.pop(caller, None):
+            self.counts["collectors lost"] += 1
+
+    def _show_out(self, caller, why):
+        self.counts[f"shown out: {why}"] += 1
+        self.strangers.pop(caller, None)
+        caller.stream.write(frames.NACK)
+        caller.stream.close()
+
+    def _sweep(self):
+        before = self.loop.now() - JOIN_US
+        for caller in list(self.strangers):  # in the order they came
+            if caller.since > before:
+                break
+            self._show_out(caller, "did not join")
+        self.loop.after(SWEEP_US, self._sweep)
+
+    def _data(self, caller, data):
+        if caller in self.strangers:
+            self._greeted(caller, data)
+        elif caller in self.collectors:
+            self._reported(caller, data)
+
+    def _greeted(self, caller, data):
+        try:
+            # A first frame may come with reports behind it: only the first is bound to be short.
+            messages = caller.reader.feed(data, SHORT_MOST)
+        except Unreadable as problem:
+            self._show_out(caller, f"unreadable: {problem}")
+            return
+        for place, message in enumerate(messages):
+            kind = frames.kind_of(message)
+            if kind == "PING":
+                caller.stream.write(frames.PONG)
+                continue
+            zone = self.door.zones.get(message.get("az")) if kind == "SOURCE" and isinstance(message.get("az"), str) \
+                else None
+            if zone is None:
+                self._show_out(caller, "no collector")
+                return
+            self._join(caller, zone)
+            self._messages(caller, messages[place + 1:])
+            return
+
+    def _join(self, caller, zone):
+        del self.strangers[caller]
+        same = [other for other in self.collectors if other.zone == zone]
+        if len(same) >= ZONE_MOST:
+            eldest = min(same, key=lambda other: other.heard_at)
+            del self.collectors[eldest]
+            eldest.stream.abort("too many of one zone")
+        caller.zone, caller.heard_at = zone, self.loop.now()
+        self.collectors[caller] = True
+        self.counts["collectors joined"] += 1
+
+    def _reported(self, caller, data):
+        caller.heard_at = self.loop.now()
+        try:
+            messages = caller.reader.feed(data)
+        except Unreadable as problem:
+            self.counts[f"collector unreadable: {problem}"] += 1
+            del self.collectors[caller]
+            caller.stream.abort("unreadable")
+            return
+        self._messages(caller, messages)
+
+    def _messages(self, caller, messages):
+        heard = []
+        for message in messages:
+            if frames.kind_of(message) == "PING":
+                caller.stream.write(frames.PONG)
+                continue
+            try:
+                heard.append(frames.usage(message, self.door))
+            except Malformed as problem:
+                self.counts[f"report spoilt: {problem}"] += 1
+        if heard:
+            self.counts["reports"] += len(heard)
+            self.heard(heard)
+
+    def close(self):
+        self.listener.close()
+        for caller in [*self.strangers, *self.collectors]:
+            caller.stream.abort("closed here")
--- /dev/null
+++ b/ospreyrouter/node/service.py
@@ -0,0 +1,125 @@
+"""The program: gathers a turn's news into one round of the manager and passes its orders on. Decides nothing.
+
+    service = Service(loop, station, door, log)      # listens, dials, runs by itself
+    service.move(discovery, relay)                   # other addresses, state kept
+    service.close()
+"""
+
+import traceback
+from collections import Counter
+from random import Random
+
+from ..interface import Outcome
+from ..policy import Manager
+from .calls import Calls
+from .collectors import Collectors
+from .news import News
+from .probes import Probes
+from .relay import Relay
+from .watch import Watch
+
+GATHER_US = 5_000
+BURST_US = 150_000  # what belongs together is waited for no longer than this
+TELL_US = 10_000_000
+OWN_SOCKETS = 24  # descriptors for standard streams, the loop, the listener and the links
+PROBES_MOST = 32
+
+
+class Service(Calls):
+    """Also the writer that the manager orders at."""
+
+    def __init__(self, loop, station, door, log, manager=Manager):
+        self.counts = Counter()
+        super().__init__(door, self.counts)
+        self.loop, self.log, self.intake, self.due, self.since = loop, log, [], None, 0
+        self.manager = manager(door.setup, station.seed)
+        chance = Random(station.seed ^ 1)  # of the links; the manager's own is not touched
+        most = max(8, station.sockets - OWN_SOCKETS - PROBES_MOST) * 2 // 3
+        self.collectors = Collectors(loop, station.listen, door, self.counts, self.hear, most)
+        self.probes = Probes(loop, PROBES_MOST, self.counts, station.settings.get("Reporting", {}).get("How") != "off")
+        self.watch = Watch(loop, station.discovery, door, self.counts, self.hear, chance, log)
+        self.watch.begin(station.known)
+        news = News(door, self, self.manager.tables, self.counts)
+        self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
+        self.rounds, self.longest_us, self.busy_us, self.late_us = 0, 0, 0, 0
+        loop.after(TELL_US, self._tell)
+
+    # Rounds.
+
+    def hear(self, heard, flush=False):
+        self.intake += heard
+        if flush:
+            self._round()
+        elif self.due is None and heard:
+            self.since = self.loop.now()
+            self.due = self.loop.after(GATHER_US, self._gathered)
+
+    def _gathered(self):
+        if self.relay.bursting and self.loop.now() - self.since < BURST_US:
+            self.due = self.loop.after(GATHER_US, self._gathered)
+        else:
+            self.late_us = max(self.late_us, self.loop.now() - self.since - GATHER_US)
+            self._round()
+
+    def _round(self):
+        if self.due is not None:
+            self.due.cancel()
+            self.due = None
+        intake, self.intake = self.intake, []
+        if not intake:
+            return
+        began = self.loop.now()
+        try:
+            self.manager.round(began, intake, self)
+        except Exception as problem:  # nothing that is heard ends the program; the fault is to be seen
+            self.counts["rounds failed"] += 1
+            where = traceback.extract_tb(problem.__traceback__)[-1]
+            self.log("round failed", problem=repr(problem), file=where.filename, line=where.lineno)
+        took = self.loop.now() - began
+        self.rounds, self.busy_us, self.longest_us = self.rounds + 1, self.busy_us + took, max(self.longest_us, took)
+        self.relay.orders()
+
+    # The writer, beyond what goes to the relay.
+
+    def probe(self, worker):
+        address = self.watch.addresses.get(worker)
+        if address is None:
+            self.hear([("probed", worker, Outcome.UNREACHABLE, 0, {})])
+            return
+        self.probes.probe(address, lambda *found: self.hear([("probed", worker, *found)]))
+
+    def wake(self, after_us, token):
+        self.loop.after(after_us, lambda: self.hear([("woke", token)]))
+
+    def bind(self, proxy, table, classes):
+        self.counts["orders without a meaning here"] += 1
+
+    def tell(self, manager, text):
+        self.counts["orders without a meaning here"] += 1
+
+    def follow_list(self, on):
+        pass  # changes are always followed
+
+    def fetch_list(self):
+        pass
+
+    def _tell(self):
+        self.log("counts", rounds=self.rounds, busy_ms=self.busy_us // 1000, longest_round_ms=self.longest_us // 1000,
+                 late_ms=self.late_us // 1000, longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
+                 proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
+                 workers=len(self.door.workers), orders_waiting=len(self.waiting),
+                 strangers=len(self.collectors.strangers), collectors=len(self.collectors.collectors),
+                 dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
+                 **dict(sorted(self.counts.items())))
+        self.loop.after(TELL_US, self._tell)
+
+    def move(self, discovery, relay):
+        self.watch.move(discovery)
+        self.relay.move(relay)
+
+    def close(self):
+        self._tell()
+        self.collectors.close()
+        self.watch.close()
+        self.relay.close()
+        self.probes.close()
--- a/ospreyrouter/web/client.py
+++ b/ospreyrouter/web/client.py
@@ -5,6 +5,9 @@
 
 `on_answer(answer)` is called once: `answer.status`, or 0 and `answer.reason` where none came. `answer.sent` says
 whether anything of the request was written: if not, it was never begun at the far end.
+
+With `on_part` each piece of a good answer's body is handed on as it comes and not kept, and `timeout_us` bounds the
+silence before each piece in place of the whole.
 """
 
 from collections import deque
@@ -23,17 +26,17 @@
 
 
 class _Asked:
-    __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us")
+    __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us", "on_part")
 
     def __init__(self, *values):
-        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us = values
+        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us, self.on_part = values
 
 
 class Client:
     """One persistent connection, dialled when first needed; it is not dialled again once it broke."""
 
-    def __init__(self, loop, address, connect_timeout_us=1_000_000, on_closed=None):
-        self.loop, self.address, self.on_closed = loop, address, on_closed
+    def __init__(self, loop, address, connect_timeout_us=1_000_000, on_closed=None, body_most=BODY_MOST):
+        self.loop, self.address, self.on_closed, self.body_most = loop, address, on_closed, body_most
         self.stream, self.http, self.queue, self.current = None, None, deque(), None
         self.closed, self.timer, self.head, self.body, self.size = False, None, None, [], 0
         loop.connect(address, connect_timeout_us, self._connected)
@@ -59,8 +62,8 @@
         stream.start(self._data, self._fail)
         self._next()
 
-    def ask(self, method, path, headers, body, on_answer, timeout_us):
-        asked = _Asked(method, path, headers, body, on_answer, timeout_us)
+    def ask(self, method, path, headers, body, on_answer, timeout_us, on_part=None):
+        asked = _Asked(method, path, headers, body, on_answer, timeout_us, on_part)
         if self.closed:
             self.loop.soon(lambda: on_answer(Answer(0, reason="closed", sent=False)))
             return
@@ -89,9 +92,13 @@
                     return
                 if isinstance(event, h11.Response):
                     self.head = event
+                elif isinstance(event, h11.Data) and self.current.on_part and self.head.status_code == 200:
+                    self.timer.cancel()
+                    self.timer = self.loop.after(self.current.timeout_us, lambda: self.abort("timed out"))
+                    self.current.on_part(bytes(event.data))
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
-                    if self.size > BODY_MOST:
+                    if self.size > self.body_most:
                         self.abort("answer too large")
                         return
                     self.body.append(bytes(event.data))
