--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -32,7 +32,7 @@
         data, at, found = self.held + data if self.held else data, 0, []
         while len(data) - at >= 4:
             size = int.from_bytes(data[at:at + 4], "big")
-            if not 2 <= size <= most:
+            if not 1 <= size <= most:
                 raise Unreadable("length")
             if len(data) - at - 4 < size:
                 break
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,447 @@
+"""The program on sockets against scripted peers, in virtual time: the relay, discovery, probes, strangers, reports."""
+
+import json
+import unittest
+from collections import Counter
+
+from ospreyrouter.door import Malformed
+from ospreyrouter.interface import Outcome, State
+from ospreyrouter.node import frames, listing, relay_lines
+from ospreyrouter.node.calls import Calls
+from ospreyrouter.node.frames import FrameReader, Unreadable, frame
+from ospreyrouter.node.log import Log
+from ospreyrouter.node.reports import load_report
+
+from .peers import DISCOVERY, RELAY, SECOND, Discovery, Heard, Relay, Scene, row, settings
+
+SOURCE = {"msg": "SOURCE", "az": "a"}
+LOAD = {"msg": "LOAD", "az": "a", "host": "s-1", "n": 10, "bad": 1, "avg": 41.7, "window": 500.0,
+        "report": {"util": 0.5, "qps": 9}}
+SHARD = {"msg": "SHARD", "partition": 1, "kind": "order", "n": 4, "bad": 0, "window": 500.0}
+
+
+class Codecs(unittest.TestCase):
+    def test_frames_in_pieces_and_what_is_none(self):
+        reader, data = FrameReader(), frame(SOURCE) + frame(LOAD)
+        found = [message for at in range(0, len(data), 3) for message in reader.feed(data[at:at + 3])]
+        self.assertEqual(found, [SOURCE, LOAD])
+        for data in (b"GET / HTTP/1.1\r\n", b"\x00\x00\x00\x00{}", b"\x7f\xff\xff\xff", b"\x00\x00\x00\x04{{{{",
+                     b"\x00\x00\x00\x03NaN", b"\x00\x00\x00\x03\"\xff\""):
+            with self.subTest(data=data), self.assertRaises(Unreadable):
+                FrameReader().feed(data)
+
+    def test_answers(self):
+        for line, said in [(b"OK 2", ("taken", 2)), (b"OK", ("following", 0)), (b"ERR throttled", ("refused", "throttled")),
+                           (b"throttled", ("refused", "throttled")), (b"OK -1", None), (b"OK 2 3", None), (b"", None),
+                           (b"O\xff 2", None), (b"OK 99999999", None), (b"perhaps", None)]:
+            with self.subTest(line=line):
+                self.assertEqual(relay_lines.answer(line), said)
+
+    def test_news(self):
+        self.assertEqual(relay_lines.news(b"* SUBSCRIBE 17 a 21.5 1"), ("SUBSCRIBE", 17, "a", 21.5, True))
+        self.assertEqual(relay_lines.news(b"*"), ())
+        for line in (b"OK", b"* ACK 17 905", b"* ROW 1 s-1 nan", b"* GRANT 1 2", b"* CLOSED -1", b"* TEA 1"):
+            with self.subTest(line=line), self.assertRaises(Unreadable):
+                relay_lines.news(line)
+
+    def test_entries(self):
+        name, dial, *_, state, weight, born = listing.entry(row(1, "leaving", 5, share=2))
+        self.assertEqual((name, dial, state, weight, born), ("s-1", ("10.1.0.1", 8443), State.DRAINING, 2, 5))
+        for key, value in [("host", "a;b"), ("host", ""), ("host", 3), ("health", "well"), ("share", -1), ("share", "1"),
+                           ("born_ms", -1), ("block", 1.5), ("dial", "somewhere:80"), ("dial", "10.0.0.1:99999")]:
+            with self.subTest(key=key, value=value), self.assertRaises(Malformed):
+                listing.entry(row(1) | {key: value})
+        for line in (b"[]", b'{"seq":true,"whole":true,"hosts":[]}', b'{"seq":1,"hosts":[]}', b"{"):
+            with self.subTest(line=line), self.assertRaises(Unreadable):
+                listing.read(line)
+
+    def test_load_reports(self):
+        self.assertEqual(load_report({"util": 0.5, "qps": 9, "new": "?"}), {"utilization": 0.5, "throughput": 9.0})
+        for report in ([], {"util": -0.1}, {"util": "0.5"}, {"qps": True}, {"util": 1e9}):
+            with self.subTest(report=report), self.assertRaises(Malformed):
+                load_report(report)
+
+
+class Gathering(unittest.TestCase):
+    """Calls without a relay: what is sent, and what becomes of it."""
+
+    def setUp(self):
+        class Names:
+            def name(self, worker):
+                return f"s-{worker}"
+        self.calls = Calls(Names(), Counter())
+
+    def sent(self):
+        data = self.calls.take()
+        return data and data.decode().removeprefix("txn ").rstrip("\r\n").split(";")
+
+    def test_the_last_value_wins_and_marks_stay_last(self):
+        self.calls.line(0, 1, 1.0)
+        self.calls.mark(1, True)
+        self.calls.line(0, 1, 0.25)
+        self.calls.line(0, 2, 1 / 3)
+        self.calls.mark(2, True)
+        self.assertEqual(self.sent(), ["share,0,s-1,0.25", "share,0,s-2,0.333333", "mark,2,1"])
+
+    def test_nothing_overtakes_a_call_in_doubt(self):
+        self.calls.line(0, 1, 1.0)
+        self.calls.line(0, 2, 1.0)
+        self.sent()
+        self.calls.line(1, 1, 1.0)
+        self.calls.line(0, 2, 0)
+        self.assertIsNone(self.sent())
+        self.calls.unsettled()
+        self.assertEqual(self.sent(), ["share,0,s-1,1", "share,1,s-1,1", "share,0,s-2,0"])
+
+    def test_a_short_answer_drops_one_order_and_sends_the_rest(self):
+        for worker in range(4):
+            self.calls.line(0, worker, 1.0)
+        self.sent()
+        self.assertEqual(self.calls.answered(1)[1], ["share,0,s-1,1"])
+        self.assertEqual(self.sent(), ["share,0,s-2,1", "share,0,s-3,1"])
+        self.assertIsNone(self.calls.answered(3))
+
+    def test_a_call_holds_no_more_than_it_may_and_all_goes_out_in_order(self):
+        for worker in range(6000):
+            self.calls.line(7, worker, 1.0)
+        self.calls.mark(1, True)
+        orders = []
+        while self.calls.waiting:
+            some = self.sent()
+            self.assertLessEqual(len(";".join(some)), 60_000)
+            orders += some
+            self.calls.answered(len(some))
+        self.assertEqual((len(orders), orders[-1]), (6001, "mark,1,1"))
+
+    def test_a_wiped_or_lost_table_takes_its_waiting_lines_along(self):
+        self.calls.line(0, 1, 1.0)
+        self.calls.line(1, 1, 1.0)
+        self.calls.withhold(0, True)
+        self.calls.wipe(0)
+        self.assertEqual(self.sent(), ["share,1,s-1,1", "withdraw,s-0", "clear,0"])
+
+
+class RelayLinks(unittest.TestCase):
+    def test_a_start_takes_over_what_stands(self):
+        scene = Scene(Heard).run(1)
+        self.assertEqual([name for name, *_ in scene.manager.heard[:1]], ["listed"])
+        self.assertEqual(scene.manager.all("joined"), [(0, 0, 5.0, True), (1, 0, 5.0, True)])
+        self.assertEqual(scene.manager.all("charged"), [(0, True), (1, True)])
+        self.assertEqual(scene.manager.tables, {0: {0: 1.0}, 1: {1: 1.0}})
+
+    def test_rows_that_come_in_pieces_come_in_one_round(self):
+        rounds = []
+
+        class Rounds(Heard):
+            def round(self, now, intake, orders):
+                rounds.append([name for name, *_ in intake if name in ("charged", "stored")])
+        Scene(Rounds).run(1)
+        self.assertEqual([names for names in rounds if names], [["charged", "stored"] * 2])
+
+    def test_each_fate_of_a_call(self):
+        """Whatever becomes of calls, what was ordered stands in the end, and in order."""
+        for fate in ("lost", "done", "mute", "spoilt", "throttled", "internal", "conflict"):
+            for times in (1, 3):
+                with self.subTest(fate=fate, times=times):
+                    scene = Scene(Heard).run(1)
+                    scene.relay.fates = [fate] * times
+                    scene.service.line(0, 0, 0.5)
+                    scene.service.line(0, 1, 0.5)
+                    scene.service.mark(9, True)
+                    scene.service.relay.orders()
+                    scene.run(0.01)
+                    scene.service.line(0, 1, 0.0)  # must not be overtaken by the one in doubt
+                    scene.service.relay.orders()
+                    scene.run(4)
+                    self.assertEqual(scene.relay.slices[0], {"s-1": 0.5})
+                    self.assertIn((0, 9, 200_000), scene.manager.all("applied"))
+                    self.assertFalse(scene.service.waiting or scene.service.flying)
+
+    def test_an_order_that_makes_calls_unreadable_is_found_and_dropped_alone(self):
+        scene = Scene(Heard).run(1)
+        take = scene.relay._line
+        scene.relay._line = lambda stream, line: stream.write(b"ERR invalid\r\n") if "s-2,0.5" in line \
+            else take(stream, line)
+        for worker, weight in ((0, 0.5), (1, 0.5), (0, 0.25)):
+            scene.service.line(worker and 1, worker, weight)
+            scene.service.line(0, worker, weight)
+        scene.service.mark(3, True)
+        scene.service.relay.orders()
+        scene.run(3)
+        self.assertEqual(scene.relay.slices, {0: {"s-1": 0.25}, 1: {"s-2": 1.0}})
+        self.assertEqual(scene.counts["orders refused"], 2)
+        self.assertIn((0, 3, 200_000), scene.manager.all("applied"))
+
+    def test_a_short_answer_goes_on_behind_the_bad_order(self):
+        scene = Scene(Heard, fates=[1]).run(1)
+        scene.service.line(0, 0, 0.5)
+        scene.service.line(0, 1, 0.5)
+        scene.service.line(1, 0, 0.5)
+        scene.service.relay.orders()
+        scene.run(1)
+        self.assertEqual(scene.relay.slices, {0: {"s-1": 0.5}, 1: {"s-2": 1.0, "s-1": 0.5}})
+        self.assertEqual([fields["order"] for event, fields in scene.logged if event == "order refused"],
+                         ["share,0,s-2,0.5"])
+
+    def test_silence_of_the_relay_is_noticed_and_what_stands_comes_anew(self):
+        scene = Scene(Heard).run(1)
+        scene.network.cut("manager", "far")
+        scene.service.line(0, 1, 0.25)
+        scene.service.relay.orders()
+        scene.run(5)
+        self.assertTrue(scene.service.waiting)
+        scene.service.line(0, 1, 0.5)
+        scene.relay.proxies = [1, 2]
+        scene.relay.slices = {0: {"s-1": 1.0}, 1: {"s-2": 1.0}}
+        scene.network.mend("manager", "far")
+        scene.manager.heard.clear()
+        scene.run(3)
+        self.assertEqual(scene.manager.all("left"), [(0,)])
+        self.assertEqual([proxy for proxy, *_ in scene.manager.all("joined")], [1, 2])
+        self.assertEqual(scene.manager.all("charged"), [])
+        self.assertEqual(scene.relay.slices[0], {"s-1": 1.0, "s-2": 0.5})
+        self.assertEqual(len(scene.relay.orders("share,0,s-2")), 1)
+
+    def test_after_a_broken_follow(self):
+        cases = [  # what the relay holds then, and what the manager is told of its slices
+            ({0: {"s-1": 1.0}, 1: {"s-2": 1.0}}, []),
+            ({0: {"s-1": 1.0}}, [("charged", 1, False)]),
+            ({0: {"s-1": 1.0}, 1: {"s-1": 0.5}}, [("charged", 1, True), ("stored", 1, 0, 0.5)]),
+            ({0: {"s-1": 1.0}, 1: {}}, [("charged", 1, True)])]
+        for slices, told in cases:
+            with self.subTest(slices=slices):
+                scene = Scene(Heard).run(1)
+                scene.manager.heard.clear()
+                scene.relay.slices = slices
+                scene.relay.followers[0].abort()
+                scene.run(1)
+                self.assertEqual([one for one in scene.manager.heard if one[0] in ("charged", "stored")], told)
+                self.assertEqual(scene.relay.follows, 2)
+
+    def test_live_news(self):
+        scene = Scene(Heard).run(1)
+        scene.manager.heard.clear()
+        scene.service.line(1, 0, 1.0)  # void once the slice is somebody else's
+        scene.relay.say("* CLOSED 0", "* GRANT 1 0", "* SUBSCRIBE 0 a 7 0", "* GRANT 1 1", "* ROW 1 s-9 2.0",
+                        "* SUBSCRIBE 99 a 7 0", "* SUBSCRIBE 1 mars 7 0", "* CLOSED 3", "* ACK 3 1 2.0")
+        scene.run(1)
+        self.assertEqual(scene.manager.heard, [
+            ("left", 0), ("charged", 1, False), ("joined", 0, 0, 7.0, False), ("charged", 1, True), ("stored", 1, 2, 2.0)])
+        self.assertFalse(scene.service.waiting)
+        self.assertEqual(scene.counts["news spoilt: proxy"], 1)
+
+    def test_an_idle_connection_is_not_used_for_a_call(self):
+        scene = Scene(Heard).run(1)
+        for wait in (0.5, 5):
+            scene.service.line(0, 0, wait)
+            scene.service.relay.orders()
+            scene.run(wait)
+        scene.service.line(0, 0, 1.0)
+        scene.service.relay.orders()
+        scene.run(1)
+        self.assertEqual(len(scene.relay.streams), 3)  # news, calls, and calls anew after five seconds
+        self.assertEqual(scene.counts["calls in doubt"], 0)
+
+    def test_moving_to_other_addresses_keeps_the_state(self):
+        scene = Scene(Heard).run(1)
+        other, elsewhere = ("10.2.0.9", 6400), ("10.2.0.9", 8500)
+        relay = Relay(scene.far, other)
+        discovery = Discovery(scene.far, elsewhere)
+        scene.manager.heard.clear()
+        scene.service.move(elsewhere, other)
+        scene.service.line(0, 0, 0.5)
+        scene.run(1)
+        self.assertEqual((relay.follows, len(scene.relay.followers), len(scene.discovery.streams)), (1, 0, 0))
+        discovery.say(2, False, row(1, "leaving"))
+        scene.run(1)
+        self.assertEqual(relay.slices[0], {"s-1": 0.5})
+        self.assertEqual(discovery.since, [1])
+        self.assertEqual({name for name, *_ in scene.manager.heard}, {"joined", "listed"})
+        scene.service.move(elsewhere, other)  # the same again: nothing is dialled
+        scene.run(1)
+        self.assertEqual((relay.follows, len(discovery.since)), (1, 1))
+
+
+class Lists(unittest.TestCase):
+    def entries(self, scene):
+        return [(whole, [(one.worker, one.state, one.started_us) for one in entries])
+                for whole, entries in scene.manager.all("listed")]
+
+    def test_changes_restarts_and_a_moved_address(self):
+        scene = Scene(Heard).run(1)
+        scene.service.watch.clock_ms = lambda: 1_700_000_010_000 + scene.network.time // 1000
+        scene.discovery.say(2, False, row(1, born_ms=1_700_000_000_000, dial="10.1.0.77:1"), row(2, "left"), row(3) | {"site": "mars"})
+        scene.run(1)
+        started = self.entries(scene)[-1][1][0][2]
+        self.assertLess(started, scene.network.time - 9 * SECOND)
+        self.assertEqual(self.entries(scene)[-1], (False, [(0, State.READY, started), (1, State.GONE, None)]))
+        self.assertEqual(scene.service.watch.addresses, {0: ("10.1.0.77", 1)})
+        scene.service.watch.clock_ms = lambda: 1_700_000_099_000  # a clock that was set is no new start
+        scene.discovery.say(3, False, row(1, born_ms=1_700_000_000_000))
+        scene.run(1)
+        self.assertEqual(self.entries(scene)[-1][1][0][2], started)
+        self.assertIsNone(scene.door.known("s-3"))
+
+    def test_while_discovery_is_down_the_last_list_stands_and_the_watch_goes_on_from_it(self):
+        scene = Scene(Heard).run(1)
+        scene.discovery.say(7, False, row(3))
+        scene.run(1)
+        scene.network.cut("manager", "far")
+        scene.run(20)
+        self.assertEqual(len(self.entries(scene)), 2)
+        scene.network.mend("manager", "far")
+        scene.discovery.lines = [json.dumps({"seq": 9, "whole": True, "hosts": [row(3)]})]
+        scene.run(3)
+        self.assertEqual(scene.discovery.since[-1], 7)
+        self.assertEqual(self.entries(scene)[-1], (True, [(2, State.READY, None)]))
+        self.assertEqual(scene.service.watch.addresses.keys(), {2})
+
+    def test_a_watch_that_cannot_be_read_or_is_refused_is_dialled_again(self):
+        for trouble in (b"5\r\n{{{{\n\r\n", b"zz\r\n"):
+            with self.subTest(trouble=trouble):
+                scene = Scene(Heard).run(1)
+                scene.discovery.streams[0].write(trouble)
+                scene.run(1)
+                self.assertEqual((len(scene.discovery.since), len(scene.discovery.streams)), (2, 1))
+
+
+class Probing(unittest.TestCase):
+    def test_outcomes(self):
+        scene = Scene(Heard, workers=5).run(1)
+        scene.health = {1: (200, b'{"inflight":7,"util":0.61}'), 2: (503, b""), 3: (0, b""), 4: (200, b"{{")}
+        scene.service.watch.addresses[5] = ("10.1.0.99", 1)
+        for worker in range(7):
+            scene.service.watch.addresses.setdefault(worker, ("10.1.0.5", 8443))
+        del scene.service.watch.addresses[6]
+        for worker in range(7):
+            scene.service.probe(worker)
+        scene.run(2)
+        found = {worker: (outcome, report) for worker, outcome, _, report in scene.manager.all("probed")}
+        self.assertEqual(found, {
+            0: (Outcome.PASSED, {"outstanding": 7.0, "utilization": 0.61}), 1: (Outcome.ERROR, {}),
+            2: (Outcome.TIMED_OUT, {}), 3: (Outcome.PASSED, {}),
+            4: (Outcome.PASSED, {"outstanding": 1.0, "utilization": 0.3, "throughput": 4.0}),
+            5: (Outcome.UNREACHABLE, {}), 6: (Outcome.UNREACHABLE, {})})
+        scene.health[1] = (0, b"")
+        scene.service.probe(0)
+        scene.run(0.1)
+        for stream in [one for one in scene.far.streams if one.peer[0] == "manager"]:
+            stream.abort()
+        scene.run(1)
+        self.assertEqual(scene.manager.all("probed")[-1][1], Outcome.RESET)
+
+    def test_many_at_once_wait_their_turn(self):
+        scene = Scene(Heard).run(1)
+        for _ in range(200):
+            scene.service.probe(0)
+        self.assertEqual(len(scene.service.probes.open), scene.service.probes.most)
+        scene.run(3)
+        self.assertEqual(len(scene.manager.all("probed")), 200)
+        self.assertFalse(scene.service.probes.open)
+
+
+class Callers(unittest.TestCase):
+    def test_who_does_not_join_is_shown_out_in_time(self):
+        long = (5000).to_bytes(4, "big") + b"{" * 4000
+        cases = [(), (frame({"msg": "PING"}),), (frame(SOURCE)[:9],), (b"GET / HTTP/1.1\r\n\r\n",), (long,), (frame(LOAD),),
+                 (frame({"msg": "SOURCE", "az": "mars"}),), (frame({"msg": "SOURCE", "az": ["a"]}),), (frame([]),),
+                 (frame({"msg": "SUBSCRIBE", "sidecar": 1}),), (b"\xff\xff\xff\xff",), (b"\0\0\0\0",)]
+        for messages in cases:
+            with self.subTest(messages=messages):
+                scene = Scene(Heard).run(0.5)
+                caller = scene.call(*messages)
+                scene.run(1.2)
+                self.assertEqual(caller.got[-1], "NACK")
+                self.assertEqual(caller.ended, "closed by the peer")
+                self.assertEqual(caller.got[:-1], ["PONG"] * (b"PING" in b"".join(messages)))
+                self.assertFalse(scene.service.collectors.strangers or scene.manager.all("met"))
+
+    def test_strangers_by_hundreds_leave_room_for_collectors(self):
+        scene = Scene(Heard, sockets=256).run(0.5)
+        for _ in range(5):
+            for _ in range(300):
+                scene.call()
+            scene.run(0.02)
+            self.assertLess(len(scene.host.streams), 200)
+        collector = scene.call(SOURCE, LOAD, {"msg": "PING"})
+        scene.run(1.5)
+        self.assertEqual((collector.got, collector.ended), (["PONG"], None))
+        self.assertEqual(len(scene.manager.all("met")), 1)
+        self.assertFalse(scene.service.collectors.strangers)
+
+    def test_spoilt_reports_are_dropped_alone(self):
+        scene = Scene(Heard).run(0.5)
+        spoilt = [LOAD | {"n": -1}, LOAD | {"bad": 11}, LOAD | {"avg": "x"}, LOAD | {"host": "s-99"}, LOAD | {"az": 3},
+                  LOAD | {"report": {"util": -1}}, LOAD | {"n": 1.5}, LOAD | {"window": None}, SHARD | {"partition": 2},
+                  SHARD | {"kind": "tea"}, SHARD | {"n": True}, {"msg": "TEA"}, {}, 7, {"msg": "SOURCE", "az": "mars"},
+                  {key: value for key, value in LOAD.items() if key != "bad"}]
+        collector = scene.call(SOURCE, LOAD, *(one for bad in spoilt for one in (bad, SHARD)), {"msg": "PING"})
+        scene.run(1)
+        self.assertEqual(scene.manager.all("met"), [(0, 0, 10, 1, 41_700, 500_000, {"utilization": 0.5, "throughput": 9.0})])
+        self.assertEqual(scene.manager.all("demanded"), [(1, 0, 4, 0, 500_000)] * len(spoilt))
+        self.assertEqual(sum(n for why, n in scene.counts.items() if why.startswith("report spoilt")), len(spoilt))
+        self.assertEqual((collector.got, collector.ended), (["PONG"], None))
+
+    def test_a_collector_that_cannot_be_read_is_closed_alone_and_may_come_again(self):
+        scene = Scene(Heard).run(0.5)
+        first, other = scene.call(SOURCE), scene.call(SOURCE)
+        scene.run(0.5)
+        first.say(LOAD, b"\0\0\0\4{{{{", LOAD)
+        scene.run(0.5)
+        again = scene.call(SOURCE, SHARD)
+        scene.run(0.5)
+        self.assertEqual((first.got, first.ended, other.ended, again.ended), ([], "econnreset", None, None))
+        self.assertEqual(len(scene.manager.all("demanded")), 1)
+
+    def test_half_open_collectors_of_a_zone_give_way(self):
+        scene = Scene(Heard).run(0.5)
+        callers = [scene.call(SOURCE) for _ in range(9)]
+        scene.run(1)
+        self.assertEqual(sum(one.ended is None for one in callers), 4)
+
+
+class Whole(unittest.TestCase):
+    """The program with its real manager."""
+
+    def test_a_drain_reaches_the_proxies_and_a_fault_of_a_round_ends_nothing(self):
+        scene = Scene(workers=3).run(2)
+        scene.call(SOURCE)
+        scene.discovery.say(2, False, row(1, "leaving"))
+        scene.run(2)
+        self.assertIn("withdraw,s-1", scene.relay.orders("withdraw"))
+        self.assertNotIn("s-1", scene.relay.slices[0])
+        scene.manager.round, kept = None, scene.manager.round
+        scene.run(1)
+        scene.manager.round = kept
+        self.assertIn("round failed", [event for event, _ in scene.logged])
+        scene.run(12)
+        self.assertIn("counts", [event for event, _ in scene.logged])
+
+    def test_a_manager_killed_and_started_again_goes_on_with_what_stands(self):
+        scene = Scene(workers=3).run(5)
+        rows = json.dumps(scene.relay.slices)
+        scene.host.kill()
+        scene.relay.calls.clear()
+        again = Scene(workers=3, slices=scene.relay.slices).run(5)
+        self.assertEqual(json.dumps(again.relay.slices), rows)
+
+
+class Usage(unittest.TestCase):
+    def test_usage_of_a_proxy(self):
+        door = Scene(Heard).door
+        message = {"msg": "RATE", "sidecar": 3, "kind": "order", "n": 2, "bad": 0, "window": 10}
+        self.assertEqual(frames.usage(message, door), ("used", 3, 0, 2, 0, 10_000))
+
+    def test_a_log_that_nobody_reads_never_blocks(self):
+        import os
+        read, write = os.pipe()
+        self.addCleanup(os.close, read)
+        self.addCleanup(os.close, write)
+        log = Log(write, "n0")
+        for _ in range(3000):
+            log("counts", reports=1)
+        self.assertGreater(log.dropped, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
