--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -120,7 +120,7 @@
             try:
                 heard.append(frames.usage(message, self.door))
             except Malformed as problem:
-                self.counts[f"report spoilt: {problem}"] += 1
+                self.counts[f"report spoilt: {frames.kind_of(message)} {problem}"[:60]] += 1
         if heard:
             self.counts["reports"] += len(heard)
             self.heard(heard)
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -81,7 +81,8 @@
     if kind not in ("LOAD", "SHARD", "RATE"):
         raise Malformed("msg")
     count = whole(message, "n", 0, COUNT_MOST)
-    lost = whole(message, "bad", 0, count)
+    # Of tries so many failed; of what came for a slice, also what had come before.
+    lost = whole(message, "bad", 0, count if kind == "LOAD" else COUNT_MOST)
     span = micros_of(number(message, "window", 0.0, SPAN_MOST_MS))
     if kind == "LOAD":
         zone, worker = door.zone(message.get("az")), door.known(message.get("host"))
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -19,6 +19,7 @@
 IDLE_US = 2_000_000  # the relay closes what stood idle: a call is not begun on such a connection
 BACK_US, BACK_MOST_US = 20_000, 640_000
 THROTTLED_US = 100_000
+STALL_US = 70_000  # orders that have waited longer have not come to the channel when they were written
 
 
 class Link:
@@ -88,6 +89,7 @@
         self.next_link, self.follow_due = None, False
         self.news_link.dial(address)
         self.timer, self.held_until, self.quiet_timer, self.partial = None, 0, None, False
+        self.waits_since = None  # since when orders wait without a break
 
     # News.
 
@@ -177,8 +179,14 @@
 
     # Calls.
 
+    @property
+    def stalled(self):
+        return self.waits_since is not None and self.loop.now() - self.waits_since > STALL_US
+
     def orders(self):
         """Send what is ordered, if the connection is there and no call is in flight."""
+        if self.waits_since is None and self.calls.waiting:
+            self.waits_since = self.loop.now()
         if self.calls.flying or not self.calls.waiting or self.news.standing or self.follow_due:
             return
         if self.loop.now() < self.held_until:
@@ -235,6 +243,10 @@
         return [], []
 
     def _after_call(self):
+        if not self.calls.waiting and not self.calls.flying:
+            stalled, self.waits_since = self.stalled, None
+            if stalled:
+                self.heard([("stalled",)])
         if self.follow_due and not self.calls.flying:
             for link in (self.next_link, self.news_link):
                 if link is not None and link.stream is not None and not link.following:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -68,6 +68,8 @@
         intake, self.intake = self.intake, []
         if not intake:
             return
+        if self.relay.stalled:
+            intake.insert(0, ("stalled",))
         began = self.loop.now()
         try:
             self.manager.round(began, intake, self)
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -10,8 +10,7 @@
 import heapq
 from random import Random
 
-from scipy.optimize import linear_sum_assignment
-
+from .assign import assign
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
@@ -40,6 +39,7 @@
 DRAIN = 0.35  # so much less for each quoted time that answers take longer than they should
 AHEAD = 1.5  # times what was answered of late it grows to; times what is asked, it is dropped: all is over
 PROBE_US = 1_000_000  # each worker is probed this often
+UNLISTED = 0.15  # part of the drain grace in which the list must name whom only a store's table names, or it is gone
 VOUCHED_US = 3_000_000  # so long after an answer a worker that the list has lost is held to be running
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 UNPROVEN = 0.8  # part of the latter that ordinary sends may fill before any is proven to have left
@@ -126,8 +126,7 @@
     for group in groups.values():
         loads = [[sum(target not in held.get(item, {}) for item in content[source]) - (source == target) * 0.5
                   for target in group] for source in group]
-        rows, columns = linear_sum_assignment(loads)
-        goes.update((group[row], group[column]) for row, column in zip(rows, columns))
+        goes.update((group[row], group[column]) for row, column in enumerate(assign(loads)))
     return {item: {goes[server]: part for server, part in parts.items()} for item, parts in placed.items()}
 
 
@@ -141,7 +140,8 @@
 
     def __init__(self):
         self.kind, self.weight, self.started = -1, 1.0, None
-        self.state, self.drained = State.READY, False  # ready if only a store's table names it, until listed
+        self.state, self.drained = State.READY, False  # ready if only a store's table names it, for a moment:
+        self.named_at = None  # since when, while the list does not name it
         self.proved, self.vouched_at = False, 0  # whether it ever answered; when it last did
         self.probe_at, self.strained = 0, False
         self.forget()
@@ -208,6 +208,7 @@
             if entry.started_us is not None and entry.started_us != worker.started:
                 worker.forget()
             worker.kind, worker.started, worker.state = entry.kind, entry.started_us, entry.state
+            worker.named_at = None
             worker.weight = entry.weight if self.setup.weights_listed and entry.weight > 0 else 1.0
             worker.drained = entry.state is State.DRAINING or worker.drained and entry.state is State.GONE
             if entry.state is State.READY and not worker.proved:
@@ -238,7 +239,10 @@
         self.urgent = True
 
     def stored(self, item, worker, weight):
-        self.workers.setdefault(worker, Worker()).proved = True  # others found it good
+        if worker not in self.workers:
+            self.workers[worker] = Worker()
+            self.workers[worker].named_at = self.now
+        self.workers[worker].proved = True  # others found it good
         if item in self.own and weight > 0:
             self.tables[item][worker] = weight
 
@@ -316,6 +320,11 @@
                 self.pace_lines = min(full, row[4] / slow * 1_000_000) if late else full
                 row[4] = 0
 
+    def stalled(self):
+        """The channel took nothing of late: what it has not proven to have left has only come to it now."""
+        for row in self.sent:
+            row[3] = self.now
+
     # What is made of it.
 
     def ready(self):
@@ -333,6 +342,10 @@
 
     def judge(self):
         """Health of each worker: fades at once with losses and unanswered probes, returns with time."""
+        for row in self.workers.values():
+            # It left before this manager's life, or its last list, began: no list will ever call it gone.
+            if row.named_at is not None and self.now - row.named_at > UNLISTED * self.setup.grace_us:
+                row.state, row.named_at, self.urgent = State.GONE, None, True
         ready = self.ready()
         losses, answers, asked, good, waited = {}, {}, 1.0, 1.0, 0.0
         self.asked.turn(self.now)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -123,6 +123,17 @@
                 if 1 not in before[item]:
                     self.assertEqual(table, before[item])
 
+    def test_a_worker_that_only_rows_name_is_gone_unless_the_list_names_it_soon(self):
+        for told, kept in (([], False), ([("listed", False, [entry(9)])], True)):
+            stand = Stand()
+            stand.round(("charged", 3, True), ("stored", 3, 9, 1.0), after=1)
+            self.assertNotIn((9, True), stand.sheet.all("withhold"))
+            stand.sheet.tables[3] = {9: 1.0}
+            for _ in range(4):
+                stand.round(*told, after=0.5)
+            self.assertEqual(9 in stand.sheet.tables[3], kept)
+            self.assertEqual((9, True) in stand.sheet.all("withhold"), not kept)
+
     def test_the_last_servers_drain_too(self):
         stand = Stand(workers=2)
         stand.round(("listed", False, [entry(0, DRAINING), entry(1, DRAINING)]))
@@ -278,6 +289,17 @@
         lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
         self.assertLessEqual(lines * 10, 2000)
 
+    def test_what_a_stalled_channel_has_not_taken_stays_in_the_books(self):
+        for stalled, short in ((True, True), (False, False)):
+            stand = Stand(workers=12, slices=200, proxies=10, queue_lines=2000.0)
+            stand.manager.applied = lambda *_: None
+            del stand.sheet.orders[:]
+            for turn in range(24):
+                stand.round(*[("stalled",)] * stalled, ("listed", False, [
+                    entry(w, DRAINING if w in (turn % 12, (turn + 1) % 12) else READY) for w in range(12)]), after=1.0)
+            lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
+            self.assertEqual(lines * 10 <= 2000, short)
+
     def test_lost_servers_are_withheld_at_once_and_let_in_when_no_table_holds_too_much(self):
         stand = Stand(workers=6, slices=60, proxies=12, lines_per_s=1600.0, queue_lines=3200.0)
         demand = dict.fromkeys(range(60), 3)
