--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -5,20 +5,19 @@
 import signal
 import sys
 
-os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")  # before numpy: a thread a core costs memory and does nothing
-
-from ..loop import Loop, Refused  # noqa: E402
-from . import start  # noqa: E402
-from .log import Log  # noqa: E402
+from ..loop import Loop, Refused
+from . import start
+from .log import Log
+from .service import Service
 
 
 def main():
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there are addresses to move from
     try:
         station = start.station()
         door = start.door(station)
     except start.BadStart as problem:
         sys.exit(_refuse(problem))
-    from .service import Service
     log, loop = Log(name=station.name), Loop()
     try:
         service = Service(loop, station, door, log)
--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -83,10 +83,10 @@
         return [key for key, _ in done], [text for _, text in refused]
 
     def unsettled(self):
+        """All of the call goes out again, first; returns the mark in it, if there is one."""
         flying, self.flying = self.flying, []
-        if flying:
-            self.counts["calls in doubt"] += 1
         self._again(flying)
+        return next((int(text.split(",")[1]) for key, text in flying if key == ("mark",)), None)
 
     def _again(self, orders):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -258,8 +258,10 @@
     def _call_down(self, reason):
         self.call_timer = self.call_timer and self.call_timer.cancel()
         if self.calls.flying:
-            self.counts[f"call broken: {reason}"] += 1
-        self.calls.unsettled()
+            self.counts[f"call in doubt: {reason}"] += 1
+            number = self.calls.unsettled()
+            if number is not None:
+                self.heard([("repeated", number)])
         self._after_call()
 
     # Another address.
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -105,7 +105,16 @@
     def fetch_list(self):
         pass
 
+    def _forget(self):
+        """Names that neither the manager nor the list holds any more."""
+        if not self.intake and not self.relay.news.standing:
+            for worker in list(self.door.names):
+                if worker not in self.manager.workers and worker not in self.watch.addresses:
+                    self.door.forget(worker)
+                    self.watch.forget(worker)
+
     def _tell(self):
+        self._forget()
         self.log("counts", rounds=self.rounds, busy_ms=self.busy_us // 1000, longest_round_ms=self.longest_us // 1000,
                  late_ms=self.late_us // 1000, longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
                  proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -28,18 +28,21 @@
 RETURN_US = 8_000_000  # a faded worker is back at full weight no sooner than this
 STRAIN = 0.4  # a server whose good answers take longer than this part of the mean quoted time is too full
 CROWDED, EASY = 0.4, 0.2  # parts of the fleet too full at which levels fall, and below which they rise again;
+EASE = 0.7  # part of the strain below which answers show a fleet at ease, with few too full
 LOSING = 0.7  # they fall too where answers take long and no more than this part of all tries has one
 LEVEL_US = 1_000_000  # levels are weighed this often; in such a time
 BOUND_US = 4_000_000  # so long after a bound fell answers still tell of before
 YIELD, RELEASE = 0.10, 0.15  # the estimate of what the fleet can do falls at most, and regains, this much
 CREEP, IDLE = 0.03, 1.3  # beyond the last jam only this, unless answers take the least seen times that
 CALM_COUNT, STEP = 50, 0.02  # answers that make a mean; change of a level that is worth a message to all
-TAKEN = 0.1  # weight of the latest sight of how much the levels really let in
+TAKEN, TAKEN_AT_EASE = 0.1, 0.9  # weight of the latest sight of how much the levels really let in;
+LEAST_TAKEN = 0.25  # no less of it is believed
 HEADROOM, LEAST = 0.9, 0.3  # of that estimate is let in; at least, while a queue is worked off:
 DRAIN = 0.35  # so much less for each quoted time that answers take longer than they should
 AHEAD = 1.5  # times what was answered of late it grows to; times what is asked, it is dropped: all is over
 PROBE_US = 1_000_000  # each worker is probed this often
 UNLISTED = 0.15  # part of the drain grace in which the list must name whom only a store's table names, or it is gone
+FORGET_US = 30_000_000  # who is gone for so long, and in no table, is forgotten
 VOUCHED_US = 3_000_000  # so long after an answer a worker that the list has lost is held to be running
 USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
 UNPROVEN = 0.8  # part of the latter that ordinary sends may fill before any is proven to have left
@@ -141,7 +144,7 @@
     def __init__(self):
         self.kind, self.weight, self.started = -1, 1.0, None
         self.state, self.drained = State.READY, False  # ready if only a store's table names it, for a moment:
-        self.named_at = None  # since when, while the list does not name it
+        self.named_at = self.gone_at = None  # since when, while the list does not name it; since when gone
         self.proved, self.vouched_at = False, 0  # whether it ever answered; when it last did
         self.probe_at, self.strained = 0, False
         self.forget()
@@ -170,7 +173,7 @@
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, 0
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
-        self.taken = 1.0  # of the tries that the levels should let in
+        self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.within = frozenset()
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
@@ -325,6 +328,11 @@
         for row in self.sent:
             row[3] = self.now
 
+    def repeated(self, number):
+        """What carried this mark may pass the channel twice: nobody knows whether it did the first time."""
+        for row in self.sent:
+            row[1] *= 2 if row[0] == number else 1
+
     # What is made of it.
 
     def ready(self):
@@ -362,7 +370,11 @@
             asked, good, waited = asked + tries, good + answers[w], waited + delay
         self.answered, self.good, self.pace = good / asked, good * quoted, waited / good / quoted
         # Where a refused client's repeats are refused again, less comes through than the level says.
-        self.taken += TAKEN * (min(1.0, max(0.5, asked / sum(let_in))) - self.taken)
+        # At ease that is learned at once: levels learned in a jam would refuse the repeats long after it.
+        self.at_ease = (self.pace < EASE * STRAIN
+                        and sum(self.workers[w].strained for w in ready) < EASY * len(ready))
+        self.taken += (TAKEN_AT_EASE if self.at_ease else TAKEN) * (
+            min(1.0, max(LEAST_TAKEN, asked / sum(let_in))) - self.taken)
         self.calm = min(self.calm, self.pace) if good > CALM_COUNT else self.calm
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span, self.judged_at = self.now - (self.judged_at or self.now), self.now
@@ -446,8 +458,10 @@
             self.jam = self.able
         elif full < EASY and self.able is not None:
             idle = self.able < self.jam or self.pace < IDLE * self.calm
-            # No further ahead of what was answered than that, or it grows unproven into the next jam.
-            grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * self.good)
+            # No further ahead of what was answered than that, or it grows unproven into the next jam; at ease
+            # what failed counts too: a part of the fleet that fails says nothing of what the rest can carry.
+            proven = self.good / (self.answered if self.at_ease else 1.0)
+            grown = min(self.able * (1.0 + (RELEASE if idle else CREEP)), AHEAD * proven)
             self.able = max(grown, self.able * (1.0 - YIELD))
         room = max(LEAST, HEADROOM - DRAIN * max(0.0, self.pace - STRAIN)) if full > EASY else HEADROOM
         left = sum(work) if self.able is None else room * self.able / self.taken
@@ -478,6 +492,21 @@
             self.workers[w].probe_at = self.now + PROBE_US
             self.orders.probe(w)
 
+    def forget(self):
+        """Whole fleets are replaced under new names: what is held of the gone must not grow with them.
+
+        Who is withheld is let in first, which is a line for nobody: under its old name it may come again.
+        """
+        named = {w for item in self.own for w in self.tables[item]}
+        for w, row in sorted(self.workers.items()):
+            row.gone_at = None if row.state is not State.GONE else self.now if row.gone_at is None else row.gone_at
+            if row.gone_at is not None and self.now - row.gone_at > FORGET_US and w not in named:
+                if w in self.withheld | self.barred:
+                    self.orders.withhold(w, False)
+                del self.workers[w]
+                for group in (self.withheld, self.barred, self.freed, self.doubted):
+                    group.discard(w)
+
     # The layout.
 
     def decide(self):
@@ -492,6 +521,7 @@
         if self.own and (self.urgent or self.now >= self.window_at):
             if self.now >= self.window_at:
                 self.window_at = self.now + WINDOW_US
+                self.forget()
             if sizes:
                 self.lay(sizes)
             else:  # no one to send to: what drains or is gone must leave the tables all the same
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -136,6 +136,9 @@
 
     def _up(self, loop, stream, messages):
         self.stream = stream
+        if stream is None:
+            self.ended = "refused"
+            return
         stream.start(lambda data: self.got.extend(m["msg"] for m in self.reader.feed(data)),
                      lambda reason: setattr(self, "ended", reason))
         self.say(*messages)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -134,6 +134,19 @@
             self.assertEqual(9 in stand.sheet.tables[3], kept)
             self.assertEqual((9, True) in stand.sheet.all("withhold"), not kept)
 
+    def test_who_is_gone_for_long_is_forgotten_and_may_come_again(self):
+        stand = Stand(workers=4, start=1000 * SECOND)
+        stand.round(("listed", False, [entry(3, GONE)]))
+        self.assertEqual(stand.sheet.all("withhold"), [(3, True)])
+        stand.run(20, demand=EVEN, met=dict.fromkeys(range(3), (40, 0, 0.1)))
+        self.assertIn(3, stand.manager.workers)
+        stand.run(16, demand=EVEN, met=dict.fromkeys(range(3), (40, 0, 0.1)))
+        self.assertEqual((3 in stand.manager.workers, stand.sheet.all("withhold")[-1]), (False, (3, False)))
+        self.assertNotIn(3, stand.manager.withheld | stand.manager.barred | stand.manager.freed | stand.manager.doubted)
+        stand.round(("listed", False, [entry(3)]), ("probed", 3, Outcome.PASSED, 0, {}), after=0.5)
+        stand.round(("listed", False, [entry(w, DRAINING) for w in (0, 1)]), after=0.5)
+        self.assertTrue(any(3 in table for table in stand.sheet.tables.values()))
+
     def test_the_last_servers_drain_too(self):
         stand = Stand(workers=2)
         stand.round(("listed", False, [entry(0, DRAINING), entry(1, DRAINING)]))
@@ -251,6 +264,23 @@
             manager.admit()
             self.assertAlmostEqual(manager.levels[0], level)
 
+    def test_at_ease_what_levels_really_let_in_is_learned_at_once(self):
+        for delay, learned in [(0.1, True), (0.27, True), (0.8, False)]:
+            stand = Stand()
+            stand.run(3, demand=EVEN, met=WELL)
+            stand.manager.levels[0] = 0.5  # most of what comes now is refused clients that come again
+            stand.run(2, demand=dict.fromkeys(range(8), 160), met=dict.fromkeys(range(4), (40, 0, delay)))
+            self.assertEqual(stand.manager.taken < 0.5, learned)
+
+    def test_at_ease_failures_of_a_part_do_not_hold_the_estimate_down(self):
+        for at_ease, able in [(True, 115.0), (False, 90.0)]:
+            manager = Stand().manager
+            manager.able, manager.jam, manager.good, manager.level_at = 100.0, 200.0, 48.0, 0
+            manager.answered, manager.at_ease = 0.6, at_ease
+            manager.asked.add(manager.now, 0, 1000, 0, 1000, 0)
+            manager.admit()
+            self.assertAlmostEqual(manager.able, able)
+
     def test_what_counts_as_a_crowded_fleet(self):
         for met, refuses in [(dict.fromkeys((0, 1, 2), (60, 60, 0.0)) | {3: (60, 40, 1.5)}, True),  # most are mute
                              (WELL | {2: (80, 40, 2.0)}, False)]:
@@ -300,6 +330,17 @@
             lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
             self.assertEqual(lines * 10 <= 2000, short)
 
+    def test_a_repeated_message_counts_twice_until_it_is_proven(self):
+        stand = Stand(workers=4, slices=40, proxies=10)
+        stand.manager.applied, applied = lambda *_: None, stand.manager.applied
+        stand.round(("listed", False, [entry(1, DRAINING)]), after=1.0)
+        number, unproven = stand.sheet.all("mark")[-1][0], stand.manager.channel()[0]
+        stand.round(("repeated", number), ("repeated", number + 1))
+        cost = stand.manager.sent[-1][2] * 10
+        self.assertEqual(stand.manager.channel()[0], unproven + cost)
+        applied(0, number, 0)
+        self.assertEqual(stand.manager.channel()[0], 2 * cost - stand.manager.sent[-1][2])
+
     def test_lost_servers_are_withheld_at_once_and_let_in_when_no_table_holds_too_much(self):
         stand = Stand(workers=6, slices=60, proxies=12, lines_per_s=1600.0, queue_lines=3200.0)
         demand = dict.fromkeys(range(60), 3)
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,137 @@
+"""The program as it is started in service, `run` of the deploy file, against scripted peers on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import tomllib
+import unittest
+from pathlib import Path
+
+from ospreyrouter.loop import Loop
+
+from .peers import SECOND, Caller, Discovery, Relay, row, settings
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()
+
+
+def text(address):
+    return "{}:{}".format(*address)
+
+
+class Started(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path, self.loop = os.path.join(folder.name, "config.json"), Loop()
+        self.listen, self.hub, self.list = free_address(), free_address(), free_address()
+        self.config = {
+            "name": "n3", "listen": text(self.listen), "discovery": text(self.list), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "hub": {"address": text(self.hub)},
+            "known": {"seq": 1, "whole": True, "hosts": [row(1), row(2)]}, "settings": settings()}
+        self.environment = {"LB_NAME": "n3", "LB_LISTEN": text(self.listen), "LB_DISCOVERY": text(self.list),
+                            "LB_CONFIG": self.path}
+        self.write(self.config)
+
+    def tearDown(self):
+        for key in list(self.loop.selector.get_map().values()):
+            key.fileobj.close()
+        self.loop.selector.close()
+
+    def write(self, data):
+        Path(self.path).write_text(data if isinstance(data, str) else json.dumps(data))
+
+    def start(self):
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        kept = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        return subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=kept | self.environment,
+                                stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+
+    def until(self, true, seconds=10):
+        end = self.loop.now() + seconds * SECOND
+        while not true() and self.loop.now() < end:
+            self.loop.run(self.loop.now() + SECOND // 50)
+        self.assertTrue(true())
+
+    def answered(self):
+        """Whether the program answers a PING by now."""
+        caller = Caller(self.loop, self.listen, {"msg": "PING"})
+        self.loop.run(self.loop.now() + SECOND // 5)
+        return caller.got == ["PONG"]
+
+    def test_a_start_a_move_and_an_end(self):
+        relay, discovery = Relay(self.loop, self.hub), Discovery(self.loop, self.list)
+        process = self.start()
+        self.addCleanup(process.stderr.close)
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        self.until(self.answered)
+        collector = Caller(self.loop, self.listen, {"msg": "SOURCE", "az": "a"}, {"msg": "PING"})
+        self.until(lambda: relay.calls and discovery.streams and collector.got == ["PONG"])
+        discovery.say(2, False, row(1, "leaving"))
+        self.until(lambda: "withdraw,s-1" in relay.orders("withdraw"))
+
+        for bad in ("{", json.dumps(self.config | {"hub": {"address": "nowhere"}}), json.dumps([])):
+            self.write(bad)
+            process.send_signal(signal.SIGHUP)
+            self.loop.run(self.loop.now() + SECOND // 5)
+        self.assertEqual((relay.follows, len(discovery.since)), (1, 1))
+        hub, listed = free_address(), free_address()
+        other, elsewhere = Relay(self.loop, hub), Discovery(self.loop, listed)
+        self.write(self.config | {"hub": {"address": text(hub)}, "discovery": text(listed)})
+        process.send_signal(signal.SIGHUP)
+        self.until(lambda: other.follows == 1 and elsewhere.since == [2] and not relay.followers)
+        elsewhere.say(3, False, row(2, "leaving"), row(3))
+        self.until(lambda: "withdraw,s-2" in other.orders("withdraw"))
+
+        self.assertIsNone(process.poll())
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(2), 0)
+        logged = [json.loads(line) for line in process.stderr.read().splitlines()]
+        events = [row["event"] for row in logged]
+        self.assertEqual(events.count("new configuration refused, the old one stands"), 3)
+        self.assertEqual(collector.got, ["PONG"])
+
+    def test_bad_input_at_the_start_is_one_line_and_exit_2(self):
+        def config(**other):
+            return lambda: self.write(self.config | other)
+        cases = [
+            (lambda: self.environment.pop("LB_NAME"), "LB_NAME"),
+            (lambda: self.environment.pop("LB_CONFIG"), "LB_CONFIG"),
+            (lambda: self.environment.update(LB_LISTEN="here"), "LB_LISTEN.*here"),
+            (lambda: self.environment.update(LB_LISTEN="127.0.0.1:99999"), "LB_LISTEN"),
+            (lambda: self.environment.update(LB_LISTEN="192.0.2.1:80"), "192.0.2.1"),
+            (lambda: os.remove(self.path), "config.json.*No such file"),
+            (lambda: self.write("{"), "config.json.*not JSON"), (lambda: self.write("7"), "not an object"),
+            (config(hub={}), "hub.address"), (config(hub=None), "hub is missing"),
+            (config(discovery="x"), "discovery"), (config(limits={}), "sockets is missing"),
+            (config(seed="zz"), "seed"), (config(settings={}), "ProfileData"), (config(known=[]), "known"),
+            (config(settings=settings() | {"Zone": "mars"}), "Zone.*mars"), (config(settings=settings(0)), "without slices")]
+        for spoil, words in cases:
+            with self.subTest(words=words):
+                self.setUp()
+                spoil()
+                out, errors = self.start().communicate(timeout=20)
+                self.assertRegex(errors, words)
+                self.assertEqual((out, errors.count("\n")), ("", 1))
+
+    def test_what_is_not_needed_is_not_loaded(self):
+        code = ("import sys, ospreyrouter.node.service, ospreyrouter.node.__main__\n"
+                "print([name for name in ('numpy', 'scipy', 'click', 'pydantic', 'structlog', 'asyncio', 'google') "
+                "if name in sys.modules])")
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        python = run.split()[1]
+        self.assertEqual(subprocess.run([python, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout, "[]\n")
+
+
+if __name__ == "__main__":
+    unittest.main()
