--- a/ospreyrouter/door/names.py
+++ b/ospreyrouter/door/names.py
@@ -27,7 +27,7 @@
         return self.workers[name]
 
     def known(self, name):
-        return self.workers.get(name)
+        return self.workers.get(name) if isinstance(name, str) else None
 
     def name(self, worker):
         return self.names[worker]
--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -193,7 +193,7 @@
 
     def __init__(self, clock=monotonic_us):
         self.clock, self.selector, self.timers = clock, selectors.DefaultSelector(), TimerHeap()
-        self.running, self.ready, self.pipe, self.handlers = False, [], None, {}
+        self.running, self.ready, self.pipe, self.handlers, self.on_fault = False, [], None, {}, None
         self.longest_turn_us, self.turns, self.busy_us, self.turn_counts = 0, 0, 0, [0] * 2000
 
     def now(self):
@@ -275,6 +275,15 @@
         while self.running and (until_us is None or self.clock() < until_us):
             self.turn(until_us)
 
+    def _call(self, callback, *values):
+        """A fault of one callback ends the program, unless somebody minds faults (`on_fault`)."""
+        try:
+            callback(*values)
+        except Exception as problem:
+            if self.on_fault is None:
+                raise
+            self.on_fault(problem)
+
     def turn(self, until_us=None):
         upcoming = self.timers.next_at()
         bounds = [when for when in (upcoming, until_us) if when is not None]
@@ -282,11 +291,11 @@
         events = self.selector.select(wait)
         began = self.clock()
         for key, mask in events:
-            key.data(mask)  # each minds by itself that an earlier callback of this turn may have closed it
-        self.timers.due(self.clock(), TIMERS_A_TURN)
+            self._call(key.data, mask)  # each minds by itself that an earlier callback may have closed it
+        self._call(self.timers.due, self.clock(), TIMERS_A_TURN)
         ready, self.ready = self.ready, []
         for callback in ready:
-            callback()
+            self._call(callback)
         self.turns += 1
         took = self.clock() - began
         self.longest_turn_us = max(self.longest_turn_us, took)
--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -37,6 +37,7 @@
         service.close()
         loop.stop()
 
+    loop.on_fault = service.fault
     loop.on_signal(signal.SIGHUP, reload)
     loop.on_signal(signal.SIGTERM, stop)
     loop.on_signal(signal.SIGINT, stop)
--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -14,11 +14,16 @@
 from . import relay_lines
 
 
+def mark_in(text):
+    return int(text.split(",")[1])
+
+
 class Calls:
     def __init__(self, door, counts):
         self.door, self.counts = door, counts
         self.waiting = {}  # order by what it sets: its text, in the order written
         self.flying = []  # (what it sets, text) of the call in flight, in order
+        self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
 
     # The writer.
@@ -79,6 +84,7 @@
         done, refused, rest = self.flying[:taken], self.flying[taken:taken + 1], self.flying[taken + 1:]
         self.flying, self.most = [], None
         self._again(rest)
+        self.taken = next((mark_in(text) for key, text in done if key == ("mark",)), self.taken)
         self.counts["orders refused"] += len(refused)
         return [key for key, _ in done], [text for _, text in refused]
 
@@ -86,7 +92,7 @@
         """All of the call goes out again, first; returns the mark in it, if there is one."""
         flying, self.flying = self.flying, []
         self._again(flying)
-        return next((int(text.split(",")[1]) for key, text in flying if key == ("mark",)), None)
+        return next((mark_in(text) for key, text in flying if key == ("mark",)), None)
 
     def _again(self, orders):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -55,12 +55,12 @@
         caller.stream.close()
 
     def _sweep(self):
+        self.loop.after(SWEEP_US, self._sweep)
         before = self.loop.now() - JOIN_US
         for caller in list(self.strangers):  # in the order they came
             if caller.since > before:
                 break
             self._show_out(caller, "did not join")
-        self.loop.after(SWEEP_US, self._sweep)
 
     def _data(self, caller, data):
         if caller in self.strangers:
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -19,7 +19,7 @@
 IDLE_US = 2_000_000  # the relay closes what stood idle: a call is not begun on such a connection
 BACK_US, BACK_MOST_US = 20_000, 640_000
 THROTTLED_US = 100_000
-STALL_US = 70_000  # orders that have waited longer have not come to the channel when they were written
+STALL_US = 20_000  # orders that have waited longer have not come to the channel when they were written
 
 
 class Link:
@@ -179,10 +179,6 @@
 
     # Calls.
 
-    @property
-    def stalled(self):
-        return self.waits_since is not None and self.loop.now() - self.waits_since > STALL_US
-
     def orders(self):
         """Send what is ordered, if the connection is there and no call is in flight."""
         if self.waits_since is None and self.calls.waiting:
@@ -218,7 +214,7 @@
             self.call_link.drop("unreadable answer")
             return
         for line in lines:
-            said = relay_lines.answer(line)
+            before, said = self.calls.taken, relay_lines.answer(line)
             settled = said and self.calls.flying and (
                 said[0] == "taken" and self.calls.answered(said[1])
                 or said[0] == "refused" and said[1] in ("throttled", "invalid") and self._refused(said[1]))
@@ -227,6 +223,9 @@
                 return
             self.call_timer = self.call_timer and self.call_timer.cancel()
             self.call_link.well()
+            if settled[0] and self.loop.now() - self.waits_since > STALL_US:
+                self.heard([("stalled", before)])
+            self.waits_since = self.loop.now() if self.calls.waiting else None
             for text in settled[1]:
                 self.log("order refused", order=text)
         self._after_call()
@@ -243,10 +242,6 @@
         return [], []
 
     def _after_call(self):
-        if not self.calls.waiting and not self.calls.flying:
-            stalled, self.waits_since = self.stalled, None
-            if stalled:
-                self.heard([("stalled",)])
         if self.follow_due and not self.calls.flying:
             for link in (self.next_link, self.news_link):
                 if link is not None and link.stream is not None and not link.following:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -68,15 +68,13 @@
         intake, self.intake = self.intake, []
         if not intake:
             return
-        if self.relay.stalled:
-            intake.insert(0, ("stalled",))
+        if self.waiting or self.flying:
+            intake.insert(0, ("stalled", self.taken))
         began = self.loop.now()
         try:
             self.manager.round(began, intake, self)
-        except Exception as problem:  # nothing that is heard ends the program; the fault is to be seen
-            self.counts["rounds failed"] += 1
-            where = traceback.extract_tb(problem.__traceback__)[-1]
-            self.log("round failed", problem=repr(problem), file=where.filename, line=where.lineno)
+        except Exception as problem:
+            self.fault(problem)
         took = self.loop.now() - began
         self.rounds, self.busy_us, self.longest_us = self.rounds + 1, self.busy_us + took, max(self.longest_us, took)
         self.relay.orders()
@@ -113,7 +111,14 @@
                     self.door.forget(worker)
                     self.watch.forget(worker)
 
+    def fault(self, problem):
+        """Nothing that is heard ends the program; the fault is to be seen."""
+        self.counts["faults"] += 1
+        where = traceback.extract_tb(problem.__traceback__)[-1]
+        self.log("fault", problem=repr(problem)[:200], file=where.filename, line=where.lineno)
+
     def _tell(self):
+        self.loop.after(TELL_US, self._tell)
         self._forget()
         self.log("counts", rounds=self.rounds, busy_ms=self.busy_us // 1000, longest_round_ms=self.longest_us // 1000,
                  late_ms=self.late_us // 1000, longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
@@ -122,7 +127,6 @@
                  strangers=len(self.collectors.strangers), collectors=len(self.collectors.collectors),
                  dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
                  **dict(sorted(self.counts.items())))
-        self.loop.after(TELL_US, self._tell)
 
     def move(self, discovery, relay):
         self.watch.move(discovery)
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -323,10 +323,11 @@
                 self.pace_lines = min(full, row[4] / slow * 1_000_000) if late else full
                 row[4] = 0
 
-    def stalled(self):
-        """The channel took nothing of late: what it has not proven to have left has only come to it now."""
-        for row in self.sent:
-            row[3] = self.now
+    def stalled(self, taken):
+        """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
+        place = next((k for k, row in enumerate(self.sent) if row[0] == taken), -1)
+        for row in self.sent[place + 1:]:
+            row[1], row[3] = max(row[1], row[2] * len(self.proxies)), self.now
 
     def repeated(self, number):
         """What carried this mark may pass the channel twice: nobody knows whether it did the first time."""
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -325,7 +325,7 @@
             stand.manager.applied = lambda *_: None
             del stand.sheet.orders[:]
             for turn in range(24):
-                stand.round(*[("stalled",)] * stalled, ("listed", False, [
+                stand.round(*[("stalled", None)] * stalled, ("listed", False, [
                     entry(w, DRAINING if w in (turn % 12, (turn + 1) % 12) else READY) for w in range(12)]), after=1.0)
             lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
             self.assertEqual(lines * 10 <= 2000, short)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,6 +6,7 @@
 
 from ospreyrouter.door import Malformed
 from ospreyrouter.interface import Outcome, State
+from ospreyrouter.loop import Loop
 from ospreyrouter.node import frames, listing, relay_lines
 from ospreyrouter.node.calls import Calls
 from ospreyrouter.node.frames import FrameReader, Unreadable, frame
@@ -257,7 +258,7 @@
         scene.run(1)
         self.assertEqual(relay.slices[0], {"s-1": 0.5})
         self.assertEqual(discovery.since, [1])
-        self.assertEqual({name for name, *_ in scene.manager.heard}, {"joined", "listed"})
+        self.assertEqual({name for name, *_ in scene.manager.heard}, {"joined", "listed", "stalled"})
         scene.service.move(elsewhere, other)  # the same again: nothing is dialled
         scene.run(1)
         self.assertEqual((relay.follows, len(discovery.since)), (1, 1))
@@ -372,7 +373,9 @@
 
     def test_spoilt_reports_are_dropped_alone(self):
         scene = Scene(Heard).run(0.5)
-        spoilt = [LOAD | {"n": -1}, LOAD | {"bad": 11}, LOAD | {"avg": "x"}, LOAD | {"host": "s-99"}, LOAD | {"az": 3},
+        spoilt = [LOAD | {"n": -1}, LOAD | {"bad": 11}, LOAD | {"avg": "x"}, LOAD | {"host": "s-99"}, LOAD | {"az": 3}, LOAD | {"host": ["s-1"]},
+                  LOAD | {"host": {}}, LOAD | {"az": []}, SHARD | {"kind": {}}, LOAD | {"msg": []}, {"msg": {}}, None, [[]],
+                  LOAD | {"n": 2 ** 62}, LOAD | {"avg": 1e300}, LOAD | {"report": {"util": []}}, SHARD | {"partition": -1},
                   LOAD | {"report": {"util": -1}}, LOAD | {"n": 1.5}, LOAD | {"window": None}, SHARD | {"partition": 2},
                   SHARD | {"kind": "tea"}, SHARD | {"n": True}, {"msg": "TEA"}, {}, 7, {"msg": "SOURCE", "az": "mars"},
                   {key: value for key, value in LOAD.items() if key != "bad"}]
@@ -415,7 +418,7 @@
         scene.manager.round, kept = None, scene.manager.round
         scene.run(1)
         scene.manager.round = kept
-        self.assertIn("round failed", [event for event, _ in scene.logged])
+        self.assertIn("fault", [event for event, _ in scene.logged])
         scene.run(12)
         self.assertIn("counts", [event for event, _ in scene.logged])
 
@@ -439,6 +442,22 @@
         self.assertEqual(json.dumps(again.relay.slices), rows)
 
 
+class Faults(unittest.TestCase):
+    def test_a_fault_of_one_callback_ends_the_loop_only_where_nobody_minds(self):
+        for minded in (True, False):
+            loop, seen, ran = Loop(), [], []
+            self.addCleanup(loop.selector.close)
+            loop.on_fault = seen.append if minded else None
+            loop.soon(lambda: {}["nothing"])
+            loop.after(0, lambda: {}["timer"])
+            loop.soon(lambda: ran.append(1))
+            if minded:
+                loop.run(loop.now() + 1000)
+                self.assertEqual(([str(one) for one in seen], ran), (["'timer'", "'nothing'"], [1]))
+            else:
+                self.assertRaises(KeyError, loop.run, loop.now() + 1000)
+
+
 class Usage(unittest.TestCase):
     def test_usage_of_a_proxy(self):
         door = Scene(Heard).door
