--- a/ospreyrouter/door/names.py
+++ b/ospreyrouter/door/names.py
@@ -40,7 +40,7 @@
         """The index of a name that must be known already."""
         place = table.get(name) if isinstance(name, str) else None
         if place is None:
-            raise Malformed(f"unknown {what} {name!r:.60}")
+            raise Malformed(f"unknown {what}: {name!r:.60}")
         return place
 
     def zone(self, name):
--- a/ospreyrouter/door/settings.py
+++ b/ospreyrouter/door/settings.py
@@ -12,6 +12,11 @@
 class Malformed(Exception):
     """A message that is not what the wire says; the text names what and where."""
 
+    @property
+    def cause(self):
+        """The text without the value that was met: what is counted by cause must be of few kinds."""
+        return str(self).partition(": ")[0].partition(" '")[0].partition(" {")[0].partition(" [")[0][:60]
+
 
 def micros(seconds):
     """Seconds on the wire to whole microseconds."""
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -120,7 +120,8 @@
             try:
                 heard.append(frames.usage(message, self.door))
             except Malformed as problem:
-                self.counts[f"report spoilt: {frames.kind_of(message)} {problem}"[:60]] += 1
+                kind = frames.kind_of(message)
+                self.counts[f"report spoilt: {kind if kind in frames.REPORTS else 'other'} {problem.cause}"] += 1
         if heard:
             self.counts["reports"] += len(heard)
             self.heard(heard)
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -12,6 +12,7 @@
 from .reports import load_report
 
 FRAME_MOST = 1 << 20
+REPORTS = ("LOAD", "SHARD", "RATE")
 SPAN_MOST_MS = 3_600_000.0  # no sum is gathered over, and no answer takes, longer than this
 COUNT_MOST = 10_000_000
 
@@ -78,7 +79,7 @@
 def usage(message, door):
     """A report as a method of the manager and its arguments; Malformed names the field that is spoilt."""
     kind, setup = kind_of(message), door.setup
-    if kind not in ("LOAD", "SHARD", "RATE"):
+    if kind not in REPORTS:
         raise Malformed("msg")
     count = whole(message, "n", 0, COUNT_MOST)
     # Of tries so many failed; of what came for a slice, also what had come before.
--- a/ospreyrouter/node/log.py
+++ b/ospreyrouter/node/log.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-LINE_MOST = 2000  # bytes; a pipe that is ready takes as many without waiting
+LINE_MOST = 4000  # bytes; a pipe that is ready takes as many without waiting
 
 
 class Log:
--- a/ospreyrouter/node/news.py
+++ b/ospreyrouter/node/news.py
@@ -29,7 +29,7 @@
         try:
             return getattr(self, f"_{heard[0].lower()}")(*heard[1:]) if heard else []
         except Malformed as problem:
-            self.counts[f"news spoilt: {problem}"] += 1
+            self.counts[f"news spoilt: {problem.cause}"] += 1
             return []
 
     def _subscribe(self, proxy, zone, rate, fresh):
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -85,7 +85,7 @@
             try:
                 entries.append(self._entry(*listing.entry(row)))
             except Malformed as problem:
-                self.counts[f"entry spoilt: {problem}"] += 1
+                self.counts[f"entry spoilt: {problem.cause}"] += 1
         if whole:
             named = {entry.worker for entry in entries}
             self.addresses = {worker: dial for worker, dial in self.addresses.items() if worker in named}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -384,7 +384,11 @@
         scene.run(1)
         self.assertEqual(scene.manager.all("met"), [(0, 0, 10, 1, 41_700, 500_000, {"utilization": 0.5, "throughput": 9.0})])
         self.assertEqual(scene.manager.all("demanded"), [(1, 0, 4, 5, 500_000)] * len(spoilt))
-        self.assertEqual(sum(n for why, n in scene.counts.items() if why.startswith("report spoilt")), len(spoilt))
+        spoilt_counts = [why for why in scene.counts if why.startswith("report spoilt")]
+        self.assertEqual(sum(scene.counts[why] for why in spoilt_counts), len(spoilt))
+        collector.say(*({"msg": f"T{n}"} for n in range(50)), *(LOAD | {"az": f"z{n}"} for n in range(50)))
+        scene.run(1)
+        self.assertEqual([why for why in scene.counts if why.startswith("report spoilt")], spoilt_counts)  # of few kinds
         self.assertEqual((collector.got, collector.ended), (["PONG"], None))
 
     def test_a_collector_that_cannot_be_read_is_closed_alone_and_may_come_again(self):
