What waits for a closed channel is counted for all who may join until it opens

Lines: Manager.channel counted who had joined. While 'stalled' it now counts all proxies of the deployment. Excluded: repeated calls (none in the logs).

--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -19,7 +19,7 @@
 IDLE_US = 2_000_000  # the relay closes what stood idle: a call is not begun on such a connection
 BACK_US, BACK_MOST_US = 20_000, 640_000
 THROTTLED_US = 100_000
-STALL_US = 20_000  # orders that have waited longer have not come to the channel when they were written
+STALL_US = 30_000  # orders that have waited longer have not come to the channel when they were written
 
 
 class Link:
@@ -179,6 +179,10 @@
 
     # Calls.
 
+    @property
+    def stalled(self):
+        return self.waits_since is not None and self.loop.now() - self.waits_since > STALL_US
+
     def orders(self):
         """Send what is ordered, if the connection is there and no call is in flight."""
         if self.waits_since is None and self.calls.waiting:
@@ -223,7 +227,7 @@
                 return
             self.call_timer = self.call_timer and self.call_timer.cancel()
             self.call_link.well()
-            if settled[0] and self.loop.now() - self.waits_since > STALL_US:
+            if settled[0] and self.stalled:
                 self.heard([("stalled", before)])
             self.waits_since = self.loop.now() if self.calls.waiting else None
             for text in settled[1]:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -68,7 +68,7 @@
         intake, self.intake = self.intake, []
         if not intake:
             return
-        if self.waiting or self.flying:
+        if self.relay.stalled:
             intake.insert(0, ("stalled", self.taken))
         began = self.loop.now()
         try:
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -180,7 +180,7 @@
         self.within = frozenset()
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
-        self.messages, self.pace_lines = [], setup.lines_per_s
+        self.messages, self.pace_lines, self.stalled_at = [], setup.lines_per_s, None
         # Withheld as all joined proxies know; not let in since; let in again; perhaps not at all proxies.
         self.withheld, self.barred, self.freed, self.doubted = set(), set(), set(), set()
 
@@ -327,6 +327,7 @@
 
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
+        self.stalled_at = self.now
         place = next((k for k, row in enumerate(self.sent) if row[0] == taken), -1)
         for row in self.sent[place + 1:]:
             row[1], row[3] = max(row[1], row[2] * len(self.proxies)), self.now
@@ -620,7 +621,11 @@
             overdue = row[4] and self.now > left_at + self.setup.transit_most_us
             waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
         head = self.setup.message_head + 1 + len(self.setup.classes)
-        return unproven, waiting, max(1, len(self.proxies)), head, self.setup.queue_lines * URGENT_FILL
+        count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
+        if self.stalled_at == self.now:  # all who join until then will get what waits
+            count = max(count, self.setup.proxies)
+            unproven = waiting = max(unproven, count * sum(row[2] for row in self.sent))
+        return unproven, waiting, count, head, full
 
     def send(self, sizes):
         """What changed, as far as the channel drains it: withheld servers first, then the largest change.
