A slice that lost its server gets one line first; lines of the lost are tidied up last

The channel carried two slices in half a second: 150 proxies, head 19, three or four lines a slice, half of them removals of withheld workers that change no traffic; meanwhile all a slice had went to its lingering replica. Excluded: lost reports, levels (all 1.0), spoilt or refused orders. Responsible: send. A slice whose lines left carry under half of its weight now gets its best new line first, as bare ones did, and whole where room is left; removals of the lost count next to nothing in the order of changes.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -642,24 +642,27 @@
             table = tables[item]
             gone = table.keys() - usable
             lost |= table.keys() - sizes.keys()
-            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) for w in sorted(table.keys() | lines.keys()))
+            # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first.
+            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes else LINGER)
+                         for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
                 load = change * self.asked_for.get(item, 1.0)
-                changes.append((len(gone) < len(table), not gone, -load, item))
+                kept = sum(table[w] for w in sorted(table) if w not in gone) >= 0.5 * sum(table.values())
+                changes.append((len(gone) < len(table), kept, -load, item))
         changes.sort()
+        changes += [(True, True, *rest) for later, kept, *rest in changes if not (later and kept)]
         out, again = sorted(lost - self.withheld), sorted(sizes.keys() & self.barred)
         urgent = out or again or changes and not changes[0][0]
         if self.capped(usual=not urgent) or not (changes or urgent or self.doubted or self.greet):
             return
         unproven, waiting, count, head, full = self.channel()
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
-        grace_us = self.setup.grace_us
-        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * grace_us / 1e6 * SOON)
+        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1e6 * SOON)
         # Where proxies are many the shortest message is more than that, and no table would ever change. It
         # goes alone, if a removal behind it, which waits until enough is proven, still keeps the grace.
-        few, removal = min((head + FEW) * count, UNPROVEN * full), (head + 1) * count
-        soon = (max(0.0, few + removal - full) + removal) / self.pace_lines * 1_000_000
-        if usual < few and waiting < 0.1 * few and soon < grace_us - 2 * self.setup.transit_most_us:
+        few, after = min((head + FEW) * count, UNPROVEN * full), (head + 1) * count
+        soon = (max(0.0, few + after - full) + after) / self.pace_lines * 1e6 + 2 * self.setup.transit_most_us
+        if usual < few and waiting < 0.1 * few and soon < self.setup.grace_us:
             usual = few
         out = out[:int((full - unproven) / count - head)]
         # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
@@ -667,12 +670,12 @@
         each, spare = len(out) + len(back), head + len(again)
         for w in out:
             self.orders.withhold(w, True)
-        for later, _, _, item in changes:
+        for later, kept, _, item in changes:
             table, lines = tables[item], wanted[item]
-            if not later and usable and not self.setup.single_owner:
-                # Nothing is left to pick: one line now, for as many such slices as can be; the rest follows.
+            if not (later and kept) and usable and not self.setup.single_owner:
+                # Little is left to pick: one line now, for as many such slices as can be; the rest follows.
                 some = {w: lines[w] for w in lines if w in usable} or {hashed(item, usable): 1.0}
-                best = max(some, key=lambda w: (some[w], -w))
+                best = max(some, key=lambda w: (some[w] > table.get(w, 0.0), some[w], -w))
                 lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -148,6 +148,21 @@
         stand.round(("listed", False, [entry(w, DRAINING) for w in (0, 1)]), after=0.5)
         self.assertTrue(any(3 in table for table in stand.sheet.tables.values()))
 
+    def test_where_the_channel_is_tight_each_slice_that_lost_its_server_gets_one_line_before_any_is_tidied(self):
+        held = {item: {item % 6: 1.0, (item + 1) % 6: policy.LINGER} for item in range(36)}
+        stand = Stand(workers=6, slices=36, proxies=20, tables=held, lines_per_s=1600.0, queue_lines=1600.0)
+        stand.run(3, demand=dict.fromkeys(range(36), 20), met=dict.fromkeys(range(6), (40, 0, 0.1)))
+        del stand.sheet.orders[:]
+        stand.round(("listed", False, [entry(1, GONE), entry(2, GONE)]), after=0.5)
+        for _ in range(3):
+            stand.round(after=0.5)
+        written = stand.sheet.all("line")
+        hollow = {item for item in range(36) if item % 6 in (1, 2)}
+        self.assertGreater(len(written), 3)
+        tidied = next((place for place, line in enumerate(written) if line[2] == 0), len(written))
+        self.assertLessEqual({item for item, *_ in written[:len(hollow)]}, hollow)
+        self.assertGreaterEqual(tidied, min(len(written), len(hollow)))
+
     def test_the_last_servers_drain_too(self):
         stand = Stand(workers=2)
         stand.round(("listed", False, [entry(0, DRAINING), entry(1, DRAINING)]))
