A call in doubt is not booked twice: withdrawals waited behind what was never proven

Excluded: a late list, orders refused, a broken follow. Responsible: Manager.repeated doubled the cost of what carried the mark; where the call had not been carried out, half of it is never answered, and removals wait until a later mark is.

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -89,10 +89,9 @@
         return [key for key, _ in done], [text for _, text in refused]
 
     def unsettled(self):
-        """All of the call goes out again, first; returns the mark in it, if there is one."""
+        """All of the call goes out again, first."""
         flying, self.flying = self.flying, []
         self._again(flying)
-        return next((mark_in(text) for key, text in flying if key == ("mark",)), None)
 
     def _again(self, orders):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -258,9 +258,7 @@
         self.call_timer = self.call_timer and self.call_timer.cancel()
         if self.calls.flying:
             self.counts[f"call in doubt: {reason}"] += 1
-            number = self.calls.unsettled()
-            if number is not None:
-                self.heard([("repeated", number)])
+            self.calls.unsettled()
         self._after_call()
 
     # Another address.
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -332,11 +332,6 @@
         for row in self.sent[place + 1:]:
             row[1], row[3] = max(row[1], row[2] * len(self.proxies)), self.now
 
-    def repeated(self, number):
-        """What carried this mark may pass the channel twice: nobody knows whether it did the first time."""
-        for row in self.sent:
-            row[1] *= 2 if row[0] == number else 1
-
     # What is made of it.
 
     def ready(self):
