The channel counts as closed until the relay has taken the first call

Seen by a new test, 20 proxies joined at the start and 380 while calls are turned away: the first round, held until what stands has come, is not stalled yet, and wrote 42 orders that went to 400 proxies, 23,200 lines of 8,300. The service now says 'stalled' until a first mark was taken. The test fails without it, and without the module's booking.

--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -37,7 +37,7 @@
         most = max(8, station.sockets - OWN_SOCKETS - PROBES_MOST) * 2 // 3
         self.collectors = Collectors(loop, station.listen, door, self.counts, self.hear, most)
         self.probes = Probes(loop, PROBES_MOST, self.counts, station.settings.get("Reporting", {}).get("How") != "off")
-        self.watch = Watch(loop, station.discovery, door, self.counts, self.hear, chance, log)
+        self.watch = Watch(loop, station.discovery, door, self.counts, self.hear, chance)
         self.watch.begin(station.known)
         news = News(door, self, self.manager.tables, self.counts)
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
@@ -68,7 +68,7 @@
         intake, self.intake = self.intake, []
         if not intake:
             return
-        if self.relay.stalled:
+        if self.relay.stalled or self.taken is None:  # nor is it known to be open before it has taken anything
             intake.insert(0, ("stalled", self.taken))
         began = self.loop.now()
         try:
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -1,6 +1,6 @@
 """The watch on discovery's list: its lines become what the manager hears; addresses are kept for the probes.
 
-    watch = Watch(loop, address, door, counts, heard, chance, log)
+    watch = Watch(loop, address, door, counts, heard, chance)
     watch.begin(known)        # the list as last had, then the watch from there on
     watch.move(address)
 
@@ -27,9 +27,9 @@
 
 
 class Watch:
-    def __init__(self, loop, address, door, counts, heard, chance, log, clock_ms=unix_ms):
+    def __init__(self, loop, address, door, counts, heard, chance, clock_ms=unix_ms):
         self.loop, self.address, self.door, self.counts = loop, address, door, counts
-        self.heard, self.chance, self.log, self.clock_ms = heard, chance, log, clock_ms
+        self.heard, self.chance, self.clock_ms = heard, chance, clock_ms
         self.seq, self.addresses, self.started = 0, {}, {}
         self.client, self.next, self.back, self.closed, self.dials = None, None, BACK_US, False, 0
 
