--- a/tests/peers.py
+++ b/tests/peers.py
@@ -156,6 +156,8 @@
 
     def round(self, now, intake, orders):
         for name, *values in intake:
+            if name == "stalled":  # how the channel is, no news
+                continue
             self.heard.append((name, *values))
             if name == "charged":
                 self.tables[values[0]] = {}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -257,7 +257,7 @@
         scene.run(1)
         self.assertEqual(relay.slices[0], {"s-1": 0.5})
         self.assertEqual(discovery.since, [1])
-        self.assertEqual({name for name, *_ in scene.manager.heard} - {"stalled"}, {"joined", "listed"})
+        self.assertEqual({name for name, *_ in scene.manager.heard}, {"joined", "listed"})
         scene.service.move(elsewhere, other)  # the same again: nothing is dialled
         scene.run(1)
         self.assertEqual((relay.follows, len(discovery.since)), (1, 1))
