A spill plan takes each site's part first: the smallest sizes rounded what is asked

Seen: test_nobody_gets_more_than_room_and_nothing_is_lost failed once on a drawn case, 2.0 carried and refused of 1.5. sites/spill.py, plan_spill: need * part / total. The part is taken first now; it is a number up to 1. The test's own sum had the same order and is made exact the same way, its bounds are unchanged. The case and two more are a test of their own, which failed in all three without this (2.0 of 1.5, 2.0 of 2.5, 0.5 of 0.7).

--- a/ospreyrouter/sites/spill.py
+++ b/ospreyrouter/sites/spill.py
@@ -32,7 +32,7 @@
 
 def plan_spill(need, usual, able, tiers, reserve):
     total = sum(usual.values())
-    own = {site: need * part / total if total else 0.0 for site, part in usual.items()}
+    own = {site: need * (part / total) if total else 0.0 for site, part in usual.items()}
     plan = Plan({site: min(own[site], able[site]) for site in usual})
     left = {site: own[site] - plan.load[site] for site in usual}
     for place in range(max((len(rows) for rows in tiers.values()), default=0)):
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -81,7 +81,7 @@
         usual, able, reserve = (dict(zip(SITES, row)) for row in (usual, able, reserve))
         tiers = {site: [[other for other in tier if other != site] for tier in rows] for site, rows in zip(SITES, tiers)}
         plan, total = plan_spill(need, usual, able, tiers, reserve), sum(usual.values())
-        own = {site: need * usual[site] / total if total else 0.0 for site in SITES}
+        own = {site: need * (usual[site] / total) if total else 0.0 for site in SITES}
         self.assertAlmostEqual(plan.carried + sum(plan.refused.values()), need if total else 0.0, places=5)
         for site in SITES:
             taken = sum(amount for (_, to), amount in plan.spilled.items() if to == site)
@@ -101,11 +101,19 @@
         usual, able = dict(zip(SITES, usual)), dict(zip(SITES, able))
         tiers = {site: [[other for other in SITES if other != site]] for site in SITES}
         plan, total = plan_spill(need, usual, able, tiers, dict.fromkeys(SITES, reserve)), sum(usual.values())
-        own = {site: need * usual[site] / total if total else 0.0 for site in SITES}
+        own = {site: need * (usual[site] / total) if total else 0.0 for site in SITES}
         short = sum(max(0.0, own[site] - able[site]) for site in SITES)
         free = sum(max(0.0, able[site] * (1 - reserve) - own[site]) for site in SITES if own[site] <= able[site])
         self.assertAlmostEqual(sum(plan.refused.values()), max(0.0, short - free), places=4)
 
+    def test_sites_that_can_usually_do_next_to_nothing_are_not_asked_for_more_than_is_needed(self):
+        # The smallest numbers there are: what is asked times such a part is rounded to whole multiples of it.
+        for least, many, need in ((5e-324, 1, 1.5), (5e-324, 3, 2.5), (1e-323, 2, 0.7)):
+            with self.subTest(least=least, many=many):
+                usual = {site: least * (place < many) for place, site in enumerate(SITES)}
+                plan = plan_spill(need, usual, dict.fromkeys(SITES, 100.0), dict.fromkeys(SITES, []), dict.fromkeys(SITES, 0.0))
+                self.assertAlmostEqual(plan.carried + sum(plan.refused.values()), need)
+
     def test_levels_refuse_the_least_utility_first(self):
         came, value, even = {"look-up": 75.0, "order": 25.0}, {"look-up": 1.0, "order": 3.0}, {"look-up": 1.0, "order": 1.0}
         for room, expected in ((100, (1.0, 1.0)), (80, (55 / 75, 1.0)), (25, (0.0, 1.0)), (10, (0.0, 0.4)), (-1, (0.0, 0.0))):
