The loop: what was said before a reset is heard, dials can be given up, signals do not hide each other

Found by reading, each forced on real sockets in tests/test_crossings.py; the tests failed before: - loop/real.py, SocketStream._flush: a write that met a reset finished the stream with what it had received unread, so that a relay's 'OK n' sent before the reset was lost and the call repeated. What is left is read first now. - loop/real.py, connect: a socket() without a descriptor to be had raised into the caller: a link stayed 'dialling' for good, a manager that is up and serves nobody. It is a failed dial now (emfile), with back-off. - a dial given up by its owner held a descriptor until its time-out (0.5 s a dial); connect returns a Dial to cancel. - Loop._signalled: the fault of one signal's handler swallowed the signals behind it: SIGHUP with SIGTERM behind it. - node/__main__.py: SIGTERM before the listener was up ended the program by the signal, not with 0; SIGHUP while the file was read was lost; a fault while closing left the loop running. Signals are kept from the first line on, and the loop is stopped before anything is closed. Passed before, kept as a guard: an event selected for a stream that an earlier callback of the turn closed and whose descriptor number was given out again.

--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -70,13 +70,26 @@
         except OSError as problem:
             self._finish(errno.errorcode.get(problem.errno, "error").lower())
             return
-        if not data:
+        if data:
+            self._hand_on(data)
+        else:
             self._finish("closed by the peer")
-            return
+
+    def _hand_on(self, data):
         self.bytes_in += len(data)
         if self.on_data is not None:
             self.on_data(data)
 
+    def _cannot_write(self, reason):
+        """The peer has gone. What it had said before is still heard: it may be the answer to the last request."""
+        self.out, self.out_size, self.closing = [], 0, True
+        try:
+            while self.open and self.reading and (data := self.sock.recv(READ_AT_ONCE)):
+                self._hand_on(data)
+        except OSError:  # nothing is left, or the reset once more
+            pass
+        self._finish(reason)
+
     def write(self, data):
         if not self.open or self.closing:
             return
@@ -103,7 +116,7 @@
                 self.out = [data]
                 break
             except OSError as problem:
-                self._finish(errno.errorcode.get(problem.errno, "error").lower())
+                self._cannot_write(errno.errorcode.get(problem.errno, "error").lower())
                 return
             self.out_size -= sent
             self.bytes_out += sent
@@ -148,6 +161,61 @@
         self._watch()
 
 
+class Dial:
+    """A connection on its way up; `cancel()` gives it up at once, and its descriptor with it, without a word."""
+
+    def __init__(self, loop, address, timeout_us, on_done):
+        self.loop, self.address, self.on_done = loop, address, on_done
+        self.timer, self.sock = None, None
+        try:
+            self.sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+            self.sock.setblocking(False)
+            code = self.sock.connect_ex(address)
+        except OSError as problem:  # not even a descriptor is left
+            code = problem.errno
+        if code not in (0, errno.EINPROGRESS):
+            self._close()
+            loop.soon(lambda: self._settle(None, errno.errorcode.get(code, "error").lower()))
+            return
+        self.timer = loop.after(timeout_us, self._too_late)
+        loop.selector.register(self.sock, selectors.EVENT_WRITE, self._ready)
+
+    def _ready(self, mask):
+        if self.sock is None:  # given up by an earlier callback of this turn
+            return
+        failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if failed:
+            self._close()
+            self._settle(None, errno.errorcode.get(failed, "error").lower())
+            return
+        self.timer.cancel()
+        self.loop.selector.unregister(self.sock)
+        sock, self.sock = self.sock, None
+        self._settle(SocketStream(self.loop, sock, self.address), "")
+
+    def _too_late(self):
+        self._close()
+        self._settle(None, "timed out")
+
+    def _settle(self, stream, reason):
+        on_done, self.on_done = self.on_done, None
+        if on_done is not None:
+            on_done(stream, reason)
+
+    def _close(self):
+        sock, self.sock = self.sock, None
+        if sock is None:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+            self.loop.selector.unregister(sock)
+        sock.close()
+
+    def cancel(self):
+        self.on_done = None
+        self._close()
+
+
 class Listener:
     """A listening socket; `address` tells the port that was given out."""
 
@@ -224,33 +292,11 @@
         return Listener(self, sock, on_stream)
 
     def connect(self, address, timeout_us, on_done):
-        """Connect; `on_done(stream, reason)` is called once, with a stream or with None and why not."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        sock = socket.socket(family, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        code = sock.connect_ex(address)
-        if code not in (0, errno.EINPROGRESS):
-            sock.close()
-            self.soon(lambda: on_done(None, errno.errorcode.get(code, "error").lower()))
-            return
-
-        def settled(mask):
-            timer.cancel()
-            self.selector.unregister(sock)
-            failed = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if failed:
-                sock.close()
-                on_done(None, errno.errorcode.get(failed, "error").lower())
-            else:
-                on_done(SocketStream(self, sock, address), "")
-
-        def too_late():
-            self.selector.unregister(sock)
-            sock.close()
-            on_done(None, "timed out")
+        """Connect; `on_done(stream, reason)` is called once, with a stream or with None and why not.
 
-        timer = self.after(timeout_us, too_late)
-        self.selector.register(sock, selectors.EVENT_WRITE, settled)
+        The Dial that is returned can be cancelled until then.
+        """
+        return Dial(self, address, timeout_us, on_done)
 
     def on_signal(self, number, callback):
         """Run `callback` on the loop after the signal; the handler itself only writes to the self-pipe."""
@@ -264,7 +310,7 @@
     def _signalled(self, mask):
         for number in os.read(self.pipe[0], 4096):
             if number in self.handlers:
-                self.handlers[number]()
+                self._call(self.handlers[number])  # a fault of one leaves the others their turn
 
     def stop(self):
         self.running = False
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -96,6 +96,43 @@
             self.host.soon(self._deliver)
 
 
+class VirtualDial:
+    """A connection on its way up, as `loop.real.Dial`."""
+
+    def __init__(self, host, address, timeout_us, on_done):
+        self.host, self.address, self.on_done = host, address, on_done
+        network = host.network
+        self.timer = host.after(timeout_us, lambda: self._settle(None, "timed out"))
+        network.timers.at(network.time + network.delay(), self._arrive)
+
+    def _arrive(self):
+        host, network = self.host, self.host.network
+        listener = network.listeners.get(self.address)
+        if self.on_done is None or listener is not None and network.is_cut(host.name, listener.host.name):
+            return  # given up, or lost on the way: the time-out tells
+        if listener is None or not listener.host.alive:
+            host.at(network.time + network.delay(), lambda: self._settle(None, "econnrefused"))
+            return
+        if not host.alive:
+            return
+        near, far = VirtualStream(host, self.address), VirtualStream(listener.host, (host.name, 0))
+        near.other, far.other = far, near
+        listener.host.soon(lambda: listener.on_stream(far))
+        host.at(network.time + network.delay(), lambda: self._settle(near, ""))
+
+    def _settle(self, stream, reason):
+        on_done, self.on_done = self.on_done, None
+        if on_done is not None:
+            self.timer.cancel()
+            on_done(stream, reason)
+        elif stream is not None:
+            stream.abort("given up")
+
+    def cancel(self):
+        self.on_done = None
+        self.timer.cancel()
+
+
 class VirtualListener:
     def __init__(self, host, address, on_stream):
         self.host, self.address, self.on_stream = host, address, on_stream
@@ -143,31 +180,7 @@
         return listener
 
     def connect(self, address, timeout_us, on_done):
-        network = self.network
-        state = {"done": False}
-
-        def finish(stream, reason):
-            if not state["done"]:
-                state["done"] = True
-                timer.cancel()
-                on_done(stream, reason)
-
-        def arrive():
-            listener = network.listeners.get(address)
-            if listener is not None and network.is_cut(self.name, listener.host.name):
-                return  # lost on the way: the time-out tells
-            if listener is None or not listener.host.alive:
-                self.at(network.time + network.delay(), lambda: finish(None, "econnrefused"))
-                return
-            if not self.alive:
-                return
-            near, far = VirtualStream(self, address), VirtualStream(listener.host, (self.name, 0))
-            near.other, far.other = far, near
-            listener.host.soon(lambda: listener.on_stream(far))
-            self.at(network.time + network.delay(), lambda: finish(near, ""))
-
-        timer = self.after(timeout_us, lambda: finish(None, "timed out"))
-        network.timers.at(network.time + network.delay(), arrive)
+        return VirtualDial(self, address, timeout_us, on_done)
 
     def kill(self):
         """The process dies: nothing of it runs again; its peers see their streams break."""
--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -1,28 +1,28 @@
-"""`python -m ospreyrouter.node`: one manager in the foreground, told where it stands by its environment."""
+"""`python -m ospreyrouter.node`: one manager in the foreground, told where it stands by its environment.
+
+Signals are kept from the first moment on and heard once the loop runs: SIGHUP may name other addresses while the file
+is being read, and SIGTERM ends the program with 0 wherever it comes.
+"""
 
-import gc
 import os
 import signal
 import sys
 
-from ..loop import Loop, Refused
-from . import start
-from .log import Log
-from .service import Service
+if __name__ == "__main__":  # loading the rest takes most of a start, and there is nothing to close yet
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(signal.SIGINT, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the file has not been read yet
+
+import gc  # noqa: E402
+
+from ..loop import Loop, Refused  # noqa: E402
+from . import start  # noqa: E402
+from .log import Log  # noqa: E402
+from .service import Service  # noqa: E402
 
 
 def main():
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there are addresses to move from
-    try:
-        station = start.station()
-        door = start.door(station)
-    except start.BadStart as problem:
-        sys.exit(_refuse(problem))
-    log, loop = Log(name=station.name), Loop()
-    try:
-        service = Service(loop, station, door, log)
-    except Refused as problem:
-        sys.exit(_refuse(f"LB_LISTEN: {problem}"))
+    loop, service = Loop(), None
 
     def reload():
         path = os.environ["LB_CONFIG"]
@@ -34,13 +34,22 @@
             log("addresses read anew", discovery=service.watch.address, relay=service.relay.address)
 
     def stop():
-        service.close()
         loop.stop()
+        service.close()
 
+    for number, callback in ((signal.SIGHUP, reload), (signal.SIGTERM, stop), (signal.SIGINT, stop)):
+        loop.on_signal(number, callback)
+    try:
+        station = start.station()
+        door = start.door(station)
+    except start.BadStart as problem:
+        return _refuse(problem)
+    log = Log(name=station.name)
+    try:
+        service = Service(loop, station, door, log)
+    except Refused as problem:
+        return _refuse(f"LB_LISTEN: {problem}")
     loop.on_fault = service.fault
-    loop.on_signal(signal.SIGHUP, reload)
-    loop.on_signal(signal.SIGTERM, stop)
-    loop.on_signal(signal.SIGINT, stop)
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
--- a/ospreyrouter/web/client.py
+++ b/ospreyrouter/web/client.py
@@ -39,7 +39,7 @@
         self.loop, self.address, self.on_closed, self.body_most = loop, address, on_closed, body_most
         self.stream, self.http, self.queue, self.current = None, None, deque(), None
         self.closed, self.timer, self.head, self.body, self.size = False, None, None, [], 0
-        loop.connect(address, connect_timeout_us, self._connected)
+        self.dial = loop.connect(address, connect_timeout_us, self._connected)
 
     @property
     def idle(self):
@@ -50,11 +50,6 @@
         return len(self.queue) + (self.current is not None)
 
     def _connected(self, stream, reason):
-        if self.closed:
-            if stream is not None:
-                stream.start(None, None)
-                stream.close()
-            return
         if stream is None:
             self._fail(reason)
             return
@@ -127,6 +122,7 @@
         if self.closed:
             return
         self.closed = True
+        self.dial.cancel()
         if self.timer is not None:
             self.timer.cancel()
         current, waiting = self.current, list(self.queue)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,9 +1,10 @@
 """Scripted peers of the program on sockets, on either loop: relay, discovery, workers, collectors."""
 
 import json
+import unittest
 
 from ospreyrouter.door import Door
-from ospreyrouter.loop import VirtualNetwork
+from ospreyrouter.loop import Loop, VirtualNetwork
 from ospreyrouter.node.frames import FrameReader, frame
 from ospreyrouter.node.service import Service
 from ospreyrouter.node.start import Station
@@ -12,6 +13,7 @@
 from .test_benchlink import PROFILE
 
 SECOND = 1_000_000
+HERE = ("127.0.0.1", 0)
 AT, RELAY, DISCOVERY, WORKERS = ("10.0.0.4", 8443), ("10.2.0.2", 6400), ("10.2.0.1", 8500), "10.1.0.{}"
 
 
@@ -28,12 +30,15 @@
 
 class Relay:
     """Carries out calls as `fates` say, one each: "ok", "lost" or "done" (the connection breaks, not or carried out),
-    "mute", "spoilt" (carried out, the answer cannot be read), a number (orders taken) or an error. Then all are ok."""
+    "mute", "spoilt" (carried out, the answer cannot be read), a number (orders taken) or an error. Then all are ok.
+
+    "hold" keeps a call until `release()` carries it out; where `hold_follows`, so are askings for news."""
 
     def __init__(self, loop, address=RELAY, proxies=(0, 1), slices=None, fates=()):
         self.loop, self.address, self.proxies, self.fates = loop, address, list(proxies), list(fates)
         self.slices = {0: {"s-1": 1.0}, 1: {"s-2": 1.0}} if slices is None else slices
         self.calls, self.streams, self.followers, self.follows, self.silent = [], [], [], 0, False
+        self.held, self.hold_follows = [], False
         self.listener = loop.listen(address, self._accepted)
         loop.after(SECOND, self._sign)
 
@@ -60,6 +65,9 @@
     def _line(self, stream, line):
         if line == "follow":
             self.follows += 1
+            if self.hold_follows:
+                self.held.append((stream, line))
+                return
             stream.write(b"OK\r\n")
             self.followers.append(stream)
             lines = [f"* SUBSCRIBE {proxy} a 5.0 1" for proxy in self.proxies]
@@ -72,6 +80,9 @@
         orders = line.removeprefix("txn ").split(";")
         fate = self.fates.pop(0) if self.fates else "ok"
         self.calls.append((fate, orders))
+        if fate == "hold":
+            self.held.append((stream, line))
+            return
         taken = fate if isinstance(fate, int) else len(orders) if fate in ("ok", "done", "spoilt") else 0
         for order in orders[:taken]:
             self._carry_out(order.split(","))
@@ -83,6 +94,18 @@
             stream.write(f"OK {taken}\r\n".encode() if fate == "ok" or isinstance(fate, int)
                          else f"ERR {fate}\r\n".encode())
 
+    def release(self):
+        """Goes on with what was held, in the order it came."""
+        held, self.held, self.hold_follows = self.held, [], False
+        for stream, line in held:
+            self.fates.insert(0, "ok")
+            if line == "follow":
+                self.fates.pop(0)
+                self.follows -= 1
+            else:
+                self.calls.pop()
+            self._line(stream, line)
+
     def _carry_out(self, order):
         if order[0] == "share" and int(order[1]) in self.slices:
             rows = self.slices[int(order[1])]
@@ -196,3 +219,55 @@
 
     def call(self, *messages, address=AT):
         return Caller(self.far, address, *messages)
+
+
+class LiveCase(unittest.TestCase):
+    """Tests on real sockets of loopback: one loop, turned until something is so."""
+
+    def setUp(self):
+        self.loop = Loop()
+        self.addCleanup(self._close)
+
+    def _close(self):
+        for key in list(self.loop.selector.get_map().values()):
+            if not isinstance(key.fileobj, int):
+                key.fileobj.close()
+        self.loop.selector.close()
+
+    def turn(self, seconds):
+        self.loop.run(self.loop.now() + int(seconds * SECOND))
+
+    def until(self, true, seconds=10):
+        end = self.loop.now() + seconds * SECOND
+        while not true() and self.loop.now() < end:
+            self.loop.run(self.loop.now() + SECOND // 100)
+        self.assertTrue(true())
+
+
+class LiveScene:
+    """A service with its peers on real sockets; `case` is a LiveCase."""
+
+    def __init__(self, case, manager=Heard, known=None, workers=2, sockets=256, more=None, **relay):
+        self.case, self.loop, self.logged, self.health = case, case.loop, [], {}
+        self.relay, self.discovery = Relay(self.loop, HERE, **relay), Discovery(self.loop, HERE)
+        self.dials = {number: self.worker(number) for number in range(1, workers + 1)}
+        self.door = Door(more or settings())
+        known = (1, True, [self.row(number) for number in self.dials]) if known is None else known
+        station = Station("n0", HERE, self.discovery.listener.address, self.relay.listener.address, 5, sockets, known,
+                          more or settings())
+        self.service = Service(self.loop, station, self.door, lambda event, **f: self.logged.append((event, f)), manager)
+        self.manager, self.counts = self.service.manager, self.service.counts
+        case.addCleanup(self.service.close)
+
+    def worker(self, number):
+        """A server for worker `number`; returns its address as discovery writes it."""
+        server = Server(self.loop, HERE, lambda request: self._probed(number, request))
+        return "{}:{}".format(*server.listener.address)
+
+    def _probed(self, number, request):
+        status, body = self.health.get(number, (200, b'{"inflight":1,"util":0.3,"qps":4.0}'))
+        if status:
+            request.answer(status, body=body)
+
+    def row(self, number, state="active", born_ms=0, **other):
+        return row(number, state, born_ms, self.dials[number], **other)
