--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -49,10 +49,10 @@
     def write(self, data):
         Path(self.path).write_text(data if isinstance(data, str) else json.dumps(data))
 
-    def start(self):
+    def start(self, *words):
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         kept = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-        return subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=kept | self.environment,
+        return subprocess.Popen(words or ["/bin/sh", "-c", run], cwd=ROOT, env=kept | self.environment,
                                 stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
 
     def until(self, true, seconds=10):
@@ -61,6 +61,13 @@
             self.loop.run(self.loop.now() + SECOND // 50)
         self.assertTrue(true())
 
+    def begun(self, *words):
+        """The program, started and ended with the test; `words` instead of `run`."""
+        process = self.start(*words)
+        for last in (process.stderr.close, process.stdout.close, process.wait, process.kill):
+            self.addCleanup(last)
+        return process
+
     def answered(self):
         """Whether the program answers a PING by now."""
         caller = Caller(self.loop, self.listen, {"msg": "PING"})
@@ -69,11 +76,7 @@
 
     def test_a_start_a_move_and_an_end(self):
         relay, discovery = Relay(self.loop, self.hub), Discovery(self.loop, self.list)
-        process = self.start()
-        self.addCleanup(process.stderr.close)
-        self.addCleanup(process.stdout.close)
-        self.addCleanup(process.wait)
-        self.addCleanup(process.kill)
+        process = self.begun()
         self.until(self.answered)
         collector = Caller(self.loop, self.listen, {"msg": "SOURCE", "az": "a"}, {"msg": "PING"})
         self.until(lambda: relay.calls and discovery.streams and collector.got == ["PONG"])
@@ -101,6 +104,80 @@
         self.assertEqual(events.count("new configuration refused, the old one stands"), 3)
         self.assertEqual(collector.got, ["PONG"])
 
+    def ends_with_0(self, process):
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual((process.wait(5), process.stderr.read().count("Traceback")), (0, 0))
+
+    def test_sigterm_ends_it_with_0_wherever_it_comes(self):
+        def reading_its_file():
+            os.remove(self.path)
+            os.mkfifo(self.path)
+            process = self.begun()
+            with open(self.path, "w") as held:  # opens once the program has come to its file
+                os.remove(self.path)
+                self.write(self.config)
+                process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGTERM)
+                held.write(json.dumps(self.config))
+            return process
+
+        def without_peers():
+            process = self.begun()
+            self.until(self.answered)
+            return process
+
+        def during_the_first_snapshot():
+            relay = Relay(self.loop, self.hub)
+            relay.hold_follows = True
+            process = self.begun()
+            self.until(lambda: relay.held)
+            relay.held[0][0].write(b"OK\r\n* SUBSCRIBE 1 a 5.0 1\r\n* GRANT 1 1\r\n* ROW 1 s-")
+            self.until(self.answered)
+            return process
+
+        def with_a_call_in_flight():
+            relay = Relay(self.loop, self.hub, fates=["hold"])
+            process = self.begun()
+            self.until(lambda: relay.held)
+            return process
+
+        for case in (reading_its_file, without_peers, during_the_first_snapshot, with_a_call_in_flight):
+            with self.subTest(case.__name__):
+                self.setUp()
+                self.ends_with_0(case())
+
+    def test_sigterm_while_the_program_is_loaded(self):
+        """Before anything of it is there to be closed; `-X importtime` tells how far it has come."""
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        process = self.begun(run.split()[1], "-X", "importtime", "-m", "ospreyrouter.node")
+        for line in process.stderr:
+            if line.split("|")[-1].strip() == "gc":  # the first thing loaded after signals are minded
+                break
+        self.ends_with_0(process)
+
+    def test_a_fault_while_closing_and_a_sigterm_right_behind_a_sighup_end_it_all_the_same(self):
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        code = ("import sys\nfrom ospreyrouter.node import __main__, service\n"
+                "service.Service.close = service.Service.move = lambda *_: {}['fault']\nsys.exit(__main__.main())")
+        process = self.begun(run.split()[1], "-c", code)
+        self.until(self.answered)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGTERM)
+        self.assertEqual(process.wait(5), 0)
+        self.assertEqual([json.loads(line)["event"] for line in process.stderr].count("fault"), 2)
+
+    def test_killed_before_its_first_pong_and_started_again_from_nothing(self):
+        relay = Relay(self.loop, self.hub)
+        process = self.begun()
+        waiting = Caller(self.loop, self.listen, {"msg": "PING"})
+        self.until(lambda: relay.follows)  # up, and the loop of this test has read no answer yet
+        process.kill()
+        process.wait()
+        self.begun()
+        self.until(self.answered)
+        self.until(lambda: relay.follows == 2 and relay.calls)
+        self.assertIn(waiting.got, ([], ["PONG"]))
+
     def test_bad_input_at_the_start_is_one_line_and_exit_2(self):
         def config(**other):
             return lambda: self.write(self.config | other)
