--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -22,7 +22,7 @@
     def __init__(self, door, counts):
         self.door, self.counts = door, counts
         self.waiting = {}  # order by what it sets: its text, in the order written
-        self.flying = []  # (what it sets, text) of the call in flight, in order
+        self.in_flight = []  # (what it sets, text) of the call in flight, in order
         self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
 
@@ -63,26 +63,26 @@
         return ("line", table, worker) in self.waiting or ("wipe", table) in self.waiting
 
     def take(self):
-        if self.flying or not self.waiting:
+        if self.in_flight or not self.waiting:
             return None
         size = 0
         for key, text in self.waiting.items():
             size += len(text) + 1
-            if self.flying and (size > relay_lines.ORDERS_MOST or len(self.flying) == self.most):
+            if self.in_flight and (size > relay_lines.ORDERS_MOST or len(self.in_flight) == self.most):
                 break
-            self.flying.append((key, text))
-        for key, _ in self.flying:
+            self.in_flight.append((key, text))
+        for key, _ in self.in_flight:
             del self.waiting[key]
         self.counts["calls"] += 1
-        self.counts["orders"] += len(self.flying)
-        return relay_lines.call([text for _, text in self.flying])
+        self.counts["orders"] += len(self.in_flight)
+        return relay_lines.call([text for _, text in self.in_flight])
 
     def answered(self, taken):
         """So many orders were taken: the one after them is dropped and the rest goes on. None: cannot be."""
-        if taken > len(self.flying):
+        if taken > len(self.in_flight):
             return None
-        done, refused, rest = self.flying[:taken], self.flying[taken:taken + 1], self.flying[taken + 1:]
-        self.flying, self.most = [], None
+        done, refused, rest = self.in_flight[:taken], self.in_flight[taken:taken + 1], self.in_flight[taken + 1:]
+        self.in_flight, self.most = [], None
         self._again(rest)
         self.taken = next((mark_in(text) for key, text in done if key == ("mark",)), self.taken)
         self.counts["orders refused"] += len(refused)
@@ -90,8 +90,8 @@
 
     def unsettled(self):
         """All of the call goes out again, first."""
-        flying, self.flying = self.flying, []
-        self._again(flying)
+        orders, self.in_flight = self.in_flight, []
+        self._again(orders)
 
     def _again(self, orders):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/ospreyrouter/node/news.py
+++ b/ospreyrouter/node/news.py
@@ -1,9 +1,9 @@
 """What the relay's news says, as the manager is to hear it. No I/O.
 
     news = News(door, calls, tables)      # `tables`: the manager's, by slice
-    news.follow()                         # a stream of news begins: what stands comes first
+    news.snapshot_begins()         # a stream of news begins: what stands comes first, as a snapshot
     heard = news.line(b"* CLOSED 17")     # tuples for the manager; raises Unreadable
-    heard = news.settled()                # what stood has come: who is missing has left
+    heard = news.snapshot_ended()  # who is missing in it has left
 
 A stream that broke may have hidden that a proxy left and came back, or that a slice changed hands: what stands is
 compared with what was known. A slice whose rows are neither the ones it was ordered to have nor those with the
@@ -18,10 +18,10 @@
     def __init__(self, door, calls, tables, counts):
         self.door, self.calls, self.tables, self.counts = door, calls, tables, counts
         self.joined, self.granted = set(), set()
-        self.standing, self.seen, self.rows, self.rows_follow = False, set(), {}, False
+        self.in_snapshot, self.seen, self.rows, self.rows_follow = False, set(), {}, False
 
-    def follow(self):
-        self.standing, self.seen, self.rows = True, set(), {}
+    def snapshot_begins(self):
+        self.in_snapshot, self.seen, self.rows = True, set(), {}
 
     def line(self, line):
         heard = relay_lines.news(line)
@@ -58,7 +58,7 @@
         if not given:
             return self._revoked(table)
         self.seen.add(("slice", table))
-        if self.standing and table in self.granted:
+        if self.in_snapshot and table in self.granted:
             self.rows[table] = {}  # compared once all its rows are here
             return []
         self.granted.add(table)
@@ -79,8 +79,8 @@
             return []
         return [("stored", table, worker, weight)]
 
-    def settled(self):
-        """All that stands has come: who is not named has left, what is not granted is somebody else's."""
+    def snapshot_ended(self):
+        """The snapshot has come: who is not named has left, what is not granted is somebody else's."""
         heard, rows = [], self.rows
         for proxy in sorted(self.joined):
             if ("proxy", proxy) not in self.seen:
@@ -95,7 +95,7 @@
                 self.calls.drop_table(table)
                 heard.append(("charged", table, True))
                 heard += [("stored", table, worker, weight) for worker, weight in rows[table].items()]
-        self.standing, self.seen, self.rows = False, set(), {}
+        self.in_snapshot, self.seen, self.rows = False, set(), {}
         return heard
 
     def _as_ordered(self, table, rows):
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -15,20 +15,20 @@
 ANSWER_US = 150_000  # an answer comes within 50 ms or never; what is beyond is for a busy core
 FOLLOW_US = 400_000
 SILENT_US = 1_700_000  # a sign of life is due each second
-QUIET_US = 60_000  # after so long without a line all that stands has come
+QUIET_US = 60_000  # after so long without a line the snapshot has come
 IDLE_US = 2_000_000  # the relay closes what stood idle: a call is not begun on such a connection
-BACK_US, BACK_MOST_US = 20_000, 640_000
+BACKOFF_US, BACKOFF_MOST_US = 20_000, 640_000
 THROTTLED_US = 100_000
 STALL_US = 30_000  # orders that have waited longer have not come to the channel when they were written
 
 
 class Link:
-    """One connection that is dialled until it is there; `back` grows with failures and is reset by an answer."""
+    """One connection that is dialled until it is there; `backoff_us` grows with failures and is reset by an answer."""
 
     def __init__(self, loop, chance, on_up, on_data, on_down):
         self.loop, self.chance, self.stream, self.dialling = loop, chance, None, False
         self.on_up, self.on_data, self.on_down = on_up, on_data, on_down
-        self.back, self.dials, self.not_before, self.turn, self.address = 0, 0, 0, 0, None
+        self.backoff_us, self.dials, self.not_before, self.turn, self.address = 0, 0, 0, 0, None
 
     def dial(self, address):
         if self.dialling or self.stream is not None:
@@ -60,11 +60,11 @@
         self.loop.after(wait, begin) if wait > 0 else begin()
 
     def failed(self, reason):
-        self.not_before = self.loop.now() + int(self.back * self.chance.uniform(0.8, 1.2))
-        self.back = min(BACK_MOST_US, max(BACK_US, self.back * 2))
+        self.not_before = self.loop.now() + int(self.backoff_us * self.chance.uniform(0.8, 1.2))
+        self.backoff_us = min(BACKOFF_MOST_US, max(BACKOFF_US, self.backoff_us * 2))
 
     def well(self):
-        self.back = 0
+        self.backoff_us = 0
 
     def drop(self, reason):
         """Give this connection up; what was awaited on it is in doubt."""
@@ -109,7 +109,7 @@
         self._bound(link, FOLLOW_US, "no answer to follow")
         link.lines, link.following = relay_lines.LineReader(), False
         self.follow_due = True
-        if not self.calls.flying:
+        if not self.calls.in_flight:
             self._ask_news(link)
 
     def _ask_news(self, link):
@@ -140,7 +140,7 @@
             self._bound(link, SILENT_US, "silent")
             self.partial = bool(link.lines.held)
             self._flush(heard)
-            if self.news.standing:
+            if self.news.in_snapshot:
                 self._quiet(link)
 
     def _flush(self, heard):
@@ -155,7 +155,7 @@
             old, self.news_link, self.next_link = self.news_link, link, None
             old.timer = old.timer and old.timer.cancel()
             old.close()
-        self.news.follow()
+        self.news.snapshot_begins()
 
     def _quiet(self, link):
         if self.quiet_timer is not None:
@@ -163,16 +163,16 @@
         self.quiet_timer = self.loop.after(QUIET_US, lambda: self._quiet(link) if self.partial else self._settle(link))
 
     def _settle(self, link):
-        if self.news.standing and link is self.news_link:
+        if self.news.in_snapshot and link is self.news_link:
             self.heard([], flush=True)
-            self._flush(self.news.settled())
+            self._flush(self.news.snapshot_ended())
             self.orders()
 
     def _news_down(self, link, reason):
         link.timer = link.timer and link.timer.cancel()
-        if link.following or link.back > BACK_US:
+        if link.following or link.backoff_us > BACKOFF_US:
             self.counts[f"news broken: {reason}"] += 1
-        self.news.standing = self.partial = link.following = False
+        self.news.in_snapshot = self.partial = link.following = False
         self.quiet_timer = self.quiet_timer and self.quiet_timer.cancel()
         if link is self.next_link or self.next_link is None:
             link.dial(self.address)
@@ -187,7 +187,7 @@
         """Send what is ordered, if the connection is there and no call is in flight."""
         if self.waits_since is None and self.calls.waiting:
             self.waits_since = self.loop.now()
-        if self.calls.flying or not self.calls.waiting or self.news.standing or self.follow_due:
+        if self.calls.in_flight or not self.calls.waiting or self.news.in_snapshot or self.follow_due:
             return
         if self.loop.now() < self.held_until:
             if self.timer is None:
@@ -219,7 +219,7 @@
             return
         for line in lines:
             before, said = self.calls.taken, relay_lines.answer(line)
-            settled = said and self.calls.flying and (
+            settled = said and self.calls.in_flight and (
                 said[0] == "taken" and self.calls.answered(said[1])
                 or said[0] == "refused" and said[1] in ("throttled", "invalid") and self._refused(said[1]))
             if not settled:
@@ -238,15 +238,15 @@
         """The call was not carried out: it is sent again a little later, in halves if it could not be read."""
         self.counts[f"calls {why}"] += 1
         if why == "invalid":
-            if len(self.calls.flying) == 1:
+            if len(self.calls.in_flight) == 1:
                 return self.calls.answered(0)
-            self.calls.most = len(self.calls.flying) // 2
+            self.calls.most = len(self.calls.in_flight) // 2
         self.calls.unsettled()
         self.held_until = self.loop.now() + THROTTLED_US
         return [], []
 
     def _after_call(self):
-        if self.follow_due and not self.calls.flying:
+        if self.follow_due and not self.calls.in_flight:
             for link in (self.next_link, self.news_link):
                 if link is not None and link.stream is not None and not link.following:
                     self._ask_news(link)
@@ -256,7 +256,7 @@
 
     def _call_down(self, reason):
         self.call_timer = self.call_timer and self.call_timer.cancel()
-        if self.calls.flying:
+        if self.calls.in_flight:
             self.counts[f"call in doubt: {reason}"] += 1
             self.calls.unsettled()
         self._after_call()
@@ -268,7 +268,7 @@
         if address == self.address:
             return
         self.address = address
-        if not self.calls.flying:
+        if not self.calls.in_flight:
             self.call_link.close()
         if self.next_link is not None:
             self.next_link.timer = self.next_link.timer and self.next_link.timer.cancel()
@@ -279,7 +279,7 @@
     @property
     def bursting(self):
         """Whether more of what belongs together is on its way: half a line, or a slice's rows."""
-        return self.news.standing or self.partial or self.news.rows_follow
+        return self.news.in_snapshot or self.partial or self.news.rows_follow
 
     def close(self):
         for link in (self.call_link, self.news_link, self.next_link):
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -105,7 +105,7 @@
 
     def _forget(self):
         """Names that neither the manager nor the list holds any more."""
-        if not self.intake and not self.relay.news.standing:
+        if not self.intake and not self.relay.news.in_snapshot:
             for worker in list(self.door.names):
                 if worker not in self.manager.workers and worker not in self.watch.addresses:
                     self.door.forget(worker)
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -19,7 +19,7 @@
 
 DIAL_US = 500_000
 SILENT_US = 4_500_000  # an empty line is due every 2 s
-BACK_US, BACK_MOST_US = 50_000, 800_000
+BACKOFF_US, BACKOFF_MOST_US = 50_000, 800_000
 
 
 def unix_ms():
@@ -31,7 +31,7 @@
         self.loop, self.address, self.door, self.counts = loop, address, door, counts
         self.heard, self.chance, self.clock_ms = heard, chance, clock_ms
         self.seq, self.addresses, self.started = 0, {}, {}
-        self.client, self.next, self.back, self.closed, self.dials = None, None, BACK_US, False, 0
+        self.client, self.next, self.backoff_us, self.closed, self.dials = None, None, BACKOFF_US, False, 0
 
     def begin(self, known):
         if known is not None:
@@ -57,7 +57,7 @@
                 self.counts["list unreadable"] += 1
                 client.abort("unreadable")
                 return
-            self.back = BACK_US
+            self.backoff_us = BACKOFF_US
 
         client.ask("GET", f"/v1/endpoints?follow=1&since={self.seq}", [], b"",
                    lambda answer: answer.status and client.abort(f"answered {answer.status}"), SILENT_US, part)
@@ -67,7 +67,7 @@
         if self.closed or client not in (self.client, self.next):
             return
         self.counts[f"watch broken: {reason}"] += 1
-        wait, self.back = self.back, min(BACK_MOST_US, self.back * 2)
+        wait, self.backoff_us = self.backoff_us, min(BACKOFF_MOST_US, self.backoff_us * 2)
         self.loop.after(int(wait * self.chance.uniform(0.8, 1.2)), lambda: self._again(client))
 
     def _again(self, client):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -156,7 +156,7 @@
                     scene.run(4)
                     self.assertEqual(scene.relay.slices[0], {"s-1": 0.5})
                     self.assertIn((0, 9, 200_000), scene.manager.all("applied"))
-                    self.assertFalse(scene.service.waiting or scene.service.flying)
+                    self.assertFalse(scene.service.waiting or scene.service.in_flight)
 
     def test_an_order_that_makes_calls_unreadable_is_found_and_dropped_alone(self):
         scene = Scene(Heard).run(1)
