--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,7 +7,7 @@
 
 from ospreyrouter.web.client import Client
 
-from .peers import HERE, SECOND, LiveCase
+from .peers import HERE, SECOND, LiveCase, LiveScene, Relay
 
 
 def reset(sock):
@@ -138,5 +138,115 @@
             os.close(end)
 
 
+class RelayLinks(LiveCase):
+    def scene(self, **relay):
+        scene = LiveScene(self, **relay)
+        self.until(lambda: scene.service.relay.news.granted and not scene.service.relay.news.in_snapshot)
+        return scene
+
+    def order(self, scene, table, worker, weight):
+        scene.service.line(table, worker, weight)
+        scene.service.relay.orders()
+
+    def test_two_links_for_news_come_up_while_a_call_is_in_flight(self):
+        """Each is asked once, whichever comes up first and however the call ends."""
+        for fate in ("release", "no answer"):
+            with self.subTest(fate):
+                scene = self.scene(fates=["hold"])
+                link = scene.service.relay
+                self.order(scene, 0, 0, 0.5)
+                self.until(lambda: scene.relay.held)
+                scene.relay.followers[0].abort()  # a new connection for news, which must wait for the call's end
+                other = Relay(self.loop, HERE)
+                link.move(other.listener.address)
+                self.until(lambda: link.next_link.stream is not None)
+                self.assertEqual((scene.relay.follows, other.follows), (1, 0))
+                if fate == "release":
+                    scene.relay.release()
+                self.until(lambda: other.followers and not link.news.in_snapshot)
+                self.turn(0.1)
+                self.assertEqual(other.follows, 1)
+                self.assertLessEqual(scene.relay.follows, 2)
+                self.assertNotIn("news unreadable", scene.counts)
+                self.assertEqual((scene.service.in_flight, scene.service.waiting), ([], {}))
+
+    def test_the_answer_to_follow_is_waited_for_from_the_asking_on(self):
+        scene = self.scene(fates=["mute"] * 5)
+        for turn in range(5):  # calls that hold the asking back for longer than its answer may take
+            self.order(scene, 0, 0, 0.1 + turn / 10)
+        scene.relay.followers[0].abort()
+        self.until(lambda: scene.relay.follows == 2 and not scene.service.relay.news.in_snapshot and not scene.service.waiting)
+        self.assertNotIn("news broken: no answer to follow", scene.counts)
+
+    def test_no_call_goes_out_between_the_asking_and_the_snapshots_end(self):
+        """It could be carried out before or after the snapshot was taken, and a line be held for somebody else's."""
+        scene = self.scene()
+        scene.relay.hold_follows = True
+        scene.relay.followers[0].abort()
+        self.until(lambda: scene.relay.held)
+        self.order(scene, 0, 1, 0.5)
+        self.turn(0.05)
+        self.assertEqual(scene.relay.calls, [])
+        scene.relay.release()
+        self.until(lambda: scene.relay.calls)
+        self.until(lambda: scene.relay.slices[0] == {"s-1": 1.0, "s-2": 0.5})
+        self.assertEqual(scene.counts["slices told anew"], 0)
+
+    def test_what_came_before_an_unreadable_line_is_heard(self):
+        scene = self.scene()
+        scene.relay.proxies, scene.relay.slices = [1], {0: {"s-1": 1.0}}
+        scene.relay.say("* CLOSED 0", "* GRANT 1 0", "* TEA 4")
+        self.until(lambda: scene.relay.follows == 2 and not scene.service.relay.news.in_snapshot)
+        self.turn(0.1)
+        self.assertEqual(scene.manager.all("left"), [(0,)])
+        self.assertEqual(scene.manager.all("charged")[2:], [(1, False)])
+
+    def test_the_end_of_a_link_on_its_way_leaves_the_snapshot_of_the_other_alone(self):
+        scene = self.scene()
+        scene.relay.hold_follows = True
+        scene.relay.proxies = [1]
+        scene.relay.followers[0].abort()
+        self.until(lambda: scene.relay.held)
+        stream, _ = scene.relay.held.pop()
+        stream.write(b"OK\r\n* SUBSCRIBE 1 a 5.0 1\r\n* GRANT 0 1\r\n* ROW 0 s-1 1.0\r\n* GRANT 1 1\r\n* ROW 1 s")
+        self.until(lambda: scene.service.relay.news.in_snapshot)
+        with socket.create_server(HERE) as nobody:
+            gone = nobody.getsockname()
+        scene.service.relay.move(gone)  # refused at once, again and again
+        self.until(lambda: scene.service.relay.next_link.dials > 1)
+        self.assertTrue(scene.service.relay.news.in_snapshot)
+        stream.write(b"-2 1.0\r\n* \r\n"[:8])
+        self.until(lambda: scene.manager.all("left") == [(0,)])
+        self.assertEqual(len(scene.manager.all("charged")), 2)
+
+    def test_a_call_is_not_written_into_a_connection_whose_end_is_about_to_be_told(self):
+        scene = self.scene()
+        self.order(scene, 0, 0, 0.5)
+        self.until(lambda: scene.relay.calls and not scene.service.in_flight)
+        link = scene.service.relay.call_link
+        link.stream._finish("econnreset")  # within a turn: who minds the stream is told at the turn's end
+        self.order(scene, 0, 1, 0.5)
+        self.assertEqual(scene.service.in_flight, [])
+        self.until(lambda: len(scene.relay.calls) == 2)
+        self.assertFalse([why for why in scene.counts if "doubt" in why])
+
+    def test_an_answer_and_a_reset_in_one(self):
+        """The relay answers and resets, and the next call is written before either is noticed: taken once, not in doubt."""
+        scene = self.scene(fates=["hold"])
+        self.order(scene, 0, 0, 0.5)
+        self.until(lambda: scene.relay.held)
+        stream = scene.relay.held[0][0]
+
+        def cross():
+            stream.sock.sendall(b"OK 1\r\n")
+            stream.abort()
+            scene.service.relay.call_link.stream.write(b"\r\n")  # as a write of this turn that meets the reset
+        self.loop.after(0, cross)
+        self.until(lambda: not scene.service.in_flight)
+        self.turn(0.1)
+        self.assertEqual((len(scene.relay.calls), scene.service.waiting), (1, {}))
+        self.assertFalse([why for why in scene.counts if "doubt" in why])
+
+
 if __name__ == "__main__":
     unittest.main()
