Orders in flight for a slice that changes hands are not repeated, and corrected where carried out

Suspicion of the issue, forced on real sockets, failed before: a call for slice 0 is in flight while the slice is revoked and given back with its rows; the relay carries the call out after that. calls.py, drop_table: only what waited was void; the line stood at the relay, and the manager's table, taken from the rows, did not have it, so that a drain of that worker would not have been sent for it. In doubt, the call was even repeated. Now such lines are ordered once more as the manager has them. Not covered: news that is late by more than the answer to the call.

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -1,6 +1,6 @@
 """Orders on their way to the relay: gathered, last value wins, one call in flight, in order. No I/O.
 
-    calls = Calls(door, counts)
+    calls = Calls(door, counts, tables)    # `tables`: the manager's, by slice
     calls.line(...), calls.mark(...)       # the writer that the manager orders at
     data = calls.take()                    # the next call's bytes, or None
     calls.answered(n)                      # n orders were taken; or
@@ -8,6 +8,10 @@
 
 A call in doubt goes first in the next one: orders are absolute, so repeating it brings about what was meant
 whether or not it was carried out, and nothing later overtakes it.
+
+What is in flight for a slice that changes hands meanwhile belongs to an earlier charge of it. It is not repeated; and
+since it may have been carried out in the new charge, unseen by the rows that came with that, each such line is ordered
+once more as the manager has it now.
 """
 
 from ..interface import ALL_TABLES
@@ -18,13 +22,18 @@
     return int(text.split(",")[1])
 
 
+def _table_of(key):
+    return key[1] if key[0] in ("line", "wipe", "level") else None
+
+
 class Calls:
-    def __init__(self, door, counts):
-        self.door, self.counts = door, counts
+    def __init__(self, door, counts, tables):
+        self.door, self.counts, self.tables = door, counts, tables
         self.waiting = {}  # order by what it sets: its text, in the order written
         self.in_flight = []  # (what it sets, text) of the call in flight, in order
         self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
+        self.void = set()  # slices that have changed hands since the call in flight was written
 
     # The writer.
 
@@ -55,8 +64,10 @@
 
     def drop_table(self, table):
         """What waits for a table is void: it was wiped, or changed hands."""
-        for key in [key for key in self.waiting if key[0] != "out" and len(key) > 1 and key[1] == table]:
+        for key in [key for key in self.waiting if _table_of(key) == table]:
             del self.waiting[key]
+        if any(_table_of(key) == table for key, _ in self.in_flight):
+            self.void.add(table)
 
     def pending(self, table, worker):
         """Whether that line of the table is ordered but not known to stand."""
@@ -83,7 +94,7 @@
             return None
         done, refused, rest = self.in_flight[:taken], self.in_flight[taken:taken + 1], self.in_flight[taken + 1:]
         self.in_flight, self.most = [], None
-        self._again(rest)
+        self._again(rest, done)
         self.taken = next((mark_in(text) for key, text in done if key == ("mark",)), self.taken)
         self.counts["orders refused"] += len(refused)
         return [key for key, _ in done], [text for _, text in refused]
@@ -93,7 +104,10 @@
         orders, self.in_flight = self.in_flight, []
         self._again(orders)
 
-    def _again(self, orders):
+    def _again(self, orders, done=()):
         """Ahead of what waits; where that sets the same, the later value stands."""
-        later = self.waiting
-        self.waiting = {key: text for key, text in orders if key not in later} | later
+        later, void, self.void = self.waiting, self.void, set()
+        self.waiting = {key: text for key, text in orders if key not in later and _table_of(key) not in void} | later
+        for key, _ in [*done, *orders]:
+            if key[0] == "line" and key[1] in void and key not in self.waiting:
+                self.line(key[1], key[2], self.tables[key[1]].get(key[2], 0.0))
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -30,9 +30,9 @@
 
     def __init__(self, loop, station, door, log, manager=Manager):
         self.counts = Counter()
-        super().__init__(door, self.counts)
-        self.loop, self.log, self.intake, self.due, self.since = loop, log, [], None, 0
         self.manager = manager(door.setup, station.seed)
+        super().__init__(door, self.counts, self.manager.tables)
+        self.loop, self.log, self.intake, self.due, self.since = loop, log, [], None, 0
         chance = Random(station.seed ^ 1)  # of the links; the manager's own is not touched
         most = max(8, station.sockets - OWN_SOCKETS - PROBES_MOST) * 2 // 3
         self.collectors = Collectors(loop, station.listen, door, self.counts, self.hear, most)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -219,6 +219,17 @@
         self.until(lambda: scene.manager.all("left") == [(0,)])
         self.assertEqual(len(scene.manager.all("charged")), 2)
 
+    def test_a_slice_that_is_taken_away_and_given_back_while_a_call_for_it_is_in_flight(self):
+        scene = self.scene(fates=["hold"])
+        self.order(scene, 0, 1, 0.5)
+        self.until(lambda: scene.relay.held)
+        scene.relay.say("* GRANT 0 0", "* GRANT 0 1", "* ROW 0 s-1 1.0")
+        self.until(lambda: scene.manager.all("charged")[2:] == [(0, False), (0, True)])
+        self.until(lambda: scene.manager.tables[0] == {0: 1.0})
+        scene.relay.release()  # it is carried out only now, which no row has told
+        self.until(lambda: len(scene.relay.calls) == 2 and not scene.service.in_flight)
+        self.assertEqual(scene.relay.slices[0], {"s-1": 1.0})
+
     def test_a_call_is_not_written_into_a_connection_whose_end_is_about_to_be_told(self):
         scene = self.scene()
         self.order(scene, 0, 0, 0.5)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -70,7 +70,8 @@
         class Names:
             def name(self, worker):
                 return f"s-{worker}"
-        self.calls = Calls(Names(), Counter())
+        self.tables = {0: {}, 1: {}, 7: {}}
+        self.calls = Calls(Names(), Counter(), self.tables)
 
     def sent(self):
         data = self.calls.take()
@@ -122,6 +123,24 @@
         self.assertEqual(self.sent(), ["share,1,s-1,1", "withdraw,s-0", "clear,0"])
 
 
+    def test_what_is_in_flight_for_a_slice_that_changes_hands_is_ordered_as_it_stands_now(self):
+        rest, now = ["share,1,s-1,1", "mark,4,1"], ["share,0,s-1,0", "share,0,s-2,0.25"]
+        for taken, sent in ((4, now), (2, ["mark,4,1"] + now), (None, rest + now)):  # None: it is never told
+            with self.subTest(taken=taken):
+                self.setUp()
+                self.calls.line(0, 1, 1.0)
+                self.calls.line(0, 2, 0.5)
+                self.calls.line(1, 1, 1.0)
+                self.calls.mark(4, True)
+                self.sent()
+                self.calls.drop_table(0)  # taken away and given back with other rows
+                self.tables[0] = {2: 0.25}
+                self.calls.unsettled() if taken is None else self.calls.answered(taken)
+                self.assertEqual(self.sent(), sent)
+                self.calls.unsettled()
+                self.assertEqual(self.sent(), sent)
+
+
 class RelayLinks(unittest.TestCase):
     def test_a_start_takes_over_what_stands(self):
         scene = Scene(Heard).run(1)
