--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -223,7 +223,7 @@
         scene = self.scene(fates=["hold"])
         self.order(scene, 0, 1, 0.5)
         self.until(lambda: scene.relay.held)
-        scene.relay.say("* GRANT 0 0", "* GRANT 0 1", "* ROW 0 s-1 1.0")
+        scene.relay.say("* GRANT 0 0", "* GRANT 0 1", "* ROW 0 s-1 1.0", "* CLOSED 3")  # no more rows to wait for
         self.until(lambda: scene.manager.all("charged")[2:] == [(0, False), (0, True)])
         self.until(lambda: scene.manager.tables[0] == {0: 1.0})
         scene.relay.release()  # it is carried out only now, which no row has told
