Watch: what is older undoes nothing, silence is noticed in time; probes: one a worker, by its life

Suspicions of the issue, forced on real sockets; failed before: - watch.py, _listed: a new agent that lags (lower seq) made a leaving worker active again and set an earlier start and address. Changes older than known are dropped; a whole list that is older is taken, but who is known to be worse off in the same life stays so until newer lines name it or 6 s are over, within which everything counts as told. A list that starts over is taken so: what is worse at once, what would undo something after 6 s. - watch.py, _dial: the first answer of a new watch was waited for as long as a silence, 4.5 s: silence right behind a line, then an agent that accepts and says nothing, took 13.9 s to be over. Passed before, kept as guards: two moves at once and back; the old agent closes while the new one does not answer; heads, chunks and lines in single bytes with an end within a line; a whole list without a worker that is being probed and ordered.

--- a/ospreyrouter/node/probes.py
+++ b/ospreyrouter/node/probes.py
@@ -1,10 +1,11 @@
 """Probes of workers: one connection each, bounded in time and number, answered once.
 
     probes = Probes(loop, most, counts, reports)
-    probes.probe(address, on_done)        # on_done(outcome, delay_us, report)
-"""
+    probes.probe(worker, life, address, on_done)        # on_done(outcome, delay_us, report)
 
-from collections import deque
+A worker has one probe at most, on its way or waiting its turn. Another of the same life is not begun; one of a later
+life (`life` differs) takes the place of the earlier, of which nothing more is heard.
+"""
 
 import orjson
 
@@ -21,25 +22,38 @@
 class Probes:
     def __init__(self, loop, most, counts, reports):
         self.loop, self.most, self.counts, self.path = loop, most, counts, "/status/load" if reports else "/health"
-        self.open, self.queue = set(), deque()
+        self.open, self.queue = {}, {}  # by worker: its life and connection; life, address and whom to tell
 
-    def probe(self, address, on_done):
-        if len(self.open) >= self.most:
-            self.queue.append((address, on_done))
+    def probe(self, worker, life, address, on_done):
+        held = self.open.get(worker) or self.queue.get(worker)
+        if held is not None and held[0] == life:
+            self.counts["probe still under way"] += 1
             return
+        if worker in self.open:
+            self.open.pop(worker)[1].close()
+        self.queue[worker] = life, address, on_done  # one of an earlier life leaves its turn to this one
+        self._begin()
+
+    def _begin(self):
+        while self.queue and len(self.open) < self.most:
+            worker = next(iter(self.queue))
+            self._ask(worker, *self.queue.pop(worker))
+
+    def _ask(self, worker, life, address, on_done):
         began = self.loop.now()
 
         def answered(answer):
-            self.open.discard(client)
+            if self.open.get(worker) != (life, client):
+                return  # another life has come
+            del self.open[worker]
             client.close()
             outcome, report = self._outcome(answer)
             self.counts[f"probe {outcome.value}"] += 1
             on_done(outcome, self.loop.now() - began, report)
-            if self.queue:
-                self.probe(*self.queue.popleft())
+            self._begin()
 
         client = Client(self.loop, address, DIAL_US, body_most=BODY_MOST)
-        self.open.add(client)
+        self.open[worker] = life, client
         client.ask("GET", self.path, [("connection", "close")], b"", answered, ANSWER_US)
 
     def _outcome(self, answer):
@@ -57,5 +71,5 @@
 
     def close(self):
         self.queue.clear()
-        for client in list(self.open):
-            client.abort("closed here")
+        while self.open:
+            self.open.popitem()[1][1].abort("closed here")
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -86,7 +86,15 @@
         if address is None:
             self.hear([("probed", worker, Outcome.UNREACHABLE, 0, {})])
             return
-        self.probes.probe(address, lambda *found: self.hear([("probed", worker, *found)]))
+        life = self.watch.life(worker)
+
+        def found(*values):
+            if self.watch.life(worker) == life:
+                self.hear([("probed", worker, *values)])
+            else:
+                self.counts["probe of an earlier life"] += 1
+
+        self.probes.probe(worker, life, address, found)
 
     def wake(self, after_us, token):
         self.loop.after(after_us, lambda: self.hear([("woke", token)]))
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -3,12 +3,20 @@
     watch = Watch(loop, address, door, counts, heard, chance)
     watch.begin(known)        # the list as last had, then the watch from there on
     watch.move(address)
+    watch.life(worker)        # the address and start that a worker has now
 
 While discovery is down the last list stands. A watch that says nothing is given up and dialled again from the last
-version; the first line after that brings what changed since.
+version; the first line after that brings what changed since. During a move both watches are read, until the new one has
+brought a line that can be read.
+
+What is older than what is known (a lower `seq`) comes from an agent that lags, or from a list that starts over. Changes
+are dropped: they are known, or come again. A whole list is taken, for it may be all there is; but a worker that it has
+as better off than is known of the same life stays as known, until newer lines name it or the time is over within which
+everything counts as told (LAG_US): a lagging agent has caught up by then.
 """
 
 import time
+from dataclasses import replace
 
 from ..door import Malformed
 from ..interface import State
@@ -18,7 +26,9 @@
 from .relay_lines import LineReader
 
 DIAL_US = 500_000
+ANSWER_US = 500_000  # the agent answers at once, or is silent while discovery is down
 SILENT_US = 4_500_000  # an empty line is due every 2 s
+LAG_US = 6_000_000
 BACKOFF_US, BACKOFF_MOST_US = 50_000, 800_000
 
 
@@ -31,6 +41,7 @@
         self.loop, self.address, self.door, self.counts = loop, address, door, counts
         self.heard, self.chance, self.clock_ms = heard, chance, clock_ms
         self.seq, self.addresses, self.started = 0, {}, {}
+        self.known, self.doubted = {}, {}  # by worker: entry and start as known; fields of an older list
         self.client, self.next, self.backoff_us, self.closed, self.dials = None, None, BACKOFF_US, False, 0
 
     def begin(self, known):
@@ -40,29 +51,30 @@
 
     def _dial(self):
         self.dials += 1
-        reader, state = LineReader(b"\n", listing.LINE_MOST), {}
+        reader = LineReader(b"\n", listing.LINE_MOST)
         client = Client(self.loop, self.address, DIAL_US, lambda reason: self._ended(client, reason), 64 << 10)
 
         def part(data):
-            if client is self.next:  # the new address answers: the old one may go
-                old, self.client, self.next = self.client, client, None
-                old.abort("moved")
             try:
                 for line in reader.feed(data):
                     found = listing.read(line)
                     if found is not None:
                         self._listed(found)
-            except Unreadable as problem:
-                state["why"] = str(problem)
+                    self._well(client)
+            except Unreadable:
                 self.counts["list unreadable"] += 1
                 client.abort("unreadable")
-                return
-            self.backoff_us = BACKOFF_US
 
         client.ask("GET", f"/v1/endpoints?follow=1&since={self.seq}", [], b"",
-                   lambda answer: answer.status and client.abort(f"answered {answer.status}"), SILENT_US, part)
+                   lambda answer: answer.status and client.abort(f"answered {answer.status}"), ANSWER_US, part, SILENT_US)
         return client
 
+    def _well(self, client):
+        self.backoff_us = BACKOFF_US
+        if client is self.next:  # the new address answers: the old one may go
+            old, self.client, self.next = self.client, client, None
+            old.abort("moved")
+
     def _ended(self, client, reason):
         if self.closed or client not in (self.client, self.next):
             return
@@ -78,27 +90,63 @@
         elif client is self.client and self.next is None:
             self.client = self._dial()
 
+    # The list.
+
     def _listed(self, found):
-        self.seq, whole, rows = found
-        entries = []
+        seq, whole, rows = found
+        older, self.seq = seq < self.seq, seq if whole else max(seq, self.seq)
+        if older:
+            self.counts["list older than known"] += 1
+            if not whole:
+                return
+        entries, doubted = [], []
         for row in rows:
             try:
-                entries.append(self._entry(*listing.entry(row)))
+                entries.append(self._read(listing.entry(row), older, doubted))
             except Malformed as problem:
                 self.counts[f"entry spoilt: {problem.cause}"] += 1
         if whole:
-            named = {entry.worker for entry in entries}
-            self.addresses = {worker: dial for worker, dial in self.addresses.items() if worker in named}
+            for worker in self.known.keys() - {entry.worker for entry in entries}:
+                entry, born_ms = self.known[worker]
+                self._know(replace(entry, state=State.GONE), born_ms, None)
         self.heard([("listed", whole, entries)])
+        if doubted:
+            self.loop.after(LAG_US, lambda: self._believe(doubted))
 
-    def _entry(self, name, dial, zone, kind, cell, state, weight, born_ms):
+    def _read(self, fields, older, doubted):
+        name, _, zone, _, _, state, _, born_ms = fields
         self.door.zone(zone)  # before the name gets an index
         worker = self.door.worker(name)
-        if state is State.GONE:
-            self.addresses.pop(worker, None)
+        if older and worker in self.known:
+            known, life = self.known[worker]
+            if (born_ms, state) < (life, known.state):
+                doubted.append((worker, self.doubted.setdefault(worker, fields)))
+                return known
+        return self._entry(*fields)
+
+    def _entry(self, name, dial, zone, kind, cell, state, weight, born_ms):
+        started_us = self._started(self.door.worker(name), born_ms)
+        entry = self.door.entry(name, zone, kind, cell, state, weight, started_us)
+        self._know(entry, born_ms, dial)
+        return entry
+
+    def _know(self, entry, born_ms, dial):
+        self.known[entry.worker] = entry, born_ms
+        self.doubted.pop(entry.worker, None)
+        if entry.state is State.GONE:
+            self.addresses.pop(entry.worker, None)
         else:
-            self.addresses[worker] = dial
-        return self.door.entry(name, zone, kind, cell, state, weight, self._started(worker, born_ms))
+            self.addresses[entry.worker] = dial
+
+    def _believe(self, doubted):
+        """What nothing newer has spoken of since is no lag: the list did start over."""
+        sure = [self._entry(*fields) for worker, fields in doubted if self.doubted.get(worker) is fields]
+        if sure:
+            self.heard([("listed", False, sure)])
+
+    def life(self, worker):
+        """What differs is another life: an answer to the one before does not speak for it."""
+        return self.addresses.get(worker), self.known[worker][1] if worker in self.known else None
 
     def _started(self, worker, born_ms):
         """On the monotonic clock; worked out once a start, for the two clocks drift and a start must not."""
@@ -111,8 +159,8 @@
         return known[1]
 
     def forget(self, worker):
-        self.started.pop(worker, None)
-        self.addresses.pop(worker, None)
+        for table in (self.started, self.addresses, self.known, self.doubted):
+            table.pop(worker, None)
 
     def move(self, address):
         if address == self.address:
--- a/ospreyrouter/web/client.py
+++ b/ospreyrouter/web/client.py
@@ -6,8 +6,8 @@
 `on_answer(answer)` is called once: `answer.status`, or 0 and `answer.reason` where none came. `answer.sent` says
 whether anything of the request was written: if not, it was never begun at the far end.
 
-With `on_part` each piece of a good answer's body is handed on as it comes and not kept, and `timeout_us` bounds the
-silence before each piece in place of the whole.
+With `on_part` each piece of a good answer's body is handed on as it comes and not kept; `timeout_us` bounds the wait for
+the first and `silence_us` that for each piece after it, in place of the whole.
 """
 
 from collections import deque
@@ -26,10 +26,11 @@
 
 
 class _Asked:
-    __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us", "on_part")
+    __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us", "on_part", "silence_us")
 
     def __init__(self, *values):
-        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us, self.on_part = values
+        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us, self.on_part, \
+            self.silence_us = values
 
 
 class Client:
@@ -57,8 +58,8 @@
         stream.start(self._data, self._fail)
         self._next()
 
-    def ask(self, method, path, headers, body, on_answer, timeout_us, on_part=None):
-        asked = _Asked(method, path, headers, body, on_answer, timeout_us, on_part)
+    def ask(self, method, path, headers, body, on_answer, timeout_us, on_part=None, silence_us=None):
+        asked = _Asked(method, path, headers, body, on_answer, timeout_us, on_part, silence_us or timeout_us)
         if self.closed:
             self.loop.soon(lambda: on_answer(Answer(0, reason="closed", sent=False)))
             return
@@ -89,7 +90,7 @@
                     self.head = event
                 elif isinstance(event, h11.Data) and self.current.on_part and self.head.status_code == 200:
                     self.timer.cancel()
-                    self.timer = self.loop.after(self.current.timeout_us, lambda: self.abort("timed out"))
+                    self.timer = self.loop.after(self.current.silence_us, lambda: self.abort("timed out"))
                     self.current.on_part(bytes(event.data))
                 elif isinstance(event, h11.Data):
                     self.size += len(event.data)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,13 +1,15 @@
 """Where two events cross, on real sockets: peers that hold, then release; nothing waits for a time to pass by chance."""
 
+import json
 import os
 import signal
 import socket
 import unittest
 
+from ospreyrouter.interface import Outcome, State
 from ospreyrouter.web.client import Client
 
-from .peers import HERE, SECOND, LiveCase, LiveScene, Relay
+from .peers import HERE, SECOND, Discovery, LiveCase, LiveScene, Relay
 
 
 def reset(sock):
@@ -259,5 +261,225 @@
         self.assertFalse([why for why in scene.counts if "doubt" in why])
 
 
+class Watches(LiveCase):
+    """Of discovery's list. `row` of the scene is how a worker is listed."""
+
+    def scene(self, **more):
+        scene = LiveScene(self, **more)
+        self.until(lambda: scene.discovery.streams and scene.relay.calls is not None)
+        return scene
+
+    def states(self, scene):
+        """By worker, as the manager was told in the end."""
+        states = {}
+        for whole, entries in scene.manager.all("listed"):
+            states = dict.fromkeys(states, State.GONE) | {e.worker: e.state for e in entries} if whole \
+                else states | {e.worker: e.state for e in entries}
+        return states
+
+    def moved(self, scene, *objects):
+        """A move to an agent that begins with these objects (seq, whole, rows)."""
+        before = scene.service.watch.client
+        agent = Discovery(self.loop, HERE, [json.dumps(dict(zip(("seq", "whole", "hosts"), one))) for one in objects])
+        scene.service.watch.move(agent.listener.address)
+        self.until(lambda: scene.service.watch.client is not before)
+        self.until(lambda: not scene.service.intake)
+        agent.lines.clear()  # dialled again, it has nothing newer to tell
+        return agent
+
+    def test_a_new_agent_that_lags_undoes_nothing(self):
+        for whole in (False, True):
+            with self.subTest(whole=whole):
+                scene = self.scene()
+                scene.discovery.say(7, False, scene.row(1, "leaving"), scene.row(2, born_ms=2000))
+                self.until(lambda: self.states(scene) == {0: State.DRAINING, 1: State.READY})
+                address = scene.service.watch.addresses[1]
+                agent = self.moved(scene, (5, whole, [scene.row(1), scene.row(2, born_ms=1000) | {"dial": "127.0.0.1:9"}]))
+                self.assertEqual(self.states(scene), {0: State.DRAINING, 1: State.READY})
+                self.assertEqual((scene.service.watch.addresses[1], scene.counts["list older than known"]), (address, 1))
+                started = scene.service.watch.started[1]
+                agent.say(7, False, scene.row(1, "leaving"), scene.row(2, born_ms=2000))
+                agent.say(8, False, scene.row(2, "leaving", born_ms=2000))
+                self.until(lambda: self.states(scene) == {0: State.DRAINING, 1: State.DRAINING})
+                self.assertEqual((scene.service.watch.seq, scene.service.watch.started[1]), (8, started))
+                self.assertEqual(scene.service.watch.doubted, {})
+
+    def test_a_list_that_starts_over_is_taken(self):
+        """What is worse at once, what would undo something once no agent can lag any more."""
+        scene = self.scene()
+        scene.discovery.say(7, False, scene.row(1, "leaving"))
+        self.until(lambda: self.states(scene) == {0: State.DRAINING, 1: State.READY})
+        agent = self.moved(scene, (2, True, [scene.row(1), scene.row(2, "leaving")]))
+        self.assertEqual(self.states(scene), {0: State.DRAINING, 1: State.DRAINING})
+        agent.say(3, False, scene.row(2))
+        self.until(lambda: self.states(scene) == {0: State.DRAINING, 1: State.READY})
+        self.assertEqual(scene.service.watch.seq, 3)
+        self.until(lambda: self.states(scene) == {0: State.READY, 1: State.READY})
+
+    def test_a_watch_that_falls_silent_right_after_a_line_and_a_new_one_that_says_nothing(self):
+        """All of that takes less than the 6 s after which everything counts as told."""
+        scene = self.scene()
+        scene.discovery.say(2, False, scene.row(2))
+        self.until(lambda: len(scene.manager.all("listed")) == 2)
+        silent_since, scene.discovery.silent = self.loop.now(), True
+        self.until(lambda: len(scene.discovery.since) > 2)  # given up, dialled, given up, dialled
+        scene.discovery.silent = False
+        scene.discovery.lines = [json.dumps({"seq": 3, "whole": False, "hosts": [scene.row(1, "leaving")]})]
+        self.until(lambda: self.states(scene).get(0) is State.DRAINING)
+        self.assertLess(self.loop.now() - silent_since, 6 * SECOND)
+
+    def test_the_old_watch_is_kept_until_the_new_one_can_be_read(self):
+        scene = self.scene()
+        with socket.create_server(HERE) as sock:
+            gone = sock.getsockname()
+        broken = Discovery(self.loop, HERE, ["{{{{"])
+        for address in (gone, broken.listener.address):
+            scene.service.watch.move(address)
+            dials = scene.service.watch.dials
+            self.until(lambda: scene.service.watch.dials > dials + 1)
+            scene.discovery.say(scene.service.watch.seq + 1, False, scene.row(1, "leaving"))
+            self.until(lambda: scene.service.watch.seq == len(scene.manager.all("listed")))
+        self.assertEqual(len(scene.discovery.streams), 1)
+
+    def test_two_moves_at_once_and_back_again(self):
+        scene, full = self.scene(), Full(self)
+        at = scene.discovery.listener.address
+        before = len(self.loop.selector.get_map())
+        for address in (full.address, at, full.address, at):
+            scene.service.watch.move(address)
+        self.until(lambda: len(scene.discovery.since) == 2 and len(scene.discovery.streams) == 1)
+        self.assertLessEqual(len(self.loop.selector.get_map()), before)
+        scene.discovery.say(2, False, scene.row(1, "leaving"))
+        self.until(lambda: self.states(scene).get(0) is State.DRAINING)
+
+    def test_the_old_agent_closes_while_the_new_one_does_not_answer(self):
+        scene, full = self.scene(), Full(self)
+        scene.service.watch.move(full.address)
+        scene.discovery.streams[0].abort()
+        self.until(lambda: scene.counts["watch broken: econnreset"] == 1)
+        agent = self.moved(scene, (4, False, [scene.row(1, "leaving")]))
+        self.until(lambda: self.states(scene).get(0) is State.DRAINING)
+        self.assertEqual((agent.since, len(scene.discovery.since)), ([1], 1))
+
+    def test_an_answer_that_comes_byte_by_byte_and_ends_within_a_line(self):
+        scene = self.scene()
+        body = json.dumps({"seq": 2, "whole": False, "hosts": [scene.row(1, "leaving")]}).encode() + b"\n"
+        text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        text += b"".join(b"1\r\n" + body[at:at + 1] + b"\r\n" for at in range(len(body))) + b"9\r\n{\"seq\":3,\r\n"
+        got, ended = [], []
+        far = socket.create_server(HERE)
+        self.addCleanup(far.close)
+
+        def accepted(mask):
+            sock, _ = far.accept()
+            self.addCleanup(sock.close)
+            self.loop.selector.unregister(far)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+            def drip(at=0):
+                if at < len(text):
+                    sock.send(text[at:at + 1])
+                    self.loop.soon(lambda: drip(at + 1))
+                else:
+                    sock.close()
+                    ended.append(True)
+            drip()
+        self.loop.selector.register(far, 1, accepted)
+        scene.service.watch.move(far.getsockname())
+        self.until(lambda: ended)
+        self.until(lambda: self.states(scene).get(0) is State.DRAINING)
+        self.until(lambda: [why for why in scene.counts if why.startswith("watch broken")])
+        self.assertEqual((scene.service.watch.seq, scene.counts["list unreadable"], got), (2, 0, []))
+
+    def test_a_whole_list_without_a_worker_that_is_being_probed_and_ordered(self):
+        scene = self.scene(fates=["hold"])
+        self.until(lambda: scene.service.relay.news.granted and not scene.service.relay.news.in_snapshot)
+        scene.health[2] = (0, b"")
+        scene.service.probe(1)
+        scene.service.line(0, 1, 0.5)
+        scene.service.relay.orders()
+        self.until(lambda: scene.relay.held)
+        scene.discovery.say(2, True, scene.row(1))
+        self.until(lambda: self.states(scene) == {0: State.READY, 1: State.GONE})
+        self.assertNotIn(1, scene.service.watch.addresses)
+        scene.relay.release()
+        self.until(lambda: not scene.service.in_flight and not scene.service.probes.open)
+        self.turn(0.1)
+        self.assertEqual(scene.manager.all("probed"), [])
+        self.assertEqual(scene.counts["faults"], 0)
+
+
+class Lives(LiveCase):
+    """Answers of, and to, a worker's earlier life."""
+
+    def scene(self, **more):
+        scene = LiveScene(self, **more)
+        self.until(lambda: scene.manager.all("listed") and scene.discovery.streams and not scene.service.intake)
+        return scene
+
+    def test_a_probe_on_its_way_when_another_life_is_listed_says_nothing_of_that(self):
+        """Held by the worker, then answered; the new life is another start, another address, or both."""
+        for number, change in enumerate(({"born_ms": 2000}, {"dial": 2}, {"born_ms": 2000, "dial": 2})):
+            with self.subTest(change=change):
+                held, scene = [], self.scene()
+                scene._probed = lambda number, request: held.append(request)
+                scene.service.probe(0)
+                self.until(lambda: held)
+                change = change | ({"dial": scene.dials[2]} if "dial" in change else {})
+                scene.discovery.say(2, False, scene.row(1) | change)
+                self.until(lambda: len(scene.manager.all("listed")) == 2)
+                scene.service.probe(0)  # as the manager does for one that started anew
+                self.until(lambda: len(held) == 2)
+                held[0].answer(200, body=b"{}")
+                held[1].answer(503)
+                self.until(lambda: scene.manager.all("probed"))
+                self.turn(0.05)
+                self.assertEqual([found[:2] for found in scene.manager.all("probed")], [(0, Outcome.ERROR)])
+
+    def test_an_answer_of_an_earlier_life_that_nobody_asked_anew_is_dropped(self):
+        held, scene = [], self.scene()
+        scene._probed = lambda number, request: held.append(request)
+        scene.service.probe(0)
+        self.until(lambda: held)
+        scene.discovery.say(2, False, scene.row(1, born_ms=2000))
+        self.until(lambda: len(scene.manager.all("listed")) == 2)
+        held[0].answer(200, body=b"{}")
+        self.until(lambda: scene.counts["probe of an earlier life"] == 1)
+        self.assertEqual(scene.manager.all("probed"), [])
+
+    def test_one_that_waits_its_turn_goes_to_the_address_of_the_new_life(self):
+        held, scene = [], self.scene(workers=40)
+        scene._probed = lambda number, request: held.append((number, request))
+        for worker in range(40):
+            scene.service.probe(worker)
+        self.until(lambda: len(held) == scene.service.probes.most)
+        last = next(reversed(scene.service.probes.queue))
+        scene.discovery.say(2, False, scene.row(last + 1, born_ms=2000) | {"dial": scene.dials[1]})
+        self.until(lambda: len(scene.manager.all("listed")) == 2)
+        scene.service.probe(last)
+        first = [number for number, _ in held]
+        for _, request in list(held):
+            request.answer(200, body=b"{}")
+        self.until(lambda: len(held) == 40)
+        self.assertNotIn(last + 1, [number for number, _ in held])
+        self.assertEqual([number for number, _ in held[len(first):]].count(1), 1)
+
+    def test_a_worker_that_is_forgotten_while_it_is_probed_and_comes_again_under_its_name(self):
+        held, scene = [], self.scene()
+        scene._probed = lambda number, request: held.append(request)
+        scene.service.probe(1)
+        self.until(lambda: held)
+        scene.discovery.say(2, True, scene.row(1))
+        self.until(lambda: len(scene.manager.all("listed")) == 2 and not scene.service.intake)
+        scene.service._forget()
+        self.assertIsNone(scene.door.known("s-2"))
+        scene.discovery.say(3, False, scene.row(2))
+        self.until(lambda: len(scene.manager.all("listed")) == 3)
+        self.assertEqual(scene.door.known("s-2"), 2)
+        held[0].answer(200, body=b"{}")
+        self.until(lambda: scene.counts["probe of an earlier life"] == 1)
+        self.assertEqual((scene.manager.all("probed"), scene.counts["faults"]), ([], 0))
+
+
 if __name__ == "__main__":
     unittest.main()
