Names are forgotten right after a round, however busy the manager is

service.py, _forget: it ran with the 10 s timer and gave up where any news waited for a round, which under load is the usual state; names of replaced workers were kept as long as that went on. Right after a round nothing waits. The test (a piece of news each millisecond) failed before. FORGET_US is apart from TELL_US now.

--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -21,6 +21,7 @@
 GATHER_US = 5_000
 BURST_US = 150_000  # what belongs together is waited for no longer than this
 TELL_US = 10_000_000
+FORGET_US = 10_000_000
 OWN_SOCKETS = 24  # descriptors for standard streams, the loop, the listener and the links
 PROBES_MOST = 32
 
@@ -42,6 +43,7 @@
         news = News(door, self, self.manager.tables, self.counts)
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
         self.rounds, self.longest_us, self.busy_us, self.late_us = 0, 0, 0, 0
+        self.forget_at = loop.now() + FORGET_US
         loop.after(TELL_US, self._tell)
 
     # Rounds.
@@ -78,6 +80,9 @@
         took = self.loop.now() - began
         self.rounds, self.busy_us, self.longest_us = self.rounds + 1, self.busy_us + took, max(self.longest_us, took)
         self.relay.orders()
+        if began >= self.forget_at:
+            self.forget_at = began + FORGET_US
+            self._forget()
 
     # The writer, beyond what goes to the relay.
 
@@ -112,8 +117,8 @@
         pass
 
     def _forget(self):
-        """Names that neither the manager nor the list holds any more."""
-        if not self.intake and not self.relay.news.in_snapshot:
+        """Names that neither the manager nor the list holds any more; right after a round, when no news waits for one."""
+        if not self.relay.news.in_snapshot:  # whose rows may name them yet
             for worker in list(self.door.names):
                 if worker not in self.manager.workers and worker not in self.watch.addresses:
                     self.door.forget(worker)
@@ -127,7 +132,6 @@
 
     def _tell(self):
         self.loop.after(TELL_US, self._tell)
-        self._forget()
         self.log("counts", rounds=self.rounds, busy_ms=self.busy_us // 1000, longest_round_ms=self.longest_us // 1000,
                  late_ms=self.late_us // 1000, longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
                  proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -457,6 +457,17 @@
         for held in (scene.door.names, scene.door.workers, scene.service.watch.started):
             self.assertLess(len(held), 30)
 
+    def test_names_are_forgotten_though_news_never_pauses(self):
+        scene = Scene(workers=3, known=(1, True, [row(n) for n in (1, 2, 3)])).run(2)
+        scene.discovery.say(2, False, row(3, "left"))
+
+        def news():
+            scene.service.hear([("woke", 7)])
+            scene.host.after(1000, news)
+        news()
+        scene.run(45)
+        self.assertIsNone(scene.door.known("s-3"))
+
     def test_four_hundred_proxies_turned_away_at_first_do_not_fill_the_queue(self):
         slices = {item: {f"s-{item % 3 + 1}": 1.0} for item in range(40)}
         scene = Scene(workers=3, more=settings(40, 400), proxies=range(20), slices=slices, fates=["throttled"] * 9)
