Settings: each value is checked for what it can be, and named with its place

Read line by line: an EgressPerS or QueueCap of 0 divided by zero in each round (a manager that is up and serves nobody), a RetryDefault of 9 ended the start with a traceback, unknown words of Weights and Reporting.How, Me beyond Balancers, zones or classes named twice, negative and endless times were taken in silence. Each is one line on standard error now, exit 2.

--- a/ospreyrouter/door/names.py
+++ b/ospreyrouter/door/names.py
@@ -1,19 +1,19 @@
 """Names to the small indices that the manager knows, and back.
 
-    door = Door(settings)                 # `door.setup` is the Deployment
+    door = Door(settings)                 # `door.setup` is the Deployment, `door.load_reports` whether workers report
     door.worker(name), door.known(name), door.name(worker)
     door.entry(name, zone, kind, cell, state, weight, started_us)
 """
 
 from ..interface import Entry
-from .settings import Malformed, deployment
+from .settings import Malformed, deployment, load_reports
 
 
 class Door:
     """The names of one manager; an index is never given out twice."""
 
     def __init__(self, settings):
-        self.setup = deployment(settings)
+        self.setup, self.load_reports = deployment(settings), load_reports(settings)
         self.workers, self.names, self.kinds, self.given = {}, {}, {}, 0
         self.classes = {row.name: place for place, row in enumerate(self.setup.classes)}
         self.zones = {name: place for place, name in enumerate(self.setup.zones)}
--- a/ospreyrouter/door/settings.py
+++ b/ospreyrouter/door/settings.py
@@ -1,12 +1,17 @@
 """The settings object that the simulator and the platform both send, read into a Deployment.
 
-Keys it does not know are left alone.
+Keys it does not know are left alone. A value that is missing, of another type, unknown or impossible is named with its
+place; only what the pages call optional, or the adapter can do without, has a default.
 """
 
 from ..interface import Deployment, LevelKind, Repeat, Retry, TransactionClass
 
 REPEATS = {"idempotent": Repeat.SAFE, "deduplicated": Repeat.KEYED, "at_most_once": Repeat.NEVER}
 LEVELS = {"fraction": LevelKind.SHARE, "per_second": LevelKind.RATE, "off": LevelKind.NONE}
+REPORTS = {"inline": True, "on_probe": True, "off": False}
+WEIGHTS = {"off": False, "nominal": True, "rough": True, "live": True}
+SPAN_MOST_S = 1e7  # no time limit is longer than some months
+TABLES_MOST = 65_535  # the number after the last table stands for all of them
 
 
 class Malformed(Exception):
@@ -44,11 +49,19 @@
     def part(self, key):
         return _Reader(self.data.get(key), f"{self.where}.{key}")
 
-    def number(self, key, default=None):
-        return self.get(key, (int, float), default)
+    def _bound(self, key, value, least, most):
+        if not least <= value <= most:
+            raise Malformed(f"{self.where}.{key} is out of range: {value!r:.60}")
+        return value
+
+    def number(self, key, default=None, least=0.0, most=1e15):
+        return float(self._bound(key, self.get(key, (int, float), default), least, most))
+
+    def whole(self, key, default=None, least=0, most=1 << 31):
+        return self._bound(key, self.get(key, int, default), least, most)
 
-    def span(self, key, default=None):
-        return micros(self.number(key, default))
+    def span(self, key, default=None, least_us=0):
+        return self._bound(key, micros(self.number(key, default, most=SPAN_MOST_S)), least_us, 1 << 62)
 
     def flag(self, key, default=None):
         return self.get(key, bool, default)
@@ -59,52 +72,76 @@
             raise Malformed(f"{self.where}.{key} is not a known word: {value!r:.60}")
         return table[value]
 
+    def names(self, key):
+        """A list of one name or more, all different."""
+        values = self.get(key, list)
+        if not values or not all(isinstance(value, str) and value for value in values) or len(set(values)) < len(values):
+            raise Malformed(f"{self.where}.{key} is no list of different names: {values!r:.60}")
+        return tuple(values)
+
+    def flags(self, key, count):
+        """A flag for each of `count`; those that are not named are off."""
+        values = self.get(key, list, [])
+        if len(values) > count or not all(isinstance(value, bool) for value in values):
+            raise Malformed(f"{self.where}.{key} is no list of {count} flags: {values!r:.60}")
+        return values + [False] * (count - len(values))
+
 
-def _class(data, place, info):
+def _class(data, place, writes, local):
     reader = _Reader(data, f"Lanes[{place}]")
-    flags = {key: info.get(key, list, []) for key in ("Writers", "StaysLocal")}
+    name = reader.get("Name", str)
+    if not name:
+        raise Malformed(f"{reader.where}.Name is empty")
     return TransactionClass(
-        name=reader.get("Name", str),
-        quoted_us=reader.span("GoalTimeS"),
-        timeout_us=reader.span("GiveUpS"),
-        utility=float(reader.number("Gain", 1.0)),
-        late_utility=float(reader.number("LateWorth", 0.0)),
+        name=name,
+        quoted_us=reader.span("GoalTimeS", least_us=1),
+        timeout_us=reader.span("GiveUpS", least_us=1),
+        utility=reader.number("Gain", 1.0),
+        late_utility=reader.number("LateWorth", 0.0),
         repeat=reader.word("Repeat", REPEATS),
         dedup_scope=reader.get("DedupScope", str, "all"),
         dedup_us=reader.span("MemorySpanS", 0.0),
-        writes=bool(flags["Writers"][place]) if place < len(flags["Writers"]) else False,
-        local=bool(flags["StaysLocal"][place]) if place < len(flags["StaysLocal"]) else False,
+        writes=writes,
+        local=local,
     )
 
 
+def _classes(top, info):
+    lanes = top.get("Lanes", list)
+    if not lanes:
+        raise Malformed("ProfileData.Lanes is empty")
+    writes, local = info.flags("Writers", len(lanes)), info.flags("StaysLocal", len(lanes))
+    classes = tuple(_class(lane, place, writes[place], local[place]) for place, lane in enumerate(lanes))
+    if len({row.name for row in classes}) < len(classes):
+        raise Malformed(f"ProfileData.Lanes has two of one name: {[row.name for row in classes]!r:.60}")
+    return classes
+
+
 def deployment(data):
     """Read the settings of one instance."""
     top = _Reader(data, "ProfileData")
     info, rules, bounds = top.part("FamilyInfo"), top.part("Rules"), top.part("Bounds")
-    zones = tuple(top.get("Azs", list))
-    zone = top.get("Zone", str)
-    if zone not in zones:
-        raise Malformed(f"ProfileData.Zone is not among Azs: {zone!r:.60}")
+    zones, managers = top.names("Azs"), top.whole("Balancers", least=1)
     return Deployment(
-        me=top.get("Me", int),
-        managers=top.get("Balancers", int),
-        zone=zones.index(zone),
+        me=top.whole("Me", most=managers - 1),
+        managers=managers,
+        zone=top.word("Zone", {name: place for place, name in enumerate(zones)}),
         zones=zones,
-        classes=tuple(_class(item, place, info) for place, item in enumerate(top.get("Lanes", list))),
-        slices=info.get("PartitionsN", int, 0),
-        proxies=info.get("ProxyCount", int),
+        classes=_classes(top, info),
+        slices=info.whole("PartitionsN", 0, most=TABLES_MOST),
+        proxies=info.whole("ProxyCount", least=1),
         single_owner=info.flag("SoleOwner", False),
         lists_on_request=top.word("Discovery", {"push": False, "ask": True}),
         ask_within_us=rules.span("MustAskInS", 0.0),
         probes_allowed=bounds.flag("Probes", False),
         peers_allowed=bounds.flag("Peers", False),
-        weights_listed=top.get("Weights", str, "off") != "off",
+        weights_listed=top.word("Weights", WEIGHTS, "off"),
         report_period_us=info.span("PeriodS"),
-        reports_per_s=float(info.number("ReportsPerS")),
-        lines_per_s=float(info.number("EgressPerS")),
-        message_head=float(info.number("Overhead")),
-        queue_lines=float(info.number("QueueCap")),
-        messages_most=info.get("UpdateCap", int, 0),
+        reports_per_s=info.number("ReportsPerS"),
+        lines_per_s=info.number("EgressPerS", least=1e-3),
+        message_head=info.number("Overhead"),
+        queue_lines=info.number("QueueCap", least=1e-3),
+        messages_most=info.whole("UpdateCap", 0),
         messages_over_us=info.span("CountedOverS", 10.0),
         transit_us=info.span("PushDelayS"),
         transit_most_us=info.span("TransitMaxS"),
@@ -112,14 +149,19 @@
         settle_us=info.span("InFlightMaxS", 0.0),
         lease_us=info.span("WriteLeaseS", 0.0),
         level_kind=info.word("ThrottleBy", LEVELS),
-        usual_retry=Retry(info.get("RetryDefault", int, 0)),
-        try_factor=float(info.number("TryFactor", 1.0)),
-        cold_share=float(rules.number("ColdFrom")),
+        usual_retry=Retry(info.whole("RetryDefault", 0, most=max(Retry))),
+        try_factor=info.number("TryFactor", 1.0),
+        cold_share=rules.number("ColdFrom", most=1.0),
         cold_us=rules.span("ColdS"),
-        fall_multiple=float(rules.number("FallMultiple")),
+        fall_multiple=rules.number("FallMultiple"),
         fall_us=rules.span("FallS"),
         grace_us=rules.span("DrainGraceS"),
         gone_binds=not rules.flag("SoftRemoval", False),
         full_may_have_run=rules.flag("FullMayHaveRun", False),
         warm_keys=info.flag("WarmKeys", False),
     )
+
+
+def load_reports(data):
+    """Whether workers report their load; a deployment that does not speak of it has no such reports."""
+    return _Reader(data.get("Reporting", {}), "Reporting").word("How", REPORTS, "off")
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -37,7 +37,7 @@
         chance = Random(station.seed ^ 1)  # of the links; the manager's own is not touched
         most = max(8, station.sockets - OWN_SOCKETS - PROBES_MOST) * 2 // 3
         self.collectors = Collectors(loop, station.listen, door, self.counts, self.hear, most)
-        self.probes = Probes(loop, PROBES_MOST, self.counts, station.settings.get("Reporting", {}).get("How") != "off")
+        self.probes = Probes(loop, PROBES_MOST, self.counts, door.load_reports)
         self.watch = Watch(loop, station.discovery, door, self.counts, self.hear, chance)
         self.watch.begin(station.known)
         news = News(door, self, self.manager.tables, self.counts)
--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -10,6 +10,9 @@
 from .listing import address, listing
 
 
+SOCKETS_LEAST = 64  # the program's own, its links, some probes, a collector from each zone, strangers on their way out
+
+
 class BadStart(Exception):
     """Something told at the start cannot be used; the text says what and why."""
 
@@ -69,14 +72,16 @@
         known = listing(known) if known is not None else None
     except Unreadable as problem:
         raise BadStart(f"{path}: known: {problem}") from None
-    limits = _part(data, "limits", dict, path)
+    sockets = _part(_part(data, "limits", dict, path), "sockets", int, f"{path}: limits")
+    if sockets < SOCKETS_LEAST:
+        raise BadStart(f"{path}: limits.sockets: no fewer than {SOCKETS_LEAST} will do: {sockets}")
     seed = _part(data, "seed", str, path)
     try:
         seed = int(seed, 16)
     except ValueError:
         raise BadStart(f"{path}: seed: not a hexadecimal number: {seed!r:.40}") from None
     return Station(environment["LB_NAME"], listen, discovery, relay, seed,
-                   _part(limits, "sockets", int, f"{path}: limits"), known, _part(data, "settings", dict, path))
+                   sockets, known, _part(data, "settings", dict, path))
 
 
 def addresses(data, path, fallback=None):
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -5,7 +5,7 @@
 import unittest
 
 from ospreyrouter.benchlink.host import Host, serve
-from ospreyrouter.door import Malformed, deployment, micros
+from ospreyrouter.door import Door, Malformed, deployment, micros
 
 PROFILE = {
     "Azs": ["a", "b"], "Balancers": 1, "Discovery": "push", "Me": 0, "Weights": "nominal", "Zone": "a", "Later": 1,
@@ -56,6 +56,30 @@
             with self.assertRaisesRegex(Malformed, path[-1]):
                 deployment(broken)
 
+    def test_settings_that_cannot_be_are_named_with_their_place(self):
+        """Each once, as a list of the way there and the value; a default is taken only where nothing is said."""
+        cases = [
+            (["Me"], 1), (["Me"], -1), (["Me"], "0"), (["Balancers"], 0), (["Azs"], []), (["Azs"], ["a", "a"]), (["Azs"], ["a", 7]),
+            (["Zone"], "mars"), (["Discovery"], "pull"), (["Weights"], "some"), (["Lanes"], []), (["Lanes"], {}),
+            (["Lanes"], PROFILE["Lanes"] * 2), (["Lanes", 0, "Name"], ""), (["Lanes", 0, "Name"], None),
+            (["Lanes", 0, "GoalTimeS"], 0), (["Lanes", 0, "GiveUpS"], -1), (["Lanes", 0, "Gain"], -1), (["Lanes", 0, "Gain"], "3"),
+            (["Lanes", 0, "LateWorth"], float("nan")), (["Lanes", 0, "Repeat"], "perhaps"), (["Lanes", 0, "MemorySpanS"], 1e300),
+            (["FamilyInfo", "PartitionsN"], -1), (["FamilyInfo", "PartitionsN"], 65_536), (["FamilyInfo", "PartitionsN"], 1.5),
+            (["FamilyInfo", "ProxyCount"], 0), (["FamilyInfo", "EgressPerS"], 0), (["FamilyInfo", "EgressPerS"], float("inf")),
+            (["FamilyInfo", "QueueCap"], -5), (["FamilyInfo", "Overhead"], -1), (["FamilyInfo", "PeriodS"], -0.5),
+            (["FamilyInfo", "RetryDefault"], 4), (["FamilyInfo", "ThrottleBy"], "whim"), (["FamilyInfo", "SoleOwner"], "no"),
+            (["FamilyInfo", "Writers"], [True, True]), (["FamilyInfo", "StaysLocal"], ["yes"]), (["FamilyInfo", "TryFactor"], -1),
+            (["FamilyInfo", "UpdateCap"], -1), (["Rules", "ColdFrom"], 1.5), (["Rules", "DrainGraceS"], -2), (["Rules", "FallS"], []),
+            (["Bounds", "Probes"], 1), (["Reporting", "How"], "loudly"), (["Reporting"], []), (["Rules"], None), (["FamilyInfo"], 3)]
+        for path, value in cases:
+            broken = json.loads(json.dumps(PROFILE))
+            inner = broken
+            for key in path[:-1]:
+                inner = inner[key]
+            inner[path[-1]] = value
+            with self.subTest(path=path, value=value), self.assertRaisesRegex(Malformed, str(path[-1])):
+                Door(broken)
+
     def test_a_start_lays_tables_and_names_workers_as_the_wire_does(self):
         out = self.send(*START)
         self.assertIn(["CHECK", "w.y"], out)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -27,11 +27,18 @@
     return "{}:{}".format(*address)
 
 
+def close_all(loop):
+    for key in list(loop.selector.get_map().values()):
+        key.fileobj.close()
+    loop.selector.close()
+
+
 class Started(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path, self.loop = os.path.join(folder.name, "config.json"), Loop()
+        self.addCleanup(close_all, self.loop)
         self.listen, self.hub, self.list = free_address(), free_address(), free_address()
         self.config = {
             "name": "n3", "listen": text(self.listen), "discovery": text(self.list), "seed": "8c1f30d27a5be964",
@@ -41,11 +48,6 @@
                             "LB_CONFIG": self.path}
         self.write(self.config)
 
-    def tearDown(self):
-        for key in list(self.loop.selector.get_map().values()):
-            key.fileobj.close()
-        self.loop.selector.close()
-
     def write(self, data):
         Path(self.path).write_text(data if isinstance(data, str) else json.dumps(data))
 
@@ -191,6 +193,9 @@
             (lambda: self.write("{"), "config.json.*not JSON"), (lambda: self.write("7"), "not an object"),
             (config(hub={}), "hub.address"), (config(hub=None), "hub is missing"),
             (config(discovery="x"), "discovery"), (config(limits={}), "sockets is missing"),
+            (config(limits={"sockets": 9}), "limits.sockets.*9"), (config(settings=settings() | {"Reporting": {"How": 3}}), "Reporting.How"),
+            (config(settings=settings() | {"Weights": "any"}), "Weights.*any"), (config(settings=settings(EgressPerS=0)), "EgressPerS"),
+            (config(settings=settings(RetryDefault=9)), "RetryDefault"),
             (config(seed="zz"), "seed"), (config(settings={}), "ProfileData"), (config(known=[]), "known"),
             (config(settings=settings() | {"Zone": "mars"}), "Zone.*mars"), (config(settings=settings(0)), "without slices")]
         for spoil, words in cases:
