Collectors: reports of any length behind the joining, and callers that do not read are reset

Forced on real sockets; failed before: a report of over 1 KiB in the same bytes as the joining was taken for a stranger's (collectors.py, _greeted: the bound held for all frames of a chunk, its comment said otherwise); a caller that pings and does not read cost 4.2 MB (loop's bound of 4 MiB a stream; 128 KiB now, as the protocol does for collectors). Passed before, kept as guards: PING, joining and reports in single bytes; half a frame, then silence, before and after joining; a collector that comes again while four of its zone are half-open; the relay closing an idle connection at the instant a call is written (in doubt once, repeated, stands once).

--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -14,6 +14,7 @@
 JOIN_US = 900_000
 SWEEP_US = 100_000
 SHORT_MOST = 1024  # bytes of a frame before joining
+UNREAD_MOST = 128 << 10  # bytes that a caller may leave unread
 ZONE_MOST = 4  # collectors of one zone: the one that has been silent longest gives way, it may be half-open
 
 
@@ -37,6 +38,7 @@
 
     def _accepted(self, stream):
         caller = Caller(stream, self.loop.now())
+        stream.write_most = UNREAD_MOST
         self.strangers[caller] = None
         stream.start(lambda data: self._data(caller, data), lambda reason: self._closed(caller))
         self.counts["callers"] += 1
@@ -70,18 +72,16 @@
 
     def _greeted(self, caller, data):
         try:
-            # A first frame may come with reports behind it: only the first is bound to be short.
-            messages = caller.reader.feed(data, SHORT_MOST)
+            # Reports may come right behind the joining: only what comes before it is bound to be short.
+            messages = caller.reader.feed(data, SHORT_MOST, lambda message: self._zone(message) is not None)
         except Unreadable as problem:
             self._show_out(caller, f"unreadable: {problem}")
             return
         for place, message in enumerate(messages):
-            kind = frames.kind_of(message)
-            if kind == "PING":
+            if frames.kind_of(message) == "PING":
                 caller.stream.write(frames.PONG)
                 continue
-            zone = self.door.zones.get(message.get("az")) if kind == "SOURCE" and isinstance(message.get("az"), str) \
-                else None
+            zone = self._zone(message)
             if zone is None:
                 self._show_out(caller, "no collector")
                 return
@@ -89,6 +89,11 @@
             self._messages(caller, messages[place + 1:])
             return
 
+    def _zone(self, message):
+        """The zone of a collector that joins; None where it is no joining, or of no zone."""
+        joins = frames.kind_of(message) == "SOURCE" and isinstance(message.get("az"), str)
+        return self.door.zones.get(message["az"]) if joins else None
+
     def _join(self, caller, zone):
         del self.strangers[caller]
         same = [other for other in self.collectors if other.zone == zone]
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -29,7 +29,8 @@
     def __init__(self):
         self.held = b""
 
-    def feed(self, data, most=FRAME_MOST):
+    def feed(self, data, most=FRAME_MOST, opens=lambda message: False):
+        """Frames of up to `most` bytes; behind one that `opens` the stream, of any length that is allowed."""
         data, at, found = self.held + data if self.held else data, 0, []
         while len(data) - at >= 4:
             size = int.from_bytes(data[at:at + 4], "big")
@@ -42,6 +43,7 @@
             except orjson.JSONDecodeError:
                 raise Unreadable("not JSON") from None
             at += 4 + size
+            most = FRAME_MOST if opens(found[-1]) else most
         self.held = data[at:]
         return found
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,9 +7,11 @@
 import unittest
 
 from ospreyrouter.interface import Outcome, State
+from ospreyrouter.node.frames import frame
 from ospreyrouter.web.client import Client
 
-from .peers import HERE, SECOND, Discovery, LiveCase, LiveScene, Relay
+from .peers import HERE, SECOND, Caller, Discovery, LiveCase, LiveScene, Relay
+from .test_node import SHARD, SOURCE
 
 
 def reset(sock):
@@ -243,6 +245,21 @@
         self.until(lambda: len(scene.relay.calls) == 2)
         self.assertFalse([why for why in scene.counts if "doubt" in why])
 
+    def test_the_relay_closes_an_idle_connection_at_the_instant_a_call_is_written(self):
+        scene = self.scene()
+        self.order(scene, 0, 0, 0.5)
+        self.until(lambda: scene.relay.calls and not scene.service.in_flight)
+        idle = next(one for one in scene.relay.streams if one not in scene.relay.followers)
+
+        def cross():
+            idle.close()
+            self.order(scene, 0, 1, 0.5)
+            self.assertTrue(scene.service.in_flight)
+        self.loop.after(0, cross)
+        self.until(lambda: scene.relay.slices[0] == {"s-1": 0.5, "s-2": 0.5} and not scene.service.in_flight)
+        self.assertEqual(len(scene.relay.calls), 2)
+        self.assertEqual(sum(count for why, count in scene.counts.items() if "call in doubt" in why), 1)
+
     def test_an_answer_and_a_reset_in_one(self):
         """The relay answers and resets, and the next call is written before either is noticed: taken once, not in doubt."""
         scene = self.scene(fates=["hold"])
@@ -261,6 +278,70 @@
         self.assertFalse([why for why in scene.counts if "doubt" in why])
 
 
+class Callers(LiveCase):
+    """Of the manager's address."""
+
+    def caller(self, scene, *messages):
+        return Caller(self.loop, scene.service.collectors.address, *messages)
+
+    def test_a_joining_a_ping_and_reports_byte_by_byte(self):
+        scene = LiveScene(self)
+        data = frame({"msg": "PING"}) + frame(SOURCE) + frame(SHARD) + frame({"msg": "PING"}) + frame(SHARD)
+        caller = self.caller(scene)
+
+        def drip(at=0):
+            if at < len(data):
+                caller.say(data[at:at + 1])
+                self.loop.soon(lambda: drip(at + 1))
+        self.until(lambda: caller.stream)
+        drip()
+        self.until(lambda: len(scene.manager.all("demanded")) == 2)
+        self.assertEqual((caller.got, caller.ended), (["PONG", "PONG"], None))
+
+    def test_reports_of_any_length_right_behind_the_joining(self):
+        scene = LiveScene(self)
+        caller = self.caller(scene, frame(SOURCE) + frame(SHARD | {"new": "x" * 5000}) + frame(SHARD))
+        self.until(lambda: len(scene.manager.all("demanded")) == 2)
+        self.assertIsNone(caller.ended)
+
+    def test_half_a_frame_then_silence_costs_no_other_anything(self):
+        scene = LiveScene(self)
+        half = [self.caller(scene, frame(SOURCE)[:7]), self.caller(scene, frame(SOURCE) + frame(SHARD)[:9])]
+        whole = self.caller(scene, SOURCE, SHARD, {"msg": "PING"})
+        self.until(lambda: whole.got == ["PONG"] and scene.manager.all("demanded"))
+        self.until(lambda: half[0].ended)
+        self.assertEqual((half[0].got, half[1].ended, whole.ended), (["NACK"], None, None))
+
+    def test_who_pings_and_does_not_read_is_reset_before_it_costs_memory(self):
+        scene, data = LiveScene(self), frame({"msg": "PING"}) * 4000
+        with socket.create_connection(scene.service.collectors.address) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.sendall(frame(SOURCE))
+            self.until(lambda: scene.service.collectors.collectors)
+            stream, most = next(iter(scene.service.collectors.collectors)).stream, 0
+            sock.setblocking(False)
+            while stream.open:
+                try:
+                    sock.send(data)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    break
+                self.loop.run(self.loop.now() + 1000)
+                most = max(most, stream.unsent)
+            self.until(lambda: scene.counts["collectors lost"] == 1)
+        self.assertLessEqual(most, 128 << 10)
+
+    def test_a_collector_comes_again_while_its_old_connection_is_half_open(self):
+        scene = LiveScene(self)
+        old = [self.caller(scene, SOURCE) for _ in range(4)]
+        self.until(lambda: len(scene.service.collectors.collectors) == 4)
+        again = self.caller(scene, SOURCE, SHARD)
+        self.until(lambda: scene.manager.all("demanded"))
+        self.until(lambda: old[0].ended)
+        self.assertEqual([one.ended for one in old[1:]] + [again.ended], [None] * 4)
+
+
 class Watches(LiveCase):
     """Of discovery's list. `row` of the scene is how a worker is listed."""
 
