--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -8,6 +8,7 @@
 from ..door import Door, Malformed
 from .frames import Unreadable
 from .listing import address, listing
+from .relay_lines import sayable
 
 
 SOCKETS_LEAST = 64  # the program's own, its links, some probes, a collector from each zone, strangers on their way out
@@ -99,4 +100,7 @@
         raise BadStart(f"settings: {problem}") from None
     if not found.setup.slices:
         raise BadStart("settings: FamilyInfo.PartitionsN: a deployment without slices is not served here")
+    for place, row in enumerate(found.setup.classes):
+        if not sayable(row.name):
+            raise BadStart(f"settings: Lanes[{place}].Name: cannot stand in an order: {row.name!r:.60}")
     return found
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -196,6 +196,7 @@
             (config(limits={"sockets": 9}), "limits.sockets.*9"), (config(settings=settings() | {"Reporting": {"How": 3}}), "Reporting.How"),
             (config(settings=settings() | {"Weights": "any"}), "Weights.*any"), (config(settings=settings(EgressPerS=0)), "EgressPerS"),
             (config(settings=settings(RetryDefault=9)), "RetryDefault"),
+            (config(settings=settings() | {"Lanes": [settings()["Lanes"][0] | {"Name": "track+trace"}]}), r"Lanes\[0\].Name.*track"),
             (config(seed="zz"), "seed"), (config(settings={}), "ProfileData"), (config(known=[]), "known"),
             (config(settings=settings() | {"Zone": "mars"}), "Zone.*mars"), (config(settings=settings(0)), "without slices")]
         for spoil, words in cases:
