A call in doubt waits for a proof, or until its first copy would have left the channel

At fault: relay.py, _call_down, and calls.py, unsettled: a call in doubt was repeated at once. A withdrawal of sixty workers for 240 proxies is some 18,000 lines; carried out and repeated it stands twice in the channel, which the module's books have once. What was set anew since the doubt goes out in any case.

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -4,10 +4,13 @@
     calls.line(...), calls.mark(...)       # the writer that the manager orders at
     data = calls.take()                    # the next call's bytes, or None
     calls.answered(n)                      # n orders were taken; or
-    calls.unsettled()                      # it may have been carried out or not
+    calls.again()                          # it was not carried out; or
+    calls.unsettled()                      # it may have been, or not; and, before or after that,
+    calls.answered_mark(number)            # a proxy answered that mark: if it was the call's, it was carried out
 
 A call in doubt goes first in the next one: orders are absolute, so repeating it brings about what was meant
-whether or not it was carried out, and nothing later overtakes it.
+whether or not it was carried out, and nothing later overtakes it. Unless it is proven before: a call's mark comes last,
+so who answers it has been sent all of that call.
 
 What is in flight for a slice that changes hands meanwhile belongs to an earlier charge of it. It is not repeated; and
 since it may have been carried out in the new charge, unseen by the rows that came with that, each such line is ordered
@@ -33,6 +36,8 @@
         self.in_flight = []  # (what it sets, text) of the call in flight, in order
         self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
+        self.doubted, self.doubted_mark = {}, None  # of the call in doubt: what was not set anew since; its mark
+        self.seen_mark = None  # the last that a proxy has answered
         self.void = set()  # slices that have changed hands since the call in flight was written
 
     # The writer.
@@ -40,6 +45,7 @@
     def _put(self, key, text):
         # What is set anew moves to the end: a mark stays behind all that was ordered before it.
         self.waiting.pop(key, None)
+        self.doubted.pop(key, None)
         self.waiting[key] = text
 
     def line(self, table, worker, weight):
@@ -84,6 +90,7 @@
             self.in_flight.append((key, text))
         for key, _ in self.in_flight:
             del self.waiting[key]
+        self.doubted, self.doubted_mark = {}, None
         self.counts["calls"] += 1
         self.counts["orders"] += len(self.in_flight)
         return relay_lines.call([text for _, text in self.in_flight])
@@ -99,10 +106,36 @@
         self.counts["orders refused"] += len(refused)
         return [key for key, _ in done], [text for _, text in refused]
 
-    def unsettled(self):
+    def again(self):
         """All of the call goes out again, first."""
         orders, self.in_flight = self.in_flight, []
         self._again(orders)
+        return orders
+
+    def unsettled(self):
+        """So it does where it is in doubt, until its mark is answered. Whether that was not the case already."""
+        mark = next((mark_in(text) for key, text in self.in_flight if key == ("mark",)), None)
+        if mark is not None and mark == self.seen_mark:
+            self.answered(len(self.in_flight))
+            return False
+        orders = self.again()
+        self.doubted, self.doubted_mark = {key: text for key, text in orders if self.waiting.get(key) == text}, mark
+        return True
+
+    def answered_mark(self, number):
+        """Whether that settles a call in doubt: what it set stands, and does not go out again."""
+        self.seen_mark = number
+        if number != self.doubted_mark:
+            return False
+        for key in self.doubted:
+            self.waiting.pop(key, None)
+        self.doubted, self.doubted_mark, self.taken = {}, None, number
+        return True
+
+    def channel_us(self, proxies):
+        """How long the channel takes for what is in flight, sent to so many proxies."""
+        setup = self.door.setup
+        return int((setup.message_head + len(self.in_flight)) * proxies / setup.lines_per_s * 1_000_000)
 
     def _again(self, orders, done=()):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -95,6 +95,8 @@
             link.bound(SILENT_US, "silent")
             self.partial = bool(link.lines.held)
             self._flush(heard)
+            if self.news.proof:
+                self._proven()
             if self.news.in_snapshot:
                 self._quiet(link)
 
@@ -199,7 +201,7 @@
             if len(self.calls.in_flight) == 1:
                 return self.calls.answered(0)
             self.calls.most = len(self.calls.in_flight) // 2
-        self.calls.unsettled()
+        self.calls.again()
         self.held_until = self.loop.now() + THROTTLED_US
         return [], []
 
@@ -210,9 +212,23 @@
     def _call_down(self, reason):
         if self.calls.in_flight:
             self.counts[f"call in doubt: {reason}"] += 1
-            self.calls.unsettled()
+            # If it was carried out, its lines wait in the channel: repeated at once, it would fill that twice over. So it
+            # is not before they would have left, unless an answer to its mark tells that it need not be.
+            channel_us = self.calls.channel_us(len(self.news.joined))
+            if self.calls.unsettled():
+                self.held_until = self.loop.now() + channel_us
+            else:
+                self._proven()
         self._after_call()
 
+    def _proven(self):
+        """What was in doubt was carried out."""
+        self.news.proof = False
+        self.counts["calls proven by a mark"] += 1
+        self.waits_since = self.loop.now() if self.calls.waiting else None
+        self.held_until = self.loop.now()
+        self.orders()
+
     # Another address.
 
     def move(self, address):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 from ospreyrouter.node.frames import frame
 from ospreyrouter.web.client import Client
 
-from .peers import HERE, SECOND, Caller, Discovery, LiveCase, LiveScene, Relay
+from .peers import HERE, SECOND, Caller, Discovery, LiveCase, LiveScene, Relay, settings
 from .test_node import SHARD, SOURCE
 
 
@@ -260,6 +260,53 @@
         self.assertEqual(len(scene.relay.calls), 2)
         self.assertEqual(sum(count for why, count in scene.counts.items() if "call in doubt" in why), 1)
 
+    def in_doubt(self, fate):
+        """A call whose lines keep the channel busy for a second (19 lines to each of 2 proxies, 38 a second) is in doubt."""
+        scene = self.scene(fates=[fate], more=settings(EgressPerS=38.0))
+        for worker in (0, 1):
+            scene.service.line(0, worker, 0.5)
+        scene.service.mark(9, True)
+        scene.service.relay.orders()
+        return scene
+
+    def test_a_call_in_doubt_is_not_repeated_before_its_lines_would_have_left_the_channel(self):
+        scene = self.in_doubt("lost")
+        self.until(lambda: scene.relay.calls)
+        self.until(lambda: [why for why in scene.counts if "call in doubt" in why])
+        doubted_at = self.loop.now()
+        self.until(lambda: len(scene.relay.calls) == 2)
+        self.assertGreater(self.loop.now() - doubted_at, 0.9 * SECOND)
+        self.until(lambda: scene.relay.slices[0] == {"s-1": 0.5, "s-2": 0.5} and not scene.service.in_flight)
+        self.assertEqual(scene.relay.calls[1][1], ["share,0,s-1,0.5", "share,0,s-2,0.5", "mark,9,1"])
+
+    def test_a_call_in_doubt_whose_mark_is_answered_is_not_repeated(self):
+        """The answer to the mark comes before it is known that the call's own will not, or after that."""
+        for fate in ("done", "mute"):
+            with self.subTest(fate):
+                scene = self.in_doubt(fate)
+                self.until(lambda: [why for why in scene.counts if "call in doubt" in why])
+                scene.service.line(0, 1, 0.25)
+                if fate == "mute":
+                    scene.relay._carry_out("share,0,s-1,0.5".split(","))
+                    scene.relay._carry_out("share,0,s-2,0.5".split(","))
+                    scene.relay.say("* ACK 0 9 2000.0")
+                scene.service.relay.orders()
+                self.until(lambda: len(scene.relay.calls) == 2 and not scene.service.in_flight)
+                self.assertEqual(scene.relay.calls[1][1], ["share,0,s-2,0.25"])  # what was set since, and no more
+                self.assertEqual(scene.relay.slices[0], {"s-1": 0.5, "s-2": 0.25})
+                self.assertEqual((scene.service.taken, scene.counts["calls proven by a mark"]), (9, 1))
+                self.turn(0.05)
+                self.assertFalse(scene.service.relay.stalled or scene.service.waiting)
+
+    def test_what_was_set_anew_since_the_doubt_goes_out_though_that_is_proven(self):
+        scene = self.in_doubt("mute")
+        self.until(lambda: scene.service.doubted)
+        for weight in (0.25, 0.5):  # the same in the end, but for proxies that have come since
+            scene.service.line(0, 1, weight)
+        scene.relay.say("* ACK 0 9 2000.0")
+        self.until(lambda: len(scene.relay.calls) == 2)
+        self.assertEqual(scene.relay.calls[1][1], ["share,0,s-2,0.5"])
+
     def test_an_answer_and_a_reset_in_one(self):
         """The relay answers and resets, and the next call is written before either is noticed: taken once, not in doubt."""
         scene = self.scene(fates=["hold"])
