Cold servers: no part of large slices, surges laid anew, each manager in its own order

A traced play that broke it: 'server was cold (2.5 s after its start) and fell over', which is s-. Its tables at 16.07: 'HOT 1062 241 64 5000 [(s-, 0.5, 1.0), (s-, 0.5, 0.4) ...' and 'MET s- 2 157 156': slice 1062 had surged ('15.097 HOT 1062 57 0 5331', reports come every 2.5 to 5 s), and the half of it that had been planned for a cold worker while it was small was sent after that was known. A second trace showed at 15.4 that of sixty new workers fifteen were in tables, the same for all five managers, each with halves of slices whose other half was with a server near full, whose refusals the proxies take to the cold one. At fault: policy.py, pack: a cold bin took the rest of any slice, and ties went to the smallest index, alike in all managers; demanded: a plan of before a surge was sent for up to a window. Now a server may share in a slice only up to FallMultiple (settings) times its cold bin; a slice that passes FallMultiple mean bins in a report is laid anew at once; ties go by an order of each manager's own. Excluded: the sums of planned parts (1.8/s at most against 5 to 9 of warm ones). Cold servers carry less; that is the price. Each part has a test by hand that fails without it.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -83,18 +83,19 @@
         return self.rows[(self.at - back) % len(self.rows)]
 
 
-def pack(popularity, bins, held, limits=None):
+def pack(popularity, bins, held, limits=None, most=None):
     """ModifiedBestFit on bins that may already hold parts of slices; returns {slice: {server: part}}.
 
     What a server holds stays up to its limit, most popular slice first (without limits, all); the rest goes
     the paper's way: where fewest slots are left after it, else the roomiest is filled, the rest requeued.
+    `most`: the largest slice a server may share in, as what others refuse comes to it. Ties: first in `bins`.
     """
-    room, placed, heap = dict(bins), {}, []
+    room, placed, heap, most = dict(bins), {}, [], most or {}
     limits = {s: float("inf") for s in bins} if limits is None else limits
     for item in sorted(popularity, key=lambda s: (-popularity[s], s)):
         total, kept = popularity[item], {}
         for server, part in sorted(held.get(item, {}).items(), key=lambda line: (-line[1], line[0])):
-            if server not in room:
+            if server not in room or total > most.get(server, total):
                 continue
             want = part * total
             # A part that does not fit leaves whole, unless it is more than the bin could ever hold.
@@ -110,11 +111,12 @@
     while heap and room:
         left, item = heapq.heappop(heap)
         left = -left
-        fits = [(space - left, server) for server, space in room.items() if space >= left]
-        server = min(fits)[1] if fits else min(room, key=lambda s: (-room[s], s))
+        rest = [s for s in room if popularity[item] <= most.get(s, float("inf"))] or list(room)
+        fits = [s for s in rest if room[s] >= left]
+        server = min(fits, key=room.get) if fits else max(rest, key=room.get)
         part = left if fits else room[server]
         if part <= LEAST_PART * left:  # all are near full: the least overfull by it, never a small bin
-            part, server = left, max(room, key=lambda s: ((room[s] - left) / bins[s], -s))
+            part, server = left, max(rest, key=lambda s: (room[s] - left) / bins[s])
         placed[item][server] = placed[item].get(server, 0.0) + part
         room[server] -= part
         if left - part > 1e-9 * popularity[item]:
@@ -163,21 +165,17 @@
 
     def __init__(self, setup: Deployment, seed: int):
         self.setup, self.chance = setup, Random(seed)
-        self.slices = range(setup.slices or 1)
-        self.workers = {}
-        self.proxies = set()
-        self.own = set() if setup.slices else {0}
+        self.slices, self.own = range(setup.slices or 1), set() if setup.slices else {0}
+        self.workers, self.proxies = {}, set()
         self.tables = {item: {} for item in self.slices}  # as ordered, or as the store gave them
         self.parts = {item: {} for item in self.slices}  # the layout: shares by server
-        self.linger, self.asked_for = {}, {}
+        self.linger, self.asked_for, self.large, self.since, self.heard_at = {}, {}, float("inf"), {}, {}
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
-        self.since, self.heard_at = {}, {}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, 0
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
-        self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
+        self.taken, self.at_ease, self.within = 1.0, True, frozenset()  # of tries levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
-        self.within = frozenset()
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines, self.stalled_at = [], setup.lines_per_s, None
@@ -255,6 +253,8 @@
         if item in self.own and count > 0:
             self.demand[item].add(self.now, span, count)
             self.heard_at[item] = self.now
+            # What was planned for a cold server was for less: a slice that surges is laid anew before that.
+            self.urgent |= self.asked_for.get(item, 0.0) < self.large < count / max(span, 1) * WINDOW_US
             came = [count * (place == kind) for place in range(len(self.setup.classes))]
             self.asked.add(self.now, 0, *came, *(self.levels.get(k, 1.0) * n for k, n in enumerate(came)))
 
@@ -532,17 +532,19 @@
 
     def lay(self, sizes):
         popularity, unheard = self.popularity()
-        self.asked_for = popularity
         total, scale = sum(popularity.values()), sum(sizes.values())
+        self.asked_for, self.large = popularity, self.setup.fall_multiple * total / len(sizes)
         slot = total / len(sizes) / SLOTS
-        bins = {w: slot * -(-total * size / scale // slot) for w, size in sizes.items()}
+        # Each manager in an order of its own, or all would load the same few of those that have just come.
+        order = sorted(sizes, key=lambda w: hash((self.setup.me, w)))
+        bins = {w: slot * -(-total * sizes[w] / scale // slot) for w in order}
         nominal = sum(self.workers[w].weight for w in sizes)
-        for w in bins:
-            if self.warmth(w) < 1.0:
-                # Faded others and repeats swell what is asked of each; a cold server's part must not swell.
-                part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
-                bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
-        held = {}
+        cold = {w for w in bins if self.warmth(w) < 1.0}
+        for w in cold:
+            # Faded others and repeats swell what is asked of each; a cold server's part must not swell.
+            part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
+            bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
+        most, held = {w: self.setup.fall_multiple * bins[w] for w in cold}, {}
         for item in popularity:
             table = self.tables[item]
             lines = {w: weight for w, weight in table.items() if weight > LINGER} or table or self.parts[item]
@@ -556,13 +558,13 @@
             for w, part in (line for parts in placed.values() for line in parts.items()):
                 sums[w] += part
             return sums
-        standing, limits = pack(popularity, bins, held), dict(bins)
+        standing, limits = pack(popularity, bins, held, None, most), dict(bins)
         for w, load in loads(standing).items():
             # A server that answers well within the quoted time is not too full, whatever the counts say.
             row = self.workers[w]
             if not row.strained and row.health > 0.9 and self.warmth(w) == 1.0 and w not in self.within:
                 limits[w] = max(bins[w], load)
-        fresh = match(pack(popularity, bins, held, limits), bins, held)
+        fresh = match(pack(popularity, bins, held, limits, most), bins, held)
         old, new = (max(load / limits[w] for w, load in loads(way).items()) for way in (standing, fresh))
         # What was just inherited stays for a window: its former owner had reasons that are not known here.
         settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
@@ -633,12 +635,12 @@
         # Whom no table names is let in with its first line: else the first one let in would get all.
         named = {w for item in self.own for w in tables[item]}
         usable = sizes.keys() - (self.barred & named)
-        cold = {w for w in usable if self.warmth(w) < 1.0}
+        warm = {w for w in usable if self.warmth(w) == 1.0} or usable
         for item, lines in wanted.items():
             table = tables[item]
             gone = table.keys() - usable
             lost |= table.keys() - sizes.keys()
-            left, few = (sum(table[w] for w in sorted(table.keys() & some)) for some in (usable, cold))
+            left, few = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
             # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first.
             change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes else LINGER)
                          for w in sorted(table.keys() | lines.keys()))
@@ -672,10 +674,9 @@
             table, lines = tables[item], wanted[item]
             if not (later and kept) and usable and not self.setup.single_owner:
                 # Little is left to pick: one line now, for as many such slices as can be; the rest follows.
-                some = {w: lines[w] for w in lines if w in usable}
-                some = some or {hashed(item, usable - cold or usable): 1.0}
-                best = max(some, key=lambda w: (some[w] > table.get(w, 0.0), some[w] * (w not in cold), -w))
-                lines = table | (some if best in cold or some[best] <= LINGER else {best: some[best]})
+                some = {w: lines[w] for w in lines if w in usable} or {hashed(item, warm): 1.0}
+                best = max(some, key=lambda w: (some[w] > table.get(w, 0.0), some[w] * (w in warm), -w))
+                lines = table | ({best: some[best]} if best in warm and some[best] > LINGER else some)
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -174,6 +174,23 @@
                 self.assertNotIn("news unreadable", scene.counts)
                 self.assertEqual((scene.service.in_flight, scene.service.waiting), ([], {}))
 
+    def test_moves_to_a_relay_that_never_answers_there_and_back_and_on(self):
+        """The present relay serves until another does; when it closes, orders wait for the next move."""
+        scene, full = self.scene(), Full(self)
+        link, at = scene.service.relay, scene.relay.listener.address
+        for address in (full.address, at, full.address):
+            link.move(address)
+        scene.relay.say("* CLOSED 0")
+        self.until(lambda: scene.manager.all("left") == [(0,)])
+        scene.relay.followers[0].abort()
+        self.order(scene, 0, 1, 0.5)
+        self.until(lambda: scene.counts["news broken: econnreset"] == 1)
+        other = Relay(self.loop, HERE, proxies=[1])
+        link.move(other.listener.address)
+        self.until(lambda: other.slices[0] == {"s-1": 1.0, "s-2": 0.5})
+        self.assertEqual((scene.relay.follows, other.follows, scene.relay.calls), (1, 1, []))
+        self.until(lambda: len(self.loop.selector.get_map()) < 20)  # no dial to the silent address is left
+
     def test_the_answer_to_follow_is_waited_for_from_the_asking_on(self):
         scene = self.scene(fates=["mute"] * 5)
         for turn in range(5):  # calls that hold the asking back for longer than its answer may take
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -251,6 +251,30 @@
         self.assertGreater(part, 0.0)
 
 
+    def test_a_slice_that_surges_is_laid_anew_at_once_and_leaves_a_cold_server(self):
+        """It was a small one when a cold server was given a part of it, and the next layout is two seconds away."""
+        tables = {item: {item % 4: 1.0} for item in range(40)} | {39: {3: 0.5, 4: 0.5}}
+        for times in (1, 1000):
+            stand = Stand(tables=tables, slices=40)
+            stand.round(("listed", False, [entry(4, started=stand.now)]), ("probed", 4, Outcome.PASSED, 0, {}))
+            demand = dict.fromkeys(range(39), 4) | {39: 1}
+            stand.run(4, demand, WELL)
+            self.assertIn(4, stand.manager.parts[39])
+            stand.round(("demanded", 39, 0, times, 0, SECOND // 2), after=0.05)
+            self.assertEqual(4 in stand.manager.parts[39], times == 1)
+
+    def test_managers_do_not_all_load_the_same_few_of_those_that_have_just_come(self):
+        firsts, tables = set(), {item: {0 if item < 5 else 1 + item % 3: 1.0} for item in range(120)}
+        for me in range(5):
+            stand = Stand(slices=120, me=me, managers=5, workers=4, tables=tables)
+            stand.run(4, dict.fromkeys(range(120), 4), WELL)
+            came = range(10, 40)
+            stand.round(("listed", False, [entry(w, started=stand.now) for w in came]),
+                        *(("probed", w, Outcome.PASSED, 0, {}) for w in came))
+            stand.round(("listed", False, [entry(0, DRAINING)]), after=0.05)
+            firsts |= {w for parts in stand.manager.parts.values() for w in parts if w in came}
+        self.assertGreaterEqual(len(firsts), 9)  # five slices of each manager, two to a server
+
     def test_who_drains_does_not_leave_its_slices_to_the_small_parts_of_cold_servers(self):
         """Forty servers, twelve of them cold with a seventh of a slice each here and there, on a channel that is tight."""
         warm, cold, drain = range(28), range(28, 40), range(8)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -35,6 +35,19 @@
         placed = pack({1: 10, 2: 10, 3: 6}, {0: 9, 1: 9, 2: 1}, held)
         self.assertLessEqual(placed[3].get(2, 0), 1)
 
+    def test_a_server_of_which_little_may_be_asked_has_no_part_of_a_larger_slice(self):
+        """Neither of one that is new to it, nor of one that grew, but of those that it could bear whole."""
+        bins, most = {0: 9, 1: 9, 2: 2}, {2: 6}
+        for name, popularity, held, having in (
+                ("split anew", {1: 20}, {}, set()), ("the rest of one", {1: 11}, {1: {0: 0.82, 2: 0.18}}, set()),
+                ("grown", {1: 10, 2: 1}, {1: {1: 0.5, 2: 0.5}}, {2}), ("small", {1: 18, 2: 2}, {}, {2}),
+                ("a part of a small one", {1: 14, 2: 5}, {2: {0: 0.6, 2: 0.4}}, {2})):
+            with self.subTest(name):
+                placed = pack(popularity, bins, held, bins, most)
+                self.assertEqual({item for item, parts in placed.items() if 2 in parts}, having)
+                for item, total in popularity.items():
+                    self.assertAlmostEqual(sum(placed[item].values()), total)
+
     def test_a_full_fleet_splits_no_slice_into_slivers(self):
         held = {item: {item: 1.0} for item in range(8)}
         placed = pack(dict.fromkeys(range(8), 9.5) | {8: 8.0}, dict.fromkeys(range(8), 10.0), held)
