A call in doubt is held no longer than a full channel takes

Read again: the hold grew with the orders of a call without bound, though the channel holds no more than its limit. Test by hand, failed before: 97.2 s for 2,000 orders and 400 proxies, where the full channel takes 1 s.

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -133,9 +133,10 @@
         return True
 
     def channel_us(self, proxies):
-        """How long the channel takes for what is in flight, sent to so many proxies."""
+        """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its limit."""
         setup = self.door.setup
-        return int((setup.message_head + len(self.in_flight)) * proxies / setup.lines_per_s * 1_000_000)
+        lines = min(setup.queue_lines, (setup.message_head + len(self.in_flight)) * proxies)
+        return int(lines / setup.lines_per_s * 1_000_000)
 
     def _again(self, orders, done=()):
         """Ahead of what waits; where that sets the same, the later value stands."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -177,6 +177,12 @@
                     self.assertIn((0, 9, 200_000), scene.manager.all("applied"))
                     self.assertFalse(scene.service.waiting or scene.service.in_flight)
 
+    def test_a_call_in_doubt_is_held_for_the_time_of_its_lines_or_of_a_full_channel(self):
+        calls = Scene(Heard).service
+        for orders, proxies, seconds in ((4, 0, 0.0), (4, 83, 0.2), (67, 80, 0.8), (2000, 400, 1.0)):
+            calls.in_flight = [(("line", 0, worker), "") for worker in range(orders)]
+            self.assertAlmostEqual(calls.channel_us(proxies) / SECOND, seconds, places=4)
+
     def test_an_order_that_makes_calls_unreadable_is_found_and_dropped_alone(self):
         scene = Scene(Heard).run(1)
         take = scene.relay._line
