--- a/ospreyrouter/web/client.py
+++ b/ospreyrouter/web/client.py
@@ -55,7 +55,7 @@
             self._fail(reason)
             return
         self.stream, self.http = stream, h11.Connection(h11.CLIENT, HEAD_MOST)
-        stream.start(self._data, self._fail)
+        stream.start(self._data, self._ended)
         self._next()
 
     def ask(self, method, path, headers, body, on_answer, timeout_us, on_part=None, silence_us=None):
@@ -79,32 +79,43 @@
             data += self.http.send(h11.Data(data=asked.body))
         self.stream.write(data + self.http.send(h11.EndOfMessage()))
 
+    def _ended(self, reason):
+        if reason == "closed by the peer" and not self.closed:
+            try:
+                self._events(b"")  # an answer that gives no length ends so
+            except h11.RemoteProtocolError:
+                pass  # it ended in the middle of one
+        self._fail(reason)
+
     def _data(self, data):
         try:
-            self.http.receive_data(data)
-            while not self.closed and self.current is not None:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
-                if isinstance(event, h11.Response):
-                    self.head = event
-                elif isinstance(event, h11.Data) and self.current.on_part and self.head.status_code == 200:
-                    self.timer.cancel()
-                    self.timer = self.loop.after(self.current.silence_us, lambda: self.abort("timed out"))
-                    self.current.on_part(bytes(event.data))
-                elif isinstance(event, h11.Data):
-                    self.size += len(event.data)
-                    if self.size > self.body_most:
-                        self.abort("answer too large")
-                        return
-                    self.body.append(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
-                    self._answered()
-                elif isinstance(event, h11.ConnectionClosed):
-                    return
+            self._events(data)
         except h11.RemoteProtocolError:
             self.abort("malformed answer")
 
+    def _events(self, data):
+        self.http.receive_data(data)
+        while not self.closed and self.current is not None:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Response):
+                self.head = event
+            elif isinstance(event, h11.Data) and self.current.on_part and self.head.status_code == 200:
+                self.timer.cancel()
+                self.timer = self.loop.after(self.current.silence_us, lambda: self.abort("timed out"))
+                self.current.on_part(bytes(event.data))
+            elif isinstance(event, h11.Data):
+                self.size += len(event.data)
+                if self.size > self.body_most:
+                    self.abort("answer too large")
+                    return
+                self.body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._answered()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
     def _answered(self):
         asked, self.current = self.current, None
         self.timer.cancel()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -581,6 +581,22 @@
                 self.turn(0.05)
                 self.assertEqual([found[:2] for found in scene.manager.all("probed")], [(0, Outcome.ERROR)])
 
+    def test_answers_that_end_with_the_connection(self):
+        """Whole where no length was given, cut off where one was; the end comes with the answer or in a packet of its own."""
+        for answer, outcome in ((b"HTTP/1.1 200 OK\r\n\r\n{\"util\":0.5}", Outcome.PASSED), (b"HTTP/1.1 503 No\r\n\r\n", Outcome.ERROR),
+                                (b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"util\":0.5}", Outcome.RESET),
+                                (b"HTTP/1.1 200", Outcome.RESET), (b"", Outcome.RESET)):
+            for apart in (False, True):
+                with self.subTest(answer=answer, apart=apart):
+                    scene, far = self.scene(), self.loop.listen(HERE, lambda stream: stream.start(
+                        lambda data: (stream.write(answer), self.loop.after(2000 * apart, stream.close)), None))
+                    scene.discovery.say(2, False, scene.row(1) | {"dial": "{}:{}".format(*far.address)})
+                    self.until(lambda: len(scene.manager.all("listed")) == 2)
+                    scene.service.probe(0)
+                    self.until(lambda: scene.manager.all("probed"))
+                    (_, found, _, report), = scene.manager.all("probed")
+                    self.assertEqual((found, report), (outcome, {"utilization": 0.5} if outcome is Outcome.PASSED else {}))
+
     def test_an_answer_of_an_earlier_life_that_nobody_asked_anew_is_dropped(self):
         held, scene = [], self.scene()
         scene._probed = lambda number, request: held.append(request)
