Cold servers: the bound is a mean bin, what they hold stays; only large slices are urgent for them

At fault: urgency for every slice left to cold servers filled the channel (a removal's share of it) with small ones, and held parts were thrown off whenever a slice passed the bound.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -88,14 +88,14 @@
 
     What a server holds stays up to its limit, most popular slice first (without limits, all); the rest goes
     the paper's way: where fewest slots are left after it, else the roomiest is filled, the rest requeued.
-    `most`: the largest slice a server may share in, as what others refuse comes to it. Ties: first in `bins`.
+    `most`: the largest slice a server gets part of, as what others refuse comes to it. Ties: first in `bins`.
     """
     room, placed, heap, most = dict(bins), {}, [], most or {}
     limits = {s: float("inf") for s in bins} if limits is None else limits
     for item in sorted(popularity, key=lambda s: (-popularity[s], s)):
         total, kept = popularity[item], {}
         for server, part in sorted(held.get(item, {}).items(), key=lambda line: (-line[1], line[0])):
-            if server not in room or total > most.get(server, total):
+            if server not in room:
                 continue
             want = part * total
             # A part that does not fit leaves whole, unless it is more than the bin could ever hold.
@@ -169,7 +169,7 @@
         self.workers, self.proxies = {}, set()
         self.tables = {item: {} for item in self.slices}  # as ordered, or as the store gave them
         self.parts = {item: {} for item in self.slices}  # the layout: shares by server
-        self.linger, self.asked_for, self.large, self.since, self.heard_at = {}, {}, float("inf"), {}, {}
+        self.linger, self.asked_for, self.since, self.heard_at, self.mean = {}, {}, {}, {}, 0.0
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, 0
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
@@ -178,7 +178,7 @@
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
-        self.messages, self.pace_lines, self.stalled_at = [], setup.lines_per_s, None
+        self.messages, self.pace_lines, self.stalled_at, self.surge = [], setup.lines_per_s, None, 0.0
         # Withheld as all joined proxies know; not let in since; let in again; perhaps not at all proxies.
         self.withheld, self.barred, self.freed, self.doubted = set(), set(), set(), set()
 
@@ -254,7 +254,7 @@
             self.demand[item].add(self.now, span, count)
             self.heard_at[item] = self.now
             # What was planned for a cold server was for less: a slice that surges is laid anew before that.
-            self.urgent |= self.asked_for.get(item, 0.0) < self.large < count / max(span, 1) * WINDOW_US
+            self.urgent |= self.asked_for.get(item, 0.0) < self.surge < count / max(span, 1) * WINDOW_US
             came = [count * (place == kind) for place in range(len(self.setup.classes))]
             self.asked.add(self.now, 0, *came, *(self.levels.get(k, 1.0) * n for k, n in enumerate(came)))
 
@@ -533,18 +533,17 @@
     def lay(self, sizes):
         popularity, unheard = self.popularity()
         total, scale = sum(popularity.values()), sum(sizes.values())
-        self.asked_for, self.large = popularity, self.setup.fall_multiple * total / len(sizes)
-        slot = total / len(sizes) / SLOTS
+        self.asked_for, self.mean = popularity, total / len(sizes)
+        slot, self.surge = self.mean / SLOTS, self.mean * self.setup.fall_multiple
         # Each manager in an order of its own, or all would load the same few of those that have just come.
         order = sorted(sizes, key=lambda w: hash((self.setup.me, w)))
         bins = {w: slot * -(-total * sizes[w] / scale // slot) for w in order}
         nominal = sum(self.workers[w].weight for w in sizes)
-        cold = {w for w in bins if self.warmth(w) < 1.0}
-        for w in cold:
+        most, held = {w: self.mean for w in bins if self.warmth(w) < 1.0}, {}
+        for w in most:
             # Faded others and repeats swell what is asked of each; a cold server's part must not swell.
             part = self.warmth(w) * self.workers[w].weight / nominal * total * self.answered
             bins[w] = min(bins[w], max(slot * (part // slot), 0.01 * slot))
-        most, held = {w: self.setup.fall_multiple * bins[w] for w in cold}, {}
         for item in popularity:
             table = self.tables[item]
             lines = {w: weight for w, weight in table.items() if weight > LINGER} or table or self.parts[item]
@@ -640,15 +639,15 @@
             table = tables[item]
             gone = table.keys() - usable
             lost |= table.keys() - sizes.keys()
-            left, few = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
+            left, cold = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
             # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first.
             change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes else LINGER)
                          for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
-                load = change * self.asked_for.get(item, 1.0)
-                kept = left >= 0.5 * sum(table.values())
-                # A cold server's small part would become the whole: that is as urgent as none left.
-                changes.append((len(gone) < len(table) and (kept or few <= 0.5 * left), kept, -load, item))
+                load, kept = self.asked_for.get(item, 1.0), left >= 0.5 * sum(table.values())
+                # Left mostly to cold servers, whose small part is now the whole, it is as urgent as none.
+                some = len(gone) < len(table) and (kept or cold <= 0.5 * left or load <= self.mean)
+                changes.append((some, kept, -change * load, item))
         changes.sort()
         changes += [(True, True, *rest) for later, kept, *rest in changes if not (later and kept)]
         out, again = sorted(lost - self.withheld), sorted(sizes.keys() & self.barred)
@@ -675,8 +674,9 @@
             if not (later and kept) and usable and not self.setup.single_owner:
                 # Little is left to pick: one line now, for as many such slices as can be; the rest follows.
                 some = {w: lines[w] for w in lines if w in usable} or {hashed(item, warm): 1.0}
-                best = max(some, key=lambda w: (some[w] > table.get(w, 0.0), some[w] * (w in warm), -w))
-                lines = table | ({best: some[best]} if best in warm and some[best] > LINGER else some)
+                best = max(some, key=lambda w: (
+                    some[w] > table.get(w, 0.0), w in warm and some[w] > LINGER, some[w], -w))
+                lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
