--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -123,14 +123,13 @@
         return True
 
     def answered_mark(self, number):
-        """Whether that settles a call in doubt: what it set stands, and does not go out again."""
+        """If it is the mark of the call in doubt, what that set stands and does not go out again."""
         self.seen_mark = number
         if number != self.doubted_mark:
-            return False
+            return
         for key in self.doubted:
             self.waiting.pop(key, None)
         self.doubted, self.doubted_mark, self.taken = {}, None, number
-        return True
 
     def channel_us(self, proxies):
         """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its limit."""
--- a/ospreyrouter/node/listing.py
+++ b/ospreyrouter/node/listing.py
@@ -11,6 +11,7 @@
 from ..door import Malformed
 from ..interface import State
 from .frames import Unreadable
+from .relay_lines import sayable
 
 LINE_MOST = 4 << 20
 ROWS_MOST = 20_000
@@ -57,8 +58,7 @@
     if not isinstance(row, dict):
         raise Malformed("entry")
     name, state, cell = _of(row, "host", str), _of(row, "health", str), _of(row, "block", int)
-    # A name goes into orders as it is: it must not end one.
-    if not 0 < len(name) <= 255 or any(sign in ",;*" or not sign.isprintable() or sign.isspace() for sign in name):
+    if not sayable(name):
         raise Malformed("host")
     if state not in STATES:
         raise Malformed("health")
--- a/ospreyrouter/node/news.py
+++ b/ospreyrouter/node/news.py
@@ -18,7 +18,6 @@
     def __init__(self, door, calls, tables, counts):
         self.door, self.calls, self.tables, self.counts = door, calls, tables, counts
         self.joined, self.granted = set(), set()
-        self.proof = False  # whether an answer to a mark has settled a call in doubt
         self.in_snapshot, self.seen, self.rows, self.rows_follow = False, set(), {}, False
 
     def snapshot_begins(self):
@@ -49,7 +48,7 @@
         return [("left", proxy)]
 
     def _ack(self, proxy, number, lag_ms):
-        self.proof = self.calls.answered_mark(number) or self.proof
+        self.calls.answered_mark(number)
         return [("applied", proxy, number, round(lag_ms * 1000.0))] if proxy in self.joined else []
 
     def _grant(self, table, given):
--- a/ospreyrouter/node/probes.py
+++ b/ospreyrouter/node/probes.py
@@ -1,10 +1,10 @@
 """Probes of workers: one connection each, bounded in time and number, answered once.
 
-    probes = Probes(loop, most, counts, reports)
-    probes.probe(worker, life, address, on_done)        # on_done(outcome, delay_us, report)
+    probes = Probes(loop, most, counts, reports, life)      # life(worker): its address and start as now listed
+    probes.probe(worker, on_done)                           # on_done(outcome, delay_us, report)
 
-A worker has one probe at most, on its way or waiting its turn. Another of the same life is not begun; one of a later
-life (`life` differs) takes the place of the earlier, of which nothing more is heard.
+A worker has one probe at most, on its way or waiting its turn. One on its way to an earlier life leaves its place to the
+next asking, and what it still brings is not handed on.
 """
 
 import orjson
@@ -20,39 +20,45 @@
 
 
 class Probes:
-    def __init__(self, loop, most, counts, reports):
-        self.loop, self.most, self.counts, self.path = loop, most, counts, "/status/load" if reports else "/health"
-        self.open, self.queue = {}, {}  # by worker: its life and connection; life, address and whom to tell
+    def __init__(self, loop, most, counts, reports, life):
+        self.loop, self.most, self.counts, self.life = loop, most, counts, life
+        self.path = "/status/load" if reports else "/health"
+        self.open, self.queue = {}, {}  # by worker: the life asked and its connection; whom to tell
 
-    def probe(self, worker, life, address, on_done):
-        held = self.open.get(worker) or self.queue.get(worker)
-        if held is not None and held[0] == life:
+    def probe(self, worker, on_done):
+        if worker in self.queue or worker in self.open and self.open[worker][0] == self.life(worker):
             self.counts["probe still under way"] += 1
             return
         if worker in self.open:
             self.open.pop(worker)[1].close()
-        self.queue[worker] = life, address, on_done  # one of an earlier life leaves its turn to this one
+        self.queue[worker] = on_done
         self._begin()
 
     def _begin(self):
         while self.queue and len(self.open) < self.most:
             worker = next(iter(self.queue))
-            self._ask(worker, *self.queue.pop(worker))
+            self._ask(worker, self.queue.pop(worker))
 
-    def _ask(self, worker, life, address, on_done):
-        began = self.loop.now()
+    def _ask(self, worker, on_done):
+        began, life = self.loop.now(), self.life(worker)
+        if life[0] is None:
+            on_done(Outcome.UNREACHABLE, 0, {})
+            return
 
         def answered(answer):
             if self.open.get(worker) != (life, client):
-                return  # another life has come
+                return  # it has left its place
             del self.open[worker]
             client.close()
-            outcome, report = self._outcome(answer)
-            self.counts[f"probe {outcome.value}"] += 1
-            on_done(outcome, self.loop.now() - began, report)
+            if self.life(worker) == life:
+                outcome, report = self._outcome(answer)
+                self.counts[f"probe {outcome.value}"] += 1
+                on_done(outcome, self.loop.now() - began, report)
+            else:
+                self.counts["probe of an earlier life"] += 1
             self._begin()
 
-        client = Client(self.loop, address, DIAL_US, body_most=BODY_MOST)
+        client = Client(self.loop, life[0], DIAL_US, body_most=BODY_MOST)
         self.open[worker] = life, client
         client.ask("GET", self.path, [("connection", "close")], b"", answered, ANSWER_US)
 
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -71,7 +71,7 @@
             link.stream.write(relay_lines.FOLLOW)
 
     def _news(self, link, data):
-        heard = []
+        heard, taken = [], self.calls.taken
         try:
             lines = link.lines.feed(data)
             if lines and link.phase is not Phase.FOLLOWING:
@@ -95,7 +95,7 @@
             link.bound(SILENT_US, "silent")
             self.partial = bool(link.lines.held)
             self._flush(heard)
-            if self.news.proof:
+            if self.calls.taken != taken:
                 self._proven()
             if self.news.in_snapshot:
                 self._quiet(link)
@@ -223,7 +223,6 @@
 
     def _proven(self):
         """What was in doubt was carried out."""
-        self.news.proof = False
         self.counts["calls proven by a mark"] += 1
         self.waits_since = self.loop.now() if self.calls.waiting else None
         self.held_until = self.loop.now()
--- a/ospreyrouter/node/relay_lines.py
+++ b/ospreyrouter/node/relay_lines.py
@@ -32,8 +32,8 @@
 
 
 def sayable(name):
-    """Whether a name can stand in an order as it is: it must not end one, nor join or stand for several."""
-    return 0 < len(name) <= 255 and not any(sign in ",;*+" or not sign.isprintable() or sign.isspace() for sign in name)
+    """Whether a name can stand in an order as it is: it must not end one, nor stand for all."""
+    return 0 < len(name) <= 255 and not any(sign in ",;*" or not sign.isprintable() or sign.isspace() for sign in name)
 
 
 def figure(value):
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -37,8 +37,8 @@
         chance = Random(station.seed ^ 1)  # of the links; the manager's own is not touched
         most = max(8, station.sockets - OWN_SOCKETS - PROBES_MOST) * 2 // 3
         self.collectors = Collectors(loop, station.listen, door, self.counts, self.hear, most)
-        self.probes = Probes(loop, PROBES_MOST, self.counts, door.load_reports)
         self.watch = Watch(loop, station.discovery, door, self.counts, self.hear, chance)
+        self.probes = Probes(loop, PROBES_MOST, self.counts, door.load_reports, self.watch.life)
         self.watch.begin(station.known)
         news = News(door, self, self.manager.tables, self.counts)
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
@@ -87,19 +87,7 @@
     # The writer, beyond what goes to the relay.
 
     def probe(self, worker):
-        address = self.watch.addresses.get(worker)
-        if address is None:
-            self.hear([("probed", worker, Outcome.UNREACHABLE, 0, {})])
-            return
-        life = self.watch.life(worker)
-
-        def found(*values):
-            if self.watch.life(worker) == life:
-                self.hear([("probed", worker, *values)])
-            else:
-                self.counts["probe of an earlier life"] += 1
-
-        self.probes.probe(worker, life, address, found)
+        self.probes.probe(worker, lambda *found: self.hear([("probed", worker, *found)]))
 
     def wake(self, after_us, token):
         self.loop.after(after_us, lambda: self.hear([("woke", token)]))
--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -101,6 +101,6 @@
     if not found.setup.slices:
         raise BadStart("settings: FamilyInfo.PartitionsN: a deployment without slices is not served here")
     for place, row in enumerate(found.setup.classes):
-        if not sayable(row.name):
+        if not sayable(row.name) or "+" in row.name:  # which joins classes
             raise BadStart(f"settings: Lanes[{place}].Name: cannot stand in an order: {row.name!r:.60}")
     return found
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -171,10 +171,10 @@
         self.parts = {item: {} for item in self.slices}  # the layout: shares by server
         self.linger, self.asked_for, self.since, self.heard_at, self.mean = {}, {}, {}, {}, 0.0
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
-        self.urgent, self.window_at, self.tick_at, self.judged_at = True, 0, 0, 0
+        self.urgent, self.window_at, self.tick_at, self.judged_at, self.within = True, 0, 0, 0, frozenset()
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
-        self.taken, self.at_ease, self.within = 1.0, True, frozenset()  # of tries levels should let in
+        self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -226,13 +226,14 @@
 
     def setUp(self):
         self.loop = Loop()
-        self.addCleanup(self._close)
+        self.addCleanup(self._close, self.loop)
 
-    def _close(self):
-        for key in list(self.loop.selector.get_map().values()):
+    @staticmethod
+    def _close(loop):
+        for key in list(loop.selector.get_map().values()):
             if not isinstance(key.fileobj, int):
                 key.fileobj.close()
-        self.loop.selector.close()
+        loop.selector.close()
 
     def turn(self, seconds):
         self.loop.run(self.loop.now() + int(seconds * SECOND))
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -10,9 +10,7 @@
 import unittest
 from pathlib import Path
 
-from ospreyrouter.loop import Loop
-
-from .peers import SECOND, Caller, Discovery, Relay, row, settings
+from .peers import SECOND, Caller, Discovery, LiveCase, Relay, row, settings
 
 ROOT = Path(__file__).parent.parent
 
@@ -27,18 +25,12 @@
     return "{}:{}".format(*address)
 
 
-def close_all(loop):
-    for key in list(loop.selector.get_map().values()):
-        key.fileobj.close()
-    loop.selector.close()
-
-
-class Started(unittest.TestCase):
+class Started(LiveCase):
     def setUp(self):
+        super().setUp()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        self.path, self.loop = os.path.join(folder.name, "config.json"), Loop()
-        self.addCleanup(close_all, self.loop)
+        self.path = os.path.join(folder.name, "config.json")
         self.listen, self.hub, self.list = free_address(), free_address(), free_address()
         self.config = {
             "name": "n3", "listen": text(self.listen), "discovery": text(self.list), "seed": "8c1f30d27a5be964",
@@ -57,12 +49,6 @@
         return subprocess.Popen(words or ["/bin/sh", "-c", run], cwd=ROOT, env=kept | self.environment,
                                 stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
 
-    def until(self, true, seconds=10):
-        end = self.loop.now() + seconds * SECOND
-        while not true() and self.loop.now() < end:
-            self.loop.run(self.loop.now() + SECOND // 50)
-        self.assertTrue(true())
-
     def begun(self, *words):
         """The program, started and ended with the test; `words` instead of `run`."""
         process = self.start(*words)
