--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 
 from ospreyrouter.interface import Outcome, State
 from ospreyrouter.node.frames import frame
+from ospreyrouter.policy import Manager
 from ospreyrouter.web.client import Client
 
 from .peers import HERE, SECOND, Caller, Discovery, LiveCase, LiveScene, Relay, settings
@@ -251,6 +252,35 @@
         self.until(lambda: len(scene.relay.calls) == 2 and not scene.service.in_flight)
         self.assertEqual(scene.relay.slices[0], {"s-1": 1.0})
 
+    def test_a_proxy_that_leaves_and_joins_again_inside_one_call_is_spoken_to_anew(self):
+        scene = self.scene(manager=Manager)
+        self.until(lambda: scene.relay.calls and not scene.service.in_flight and scene.manager.workers[1].proved)
+        scene.relay.fates = ["hold"]
+        scene.discovery.say(2, False, scene.row(1, "leaving"))
+        self.until(lambda: scene.relay.held)
+        inside = len(scene.relay.calls)
+        scene.relay.say("* CLOSED 1", "* SUBSCRIBE 1 a 5.0 1", "* CLOSED 3")
+        self.until(lambda: scene.manager.withheld == set())  # what it was sent before does not count any more
+        self.assertEqual(scene.manager.proxies, {0, 1})
+        scene.relay.release()
+        self.until(lambda: len(scene.relay.calls) > inside and not scene.service.in_flight)
+        self.assertTrue(scene.relay.calls[inside][1][-1].startswith("mark,"))
+        self.assertNotIn("s-1", scene.relay.slices[0])
+
+    def test_a_snapshot_that_the_relay_pauses_is_whole_in_the_end(self):
+        """Who comes only after the pause has left and come again: nobody is lost, and no line of a table."""
+        scene = self.scene()
+        scene.relay.hold_follows = True
+        scene.relay.followers[0].abort()
+        self.until(lambda: scene.relay.held)
+        stream, _ = scene.relay.held.pop()
+        stream.write(b"OK\r\n* SUBSCRIBE 0 a 5.0 1\r\n* GRANT 0 1\r\n* ROW 0 s-1 1.0\r\n")
+        self.until(lambda: scene.manager.all("left") == [(1,)])  # the pause was taken for its end
+        stream.write(b"* SUBSCRIBE 1 a 5.0 1\r\n* GRANT 1 1\r\n* ROW 1 s-2 1.0\r\n*\r\n")
+        self.until(lambda: scene.manager.tables == {0: {0: 1.0}, 1: {1: 1.0}})
+        self.assertEqual((scene.service.relay.news.joined, scene.service.relay.news.granted), ({0, 1}, {0, 1}))
+        self.assertEqual([one for one, *_ in scene.manager.all("joined")], [0, 1, 0, 1])
+
     def test_a_call_is_not_written_into_a_connection_whose_end_is_about_to_be_told(self):
         scene = self.scene()
         self.order(scene, 0, 0, 0.5)
@@ -348,25 +378,21 @@
     def caller(self, scene, *messages):
         return Caller(self.loop, scene.service.collectors.address, *messages)
 
-    def test_a_joining_a_ping_and_reports_byte_by_byte(self):
-        scene = LiveScene(self)
-        data = frame({"msg": "PING"}) + frame(SOURCE) + frame(SHARD) + frame({"msg": "PING"}) + frame(SHARD)
-        caller = self.caller(scene)
-
-        def drip(at=0):
-            if at < len(data):
-                caller.say(data[at:at + 1])
-                self.loop.soon(lambda: drip(at + 1))
-        self.until(lambda: caller.stream)
-        drip()
-        self.until(lambda: len(scene.manager.all("demanded")) == 2)
-        self.assertEqual((caller.got, caller.ended), (["PONG", "PONG"], None))
-
-    def test_reports_of_any_length_right_behind_the_joining(self):
-        scene = LiveScene(self)
-        caller = self.caller(scene, frame(SOURCE) + frame(SHARD | {"new": "x" * 5000}) + frame(SHARD))
-        self.until(lambda: len(scene.manager.all("demanded")) == 2)
-        self.assertIsNone(caller.ended)
+    def test_a_joining_pings_and_reports_in_one_piece_in_halves_and_byte_by_byte(self):
+        whole = [frame(one) for one in ({"msg": "PING"}, SOURCE, SHARD | {"new": "x" * 5000}, {"msg": "PING"}, SHARD)]
+        for data, size in ((b"".join(whole), 1 << 20), (b"".join(whole), 3000), (b"".join(whole[:2] + whole[3:] + whole[-1:]), 1)):
+            with self.subTest(size=size):
+                scene, pieces = LiveScene(self), [data[at:at + size] for at in range(0, len(data), size)]
+                caller = self.caller(scene)
+                self.until(lambda: caller.stream)
+
+                def drip():
+                    if pieces:
+                        caller.say(pieces.pop(0))
+                        self.loop.soon(drip)
+                drip()
+                self.until(lambda: len(scene.manager.all("demanded")) == 2)
+                self.assertEqual((caller.got, caller.ended), (["PONG", "PONG"], None))
 
     def test_half_a_frame_then_silence_costs_no_other_anything(self):
         scene = LiveScene(self)
@@ -562,24 +588,33 @@
         self.until(lambda: scene.manager.all("listed") and scene.discovery.streams and not scene.service.intake)
         return scene
 
-    def test_a_probe_on_its_way_when_another_life_is_listed_says_nothing_of_that(self):
-        """Held by the worker, then answered; the new life is another start, another address, or both."""
-        for number, change in enumerate(({"born_ms": 2000}, {"dial": 2}, {"born_ms": 2000, "dial": 2})):
-            with self.subTest(change=change):
+    def test_a_probe_held_by_the_worker_while_another_life_is_listed_says_nothing_of_that(self):
+        """Another start, another address, both; gone, forgotten and listed again; asked anew by the manager, or not."""
+        for name, lists, anew in (
+                ("start", [(False, 0, {"born_ms": 2000})], True), ("address", [(False, 0, {"dial": 2})], True),
+                ("both", [(False, 0, {"born_ms": 2000, "dial": 2})], True), ("not asked anew", [(False, 0, {"born_ms": 2000})], False),
+                ("forgotten", [(True, 1, {}), (False, 0, {})], False)):
+            with self.subTest(name):
                 held, scene = [], self.scene()
                 scene._probed = lambda number, request: held.append(request)
                 scene.service.probe(0)
                 self.until(lambda: held)
-                change = change | ({"dial": scene.dials[2]} if "dial" in change else {})
-                scene.discovery.say(2, False, scene.row(1) | change)
-                self.until(lambda: len(scene.manager.all("listed")) == 2)
-                scene.service.probe(0)  # as the manager does for one that started anew
-                self.until(lambda: len(held) == 2)
+                for seq, (whole, worker, change) in enumerate(lists, 2):
+                    change = change | ({"dial": scene.dials[change["dial"]]} if "dial" in change else {})
+                    scene.discovery.say(seq, whole, scene.row(worker + 1) | change)
+                    self.until(lambda: len(scene.manager.all("listed")) == seq and not scene.service.intake)
+                    scene.service._forget()
+                self.assertEqual(scene.door.known("s-1"), 2 if name == "forgotten" else 0)
+                if anew:
+                    scene.service.probe(0)
+                    self.until(lambda: len(held) == 2)
+                    held[1].answer(503)
+                    self.until(lambda: scene.manager.all("probed"))
                 held[0].answer(200, body=b"{}")
-                held[1].answer(503)
-                self.until(lambda: scene.manager.all("probed"))
-                self.turn(0.05)
-                self.assertEqual([found[:2] for found in scene.manager.all("probed")], [(0, Outcome.ERROR)])
+                self.until(lambda: anew or scene.counts["probe of an earlier life"] == 1)
+                self.turn(0.02)
+                self.assertEqual([found[:2] for found in scene.manager.all("probed")], [(0, Outcome.ERROR)] * anew)
+                self.assertEqual(scene.counts["faults"], 0)
 
     def test_answers_that_end_with_the_connection(self):
         """Whole where no length was given, cut off where one was; the end comes with the answer or in a packet of its own."""
@@ -597,17 +632,6 @@
                     (_, found, _, report), = scene.manager.all("probed")
                     self.assertEqual((found, report), (outcome, {"utilization": 0.5} if outcome is Outcome.PASSED else {}))
 
-    def test_an_answer_of_an_earlier_life_that_nobody_asked_anew_is_dropped(self):
-        held, scene = [], self.scene()
-        scene._probed = lambda number, request: held.append(request)
-        scene.service.probe(0)
-        self.until(lambda: held)
-        scene.discovery.say(2, False, scene.row(1, born_ms=2000))
-        self.until(lambda: len(scene.manager.all("listed")) == 2)
-        held[0].answer(200, body=b"{}")
-        self.until(lambda: scene.counts["probe of an earlier life"] == 1)
-        self.assertEqual(scene.manager.all("probed"), [])
-
     def test_one_that_waits_its_turn_goes_to_the_address_of_the_new_life(self):
         held, scene = [], self.scene(workers=40)
         scene._probed = lambda number, request: held.append((number, request))
@@ -625,22 +649,6 @@
         self.assertNotIn(last + 1, [number for number, _ in held])
         self.assertEqual([number for number, _ in held[len(first):]].count(1), 1)
 
-    def test_a_worker_that_is_forgotten_while_it_is_probed_and_comes_again_under_its_name(self):
-        held, scene = [], self.scene()
-        scene._probed = lambda number, request: held.append(request)
-        scene.service.probe(1)
-        self.until(lambda: held)
-        scene.discovery.say(2, True, scene.row(1))
-        self.until(lambda: len(scene.manager.all("listed")) == 2 and not scene.service.intake)
-        scene.service._forget()
-        self.assertIsNone(scene.door.known("s-2"))
-        scene.discovery.say(3, False, scene.row(2))
-        self.until(lambda: len(scene.manager.all("listed")) == 3)
-        self.assertEqual(scene.door.known("s-2"), 2)
-        held[0].answer(200, body=b"{}")
-        self.until(lambda: scene.counts["probe of an earlier life"] == 1)
-        self.assertEqual((scene.manager.all("probed"), scene.counts["faults"]), ([], 0))
-
 
 if __name__ == "__main__":
     unittest.main()
