A proof of a call in doubt drops nothing that was ordered anew while it was in flight

At fault, found by reading: calls.py, unsettled: what waited with the same text as an order of the call in doubt counted as that order. A withdrawal ordered again for a proxy that joined while the first was in flight was dropped when the first one's mark was answered, and that proxy was never told. Now what was set anew since the call was taken is never dropped. The test by hand failed before: 'withdraw,s-3' was missing.

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -36,7 +36,7 @@
         self.in_flight = []  # (what it sets, text) of the call in flight, in order
         self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
-        self.doubted, self.doubted_mark = {}, None  # of the call in doubt: what was not set anew since; its mark
+        self.doubted, self.doubted_mark = set(), None  # of the call in doubt: what was not set anew since; its mark
         self.seen_mark = None  # the last that a proxy has answered
         self.void = set()  # slices that have changed hands since the call in flight was written
 
@@ -45,7 +45,7 @@
     def _put(self, key, text):
         # What is set anew moves to the end: a mark stays behind all that was ordered before it.
         self.waiting.pop(key, None)
-        self.doubted.pop(key, None)
+        self.doubted.discard(key)
         self.waiting[key] = text
 
     def line(self, table, worker, weight):
@@ -90,7 +90,7 @@
             self.in_flight.append((key, text))
         for key, _ in self.in_flight:
             del self.waiting[key]
-        self.doubted, self.doubted_mark = {}, None
+        self.doubted, self.doubted_mark = set(), None
         self.counts["calls"] += 1
         self.counts["orders"] += len(self.in_flight)
         return relay_lines.call([text for _, text in self.in_flight])
@@ -118,8 +118,9 @@
         if mark is not None and mark == self.seen_mark:
             self.answered(len(self.in_flight))
             return False
-        orders = self.again()
-        self.doubted, self.doubted_mark = {key: text for key, text in orders if self.waiting.get(key) == text}, mark
+        # What was set anew while the call was in flight, if to the same, is for proxies that have come since.
+        anew = set(self.waiting)
+        self.doubted, self.doubted_mark = {key for key, _ in self.again()} - anew, mark
         return True
 
     def answered_mark(self, number):
@@ -129,7 +130,7 @@
             return
         for key in self.doubted:
             self.waiting.pop(key, None)
-        self.doubted, self.doubted_mark, self.taken = {}, None, number
+        self.doubted, self.doubted_mark, self.taken = set(), None, number
 
     def channel_us(self, proxies):
         """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its limit."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -123,6 +123,25 @@
         self.assertEqual(self.sent(), ["share,1,s-1,1", "withdraw,s-0", "clear,0"])
 
 
+    def test_what_was_ordered_again_while_a_call_was_in_flight_is_not_proven_by_its_mark(self):
+        for seen in ("before the doubt", "after it"):
+            with self.subTest(seen):
+                self.setUp()
+                for number in (1, 2):  # the second for a proxy that has joined since
+                    self.calls.withhold(3, True)
+                    self.calls.line(0, 1, 1.0 / number)
+                    self.calls.mark(number, True)
+                    if number == 1:
+                        self.calls.line(1, 1, 0.5)
+                        self.calls.mark(1, True)
+                        self.sent()
+                if seen == "after it":
+                    self.calls.unsettled()
+                self.calls.answered_mark(1)
+                if seen == "before the doubt":
+                    self.calls.unsettled()
+                self.assertEqual(self.sent(), ["withdraw,s-3", "share,0,s-1,0.5", "mark,2,1"])
+
     def test_what_is_in_flight_for_a_slice_that_changes_hands_is_ordered_as_it_stands_now(self):
         rest, now = ["share,1,s-1,1", "mark,4,1"], ["share,0,s-1,0", "share,0,s-2,0.25"]
         for taken, sent in ((4, now), (2, ["mark,4,1"] + now), (None, rest + now)):  # None: it is never told
