--- a/deploy/variants.py
+++ b/deploy/variants.py
@@ -1,6 +1,6 @@
 """Writes variants of the operators' site into `deploy/sites/`: other class names, shares, limits, deadlines and costs.
 
-    python deploy/variants.py ../given/kit/more/node/sites tas-orders.toml
+    python deploy/variants.py FOLDER SITE.toml      # the folder holds the site and what is named in BESIDE
 
 What only holds for one deployment fails there. The folder holds what belongs to the operators and is not committed.
 """
