Logs: repeats, tables behind, ready servers withdrawn, failed accepts and dials, end

'call' tells how many of its withdrawals are repeats, 'counts' how many servers that have left are still named by tables and for how long, how many ready ones stand withdrawn, failed accepts and dials by error; 'closing' what was open and unsent at SIGTERM; 'round' which proxies came back without a restart.

--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 
 from .streams import Refused, Stream
 from .timers import TimerHeap
@@ -31,6 +32,11 @@
     return time.monotonic_ns() // 1000
 
 
+def reason_of(code):
+    """How a stream, a dial or the log names the error `code` of a system call: `econnreset`, for instance."""
+    return errno.errorcode.get(code, "error").lower()
+
+
 def through_shortage(create):
     """What `create()` returns, asked again through a shortage; for the few things the loop cannot begin without."""
     for _ in range(SHORTAGE_TRIES):
@@ -88,7 +94,7 @@
             return
         except OSError as problem:
             if problem.errno not in SHORTAGE:
-                self._finish(errno.errorcode.get(problem.errno, "error").lower())
+                self._finish(reason_of(problem.errno))
             return
         if data:
             self._hand_on(data)
@@ -139,7 +145,7 @@
                 if problem.errno in SHORTAGE:
                     self.out = [data]
                     break
-                self._cannot_write(errno.errorcode.get(problem.errno, "error").lower())
+                self._cannot_write(reason_of(problem.errno))
                 return
             self.out_size -= sent
             self.bytes_out += sent
@@ -198,7 +204,8 @@
             code = problem.errno
         if code not in (0, errno.EINPROGRESS, errno.EINTR):  # interrupted, it goes on by itself
             self._close()
-            loop.soon(lambda: self._settle(None, errno.errorcode.get(code, "error").lower()))
+            loop.counts[f"dial failed: {reason_of(code)}"] += 1
+            loop.soon(lambda: self._settle(None, reason_of(code)))
             return
         self.timer = loop.after(timeout_us, self._too_late)
         loop.selector.register(self.sock, selectors.EVENT_WRITE, self._ready)
@@ -209,7 +216,7 @@
         failed = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if failed:
             self._close()
-            self._settle(None, errno.errorcode.get(failed, "error").lower())
+            self._settle(None, reason_of(failed))
             return
         self.timer.cancel()
         self.loop.selector.unregister(self.sock)
@@ -256,6 +263,7 @@
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as problem:
+                self.loop.counts[f"accept failed: {reason_of(problem.errno)}"] += 1
                 if problem.errno in SHORTAGE:
                     self.pause(200_000)  # out of descriptors: spinning on accept would starve everything else
                     return
@@ -287,6 +295,7 @@
         self.clock, self.selector, self.timers = clock, through_shortage(selectors.DefaultSelector), TimerHeap()
         self.running, self.ready, self.pipe, self.handlers, self.on_fault = False, [], None, {}, None
         self.longest_turn_us, self.turns, self.busy_us, self.turn_counts = 0, 0, 0, [0] * 2000
+        self.counts = Counter()  # failures of system calls, by call and error
 
     def now(self):
         return self.clock()
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -146,7 +146,7 @@
 
     def __init__(self, network, name):
         self.network, self.name, self.alive, self.paused = network, name, True, False
-        self.streams, self.parked = {}, []
+        self.streams, self.parked, self.counts = {}, [], {}
 
     def now(self):
         return self.network.time
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -36,6 +36,11 @@
         self.address = self.listener.address
         self._sweep()
 
+    @property
+    def unsent(self):
+        """Callers with an answer that has not left yet."""
+        return sum(caller.stream.unsent > 0 for caller in [*self.strangers, *self.collectors])
+
     def _accepted(self, stream):
         caller = Caller(stream, self.loop.now())
         stream.write_most = UNREAD_MOST
@@ -79,7 +84,7 @@
             return
         for place, message in enumerate(messages):
             if frames.kind_of(message) == "PING":
-                caller.stream.write(frames.PONG)
+                self._answer_ping(caller)
                 continue
             zone = self._zone(message)
             if zone is None:
@@ -89,6 +94,10 @@
             self._messages(caller, messages[place + 1:])
             return
 
+    def _answer_ping(self, caller):
+        self.counts["pings answered"] += 1
+        caller.stream.write(frames.PONG)
+
     def _zone(self, message):
         """The zone of a collector that joins; None where it is no joining, or of no zone."""
         joins = frames.kind_of(message) == "SOURCE" and isinstance(message.get("az"), str)
@@ -120,7 +129,7 @@
         heard = []
         for message in messages:
             if frames.kind_of(message) == "PING":
-                caller.stream.write(frames.PONG)
+                self._answer_ping(caller)
                 continue
             try:
                 heard.append(frames.usage(message, self.door))
--- a/ospreyrouter/node/drain_progress.py
+++ b/ospreyrouter/node/drain_progress.py
@@ -30,10 +30,21 @@
 class DrainProgress:
     def __init__(self, log):
         self.log, self.told, self.calls, self.proxies = log, {}, [], {}
+        self.withdrawn = set()  # workers of `told` that some call has withdrawn
+
+    def left_in(self, now, named):
+        """Of the workers `named` by tables: how many the list has as draining or gone, and for how long at most."""
+        since = [at for worker, at in self.told.items() if worker in named]
+        return len(since), now - min(since, default=now)
+
+    def ordered_before(self, workers):
+        """How many of these have been withdrawn before since the list said so: a repeat."""
+        return sum(worker in self.withdrawn for worker in workers)
 
     def listed(self, now, workers, ready):
         for worker in ready:
             self.told.pop(worker, None)
+            self.withdrawn.discard(worker)
         for worker in workers:
             self.told.setdefault(worker, now)
 
@@ -46,6 +57,7 @@
             call.awaited.discard(proxy)
 
     def ordered(self, now, workers, mark):
+        self.withdrawn.update(workers)
         told = min((self.told.get(worker, now) for worker in workers), default=now)
         self.calls.append(Withdrawal(mark, len(workers), told, now, set(self.proxies)))
         if len(self.calls) > CALLS_MOST:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -47,6 +47,7 @@
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
         self.drains = DrainProgress(log)
         self.rounds, self.longest_us, self.busy_us, self.late_us = 0, 0, 0, 0
+        self.again_in_flight = 0
         self.forget_at = loop.now() + FORGET_US
         loop.after(TELL_US, self._tell)
 
@@ -95,7 +96,8 @@
         heard = Counter(f"{name}_{values[1]}" if name == "charged" else name for name, *values in intake)
         changes = {text: heard[name] for name, text in MEMBERSHIP.items() if heard[name]}
         if changes:
-            self.log("round", **changes, ms=took_us // 1000)
+            back = sum(name == "joined" and not values[3] for name, *values in intake)  # streams that broke, not restarts
+            self.log("round", **changes, **{"back": back} if back else {}, ms=took_us // 1000)
 
     def _follow_drains(self, now, intake):
         for name, *values in intake:
@@ -132,10 +134,25 @@
     def take(self):
         data = super().take()
         out = [key[1] for key, text in self.in_flight if key[0] == "out" and text.startswith("withdraw")]
+        self.again_in_flight = self.drains.ordered_before(out)
         if out and self.mark_in_flight is not None:
             self.drains.ordered(self.loop.now(), out, self.mark_in_flight)
         return data
 
+    def summary(self):
+        """Fields of the log's line for the call in flight; `again` of its withdrawals are repeats."""
+        fields = super().summary()
+        return fields | {"again": self.again_in_flight} if fields and self.again_in_flight else fields
+
+    def _tables_behind(self):
+        """Servers that have left and tables still name, since when at most; ready ones that stand withdrawn."""
+        now, tables = self.loop.now(), self.manager.tables
+        named = {worker for table in self.relay.news.granted for worker in tables[table]}
+        left, left_us = self.drains.left_in(now, named)
+        ready = {worker for worker, (entry, _) in self.watch.known.items() if entry.state is State.READY}
+        return {"left_in_tables": left, "left_in_tables_ms": left_us // 1000,
+                "ready_withdrawn": len(ready & self.manager.withdrawals.barred)}
+
     def _forget(self):
         """Names that neither the manager nor the list holds any more; right after a round, when no news waits for one."""
         if not self.relay.news.in_snapshot:  # whose rows may name them yet
@@ -157,8 +174,8 @@
                  proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
                  workers=len(self.door.workers), orders_waiting=len(self.waiting),
                  strangers=len(self.collectors.strangers), collectors=len(self.collectors.collectors),
-                 dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
-                 **dict(sorted(self.counts.items())))
+                 **self._tables_behind(), dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
+                 **dict(sorted({**self.counts, **self.loop.counts}.items())))
 
     def move(self, discovery, relay):
         self.watch.move(discovery)
@@ -166,6 +183,8 @@
 
     def close(self):
         self._tell()
+        self.log("closing", callers=len(self.collectors.strangers) + len(self.collectors.collectors),
+                 unsent=self.collectors.unsent, orders_waiting=len(self.waiting), in_flight=len(self.in_flight))
         self.collectors.close()
         self.watch.close()
         self.relay.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -9,6 +9,7 @@
 from ospreyrouter.node.service import Service
 from ospreyrouter.node.start import Station
 from ospreyrouter.web import Server
+from ospreyrouter.withdrawals import Withdrawals
 
 from .test_benchlink import PROFILE
 
@@ -176,6 +177,7 @@
 
     def __init__(self, setup, seed):
         self.heard, self.tables, self.workers = [], {item: {} for item in range(setup.slices)}, {}
+        self.withdrawals = Withdrawals(setup)
 
     def round(self, now, intake, orders):
         for name, *values in intake:
