--- a/tests/channel.py
+++ b/tests/channel.py
@@ -27,7 +27,7 @@
     def __init__(self, loop, address=RELAY, *, setup, slices, grace_us, proxies=()):
         super().__init__(loop, address, proxies=(), slices=slices)
         self.setup, self.grace_us, self.chance = setup, grace_us, Random(1)
-        self.members, self.told_workers, self.late = {}, set(), set()
+        self.members, self.broken, self.told_workers, self.late = {}, {}, set(), set()
         self.given_at = dict.fromkeys(self.slices, loop.now())
         self.free_at, self.most_waiting, self.carried_out = 0, 0.0, []
         for proxy in proxies:
@@ -43,10 +43,26 @@
         self.say(f"* SUBSCRIBE {proxy} a 5.0 0")
 
     def leave(self, proxy):
+        """The stream breaks: what travels is lost, what has come is kept."""
         self.proxies.remove(proxy)
-        del self.members[proxy]
+        self.broken[proxy] = self.members.pop(proxy)
         self.say(f"* CLOSED {proxy}")
 
+    def come_back(self, proxy):
+        """After `leave`, not restarted: it obeys the withdrawals it had, and reads the store again."""
+        self._member(proxy)
+        self.members[proxy].withdrawn |= self.broken.pop(proxy).withdrawn
+        self.say(f"* SUBSCRIBE {proxy} a 5.0 0")
+
+    def all_come_back(self):
+        """To a manager that starts anew: it hears of them as of proxies that were not restarted."""
+        self.subscribed = 0
+        for proxy in list(self.proxies):
+            withdrawn = self.members.pop(proxy).withdrawn
+            self.proxies.remove(proxy)
+            self._member(proxy)
+            self.members[proxy].withdrawn |= withdrawn
+
     def give(self, tables):
         """Slices come into the manager's charge, with their rows."""
         self.slices |= tables
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -40,6 +40,7 @@
         self.slices = {0: {"s-1": 1.0}, 1: {"s-2": 1.0}} if slices is None else slices
         self.calls, self.streams, self.followers, self.follows, self.silent = [], [], [], 0, False
         self.held, self.hold_follows = [], False
+        self.subscribed = 1  # what a snapshot says of proxies: 1 where they were started anew
         self.listener = loop.listen(address, self._accepted)
         loop.after(SECOND, self._sign)
 
@@ -71,7 +72,7 @@
                 return
             stream.write(b"OK\r\n")
             self.followers.append(stream)
-            lines = [f"* SUBSCRIBE {proxy} a 5.0 1" for proxy in self.proxies]
+            lines = [f"* SUBSCRIBE {proxy} a 5.0 {self.subscribed}" for proxy in self.proxies]
             for table, rows in self.slices.items():
                 lines += [f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items())]
             text = "".join(line + "\r\n" for line in lines).encode()
--- /dev/null
+++ b/tests/test_final_answers.py
@@ -0,0 +1,59 @@
+"""A caller that asks for a sign of life just before the program is told to end is owed its answer. Of 160 PINGs sent
+0.1 ms before SIGTERM, 26 ended by a reset with nothing read: the program aborted every caller with what it had read and
+answered still in its buffer, and what lay unread in the receive buffer made the end a reset.
+"""
+
+import select
+import signal
+import socket
+import time
+
+from ospreyrouter.node import frames
+
+from .program_case import ProgramCase
+
+CALLERS, ROUNDS = 40, 4
+KILL_AFTER_S = 0.7  # the platform ends the program outright no sooner than this after SIGTERM
+PING = frames.frame({"msg": "PING"})
+
+
+def ends(callers, seconds):
+    """What each caller has read until its connection ended: bytes, and how it ended ("" where it did not)."""
+    got, how, open_callers = {c: b"" for c in callers}, dict.fromkeys(callers, ""), set(callers)
+    until = time.monotonic() + seconds
+    while open_callers and (left := until - time.monotonic()) > 0:
+        for caller in select.select(list(open_callers), [], [], left)[0]:
+            try:
+                data = caller.recv(4096)
+            except OSError as problem:
+                how[caller] = problem.strerror
+            else:
+                got[caller] += data
+                how[caller] = "" if data else "closed"
+            if how[caller]:
+                open_callers.discard(caller)
+    return [(got[caller], how[caller]) for caller in callers]
+
+
+class FinalAnswers(ProgramCase):
+    def callers(self, count=CALLERS):
+        found = [socket.create_connection(self.listen) for _ in range(count)]
+        for caller in found:
+            self.addCleanup(caller.close)
+        return found
+
+    def started(self):
+        process = self.begun()
+        self.until(self.answered)
+        return process
+
+    def test_a_ping_right_before_sigterm_is_answered(self):
+        for delay_s in (0.0, 0.0001, 0.0003, 0.001):
+            process = self.started()
+            callers = self.callers()
+            for caller in callers:
+                caller.sendall(PING)
+            time.sleep(delay_s)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(ends(callers, 5), [(frames.PONG, "closed")] * CALLERS)
+            self.assertEqual(process.wait(KILL_AFTER_S), 0)
