What a proxy has answered is not said again when its stream breaks; tables ride with repeats

Each return repeated both to all proxies ('call withdraw=23 mark=178', 'withdraw=22 mark=179', ...), a head and some twenty lines at 150 proxies twice a second, of 9,800 lines a second; changes of tables never fitted behind that, so servers stayed named and the repeats grew ('sent_ms=38705'). Change: a proof for each proxy, of what it has answered; a repeat rides with what goes at once or with tables, takes tables with it, and comes no more often than each 0.4 of the grace while proxies come without a pause; levels are told again only to who may lack them; a server that comes back is let in once where a proxy may hold what nobody remembers. The test of letting in had a proxy come back that had never left and had answered: it leaves now, and a second part is new.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -52,6 +52,8 @@
 FEW = 8  # lines that make a message worth its head
 SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
+MARKS = 65536  # marks are numbered from 0 to this less 1
+
 RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
 
 
@@ -191,9 +193,11 @@
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.urgent, self.window_at, self.tick_at, self.judged_at, self.within = True, 0, 0, 0, frozenset()
         self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
+        self.list_heard = False  # whether a list has been heard
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
         self.able, self.jam, self.good, self.level_at, self.levels = None, 0.0, 0.0, 0, {}
+        self.levels_in = 1  # the first message that carries the levels as they are
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
         self.messages, self.pace_lines, self.stalled_at, self.surge = [], setup.lines_per_s, None, 0.0
@@ -276,17 +280,19 @@
         for w in ready:
             if self.workers[w].state is not State.READY:
                 self.withdrawals.told(w)
-        self.urgent = True
+        for entry in entries:
+            if entry.state is State.READY and entry.worker not in ready and self.list_heard:
+                self.withdrawals.came_back(self.now, entry.worker)
+        self.urgent = self.list_heard = True
 
     def list_failed(self):
         self.orders.follow_list(True)
 
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
-        self.greet, may_hold = True, set()
-        if not fresh:  # it may have missed that a server was let in, or hold what a former life withheld
-            may_hold = self.withdrawals.freed | {w for w, row in self.workers.items() if row.started is not None}
-        self.withdrawals.proxy_joined(self.now, may_hold)
+        restarted = {w for w, row in self.workers.items() if row.started is not None}
+        # Any message carries the present levels: who has answered one since they were set has them.
+        self.greet |= self.withdrawals.proxy_joined(self.now, proxy, fresh, restarted) < self.levels_in
         if not self.setup.slices:
             self.orders.bind(proxy, 0, 0)
 
@@ -374,6 +380,7 @@
             row.learned[name] = (old + max(LEARN, 1.0 / (count + 1)) * (value - old), count + 1)
 
     def applied(self, proxy, number, delay):
+        self.withdrawals.answered(proxy, self.number_of_message(number))
         # Messages leave in order: whatever was sent before an answered mark has left the channel.
         place = next((k for k, row in enumerate(self.sent) if row[0] == number), None)
         if place is not None:
@@ -387,6 +394,11 @@
                 self.pace_lines = min(full, row[4] / slow * 1_000_000) if late else full
                 row[4] = 0
 
+    def number_of_message(self, mark):
+        """Which message it was that carried this mark; marks wrap around."""
+        sent = self.withdrawals.messages
+        return sent - (sent - mark) % MARKS
+
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
@@ -541,7 +553,7 @@
             levels = [1e6] * len(levels)  # a rate a proxy would need each proxy's own demand: left open
         for k in range(len(levels)):
             if abs(levels[k] - self.levels.get(k, -1.0)) > (STEP if 0.0 < levels[k] < 1.0 else 0.0):
-                self.levels[k], self.greet = levels[k], True
+                self.levels[k], self.greet, self.levels_in = levels[k], True, self.withdrawals.messages + 1
                 self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRY)
 
     def probe(self):
@@ -691,7 +703,7 @@
         where proxies are many. What it had goes on at the slices' other lines.
         """
         changes, lost, tables = [], set(), self.tables
-        wanted = {item: self.wanted(item) for item in sorted(self.own)}
+        wanted, repeated = {item: self.wanted(item) for item in sorted(self.own)}, self.withdrawals.missed.keys()
         # Whom no table names is let in with its first line: else the first one let in would get all.
         named = {w for item in self.own for w in tables[item]}
         usable = sizes.keys() - (self.withdrawals.barred & named)
@@ -701,8 +713,9 @@
             gone = table.keys() - usable
             lost |= table.keys() - sizes.keys()
             left, cold = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
-            # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first.
-            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes else LINGER)
+            # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first. But while
+            # a withdrawal is said again and again, taking the worker out of its tables is what ends that.
+            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes or w in repeated else LINGER)
                          for w in sorted(table.keys() | lines.keys()))
             if change > 1e-6:
                 load, kept = self.asked_for.get(item, 1.0), left >= 0.5 * sum(table.values())
@@ -712,13 +725,17 @@
         changes.sort()
         changes += [(True, True, *rest) for later, kept, *rest in changes if not (later and kept)]
         self.withdrawals.keep(lost)
-        at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us())
+        _, waiting, count, head, _ = self.channel()
+        idle = bool(changes) and waiting < 0.1 * (head + FEW) * count
+        at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us(), head, idle)
         out = at_once + again_out
         again = sorted(sizes.keys() & self.withdrawals.barred)
         due_back = self.withdrawals.due_back(self.now, usable) if self.own else set()  # no table, nobody to reach
         urgent, self.held_back = out or again or changes and not changes[0][0], len(out)
-        greet = self.greet and not self.withdrawals.missed  # else the repeat does, soon
-        if self.capped(usual=not urgent) or not (changes or urgent or due_back or greet):
+        # A repeat that is to come soon takes all that is not urgent with it: heads of messages would fill the channel.
+        if self.withdrawals.missed and not urgent:
+            return
+        if self.capped(usual=not urgent) or not (changes or urgent or due_back or self.greet):
             return
         unproven, waiting, count, head, full = self.channel()
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
@@ -738,10 +755,13 @@
         # come and go without an end, the lost are still to be tidied out of the tables.
         if later_out := len(self.withdrawals.missed.keys() - set(out)):
             kept_free = (head + later_out) * count
-            full, usual = full - kept_free, max(usual / 2, usual - kept_free)
+            full, usual = full - kept_free, max(usual / 2, usual - kept_free, few if waiting < 0.1 * few else 0.0)
         # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
         back = sorted(due_back)[:max(0, int((usual - waiting) / count - head - len(out)))]
         each, spare, longest = len(out) + len(back), head + len(again), self.longest()
+        # A repeat that goes anyway takes as many lines of tables with it: were they to wait for a channel that repeats
+        # keep busy, they would wait as long as proxies come and go.
+        riding = 2 * each + head if again_out and not at_once else 0
         for w in out:
             self.orders.withhold(w, True)
         for later, kept, _, item in changes:
@@ -755,7 +775,7 @@
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
             cost = (spare + each + len(new) + len(old)) * count
-            if later and waiting + cost > usual or unproven + cost > (UNPROVEN * full if later else full) \
+            if later and waiting + cost > usual and each + len(new) + len(old) > riding or unproven + cost > (UNPROVEN * full if later else full) \
                     or each and spare + each + len(new) + len(old) > longest:
                 break
             each += len(new) + len(old)
@@ -771,11 +791,11 @@
         back, each = back + again, each + len(again)
         for w in back:
             self.orders.withhold(w, False)
-        self.withdrawals.ordered(out, back)
-        if each or greet:
+        if each or self.greet:
+            self.withdrawals.ordered(self.now, out, back)
             # To all: who joined may hold levels of before a restart, and any message carries the present
             # ones; and a line that concerns no proxy would never be answered, and wait in the books for long.
-            self.number = (self.number + 1) % 65536
+            self.number = self.withdrawals.messages % MARKS
             self.orders.mark(self.number, True)
             self.greet = False
             cost = (head + each) * count
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -1,21 +1,49 @@
 """Which workers are withdrawn from the proxies, and which proxies may have missed that. Decides when it is said again.
 
-An order goes to all joined proxies, so what one proxy has missed costs a line at each. A withdrawal that the list causes
-goes at once. One that is only said again, for proxies that have joined since or slices that were given, waits until no
+An order goes to all joined proxies, so what one proxy has missed costs a line at each. What it holds is kept when its
+stream breaks: a proxy that comes back has missed only what was ordered after its last answer. A withdrawal that the list
+causes goes at once. One that is only said again, for proxies that have joined since or slices that were given, waits until no
 more of them come, for they come in handfuls: as long as `TOGETHER` of the drain grace, and never so long that the
 channel could not bring it within the grace, which begins for these proxies and slices when they come.
 """
 
+from dataclasses import dataclass
+
 SETTLED = 0.05  # part of the drain grace without a join or a given slice after which no more are expected
 TOGETHER = 0.4  # part of the drain grace that what is said again waits at most for more of its kind
+REPEATS_KEPT = 16  # of the messages that said the same: an answer to any of them is proof
+
+
+@dataclass
+class Proof:
+    """What one proxy is known to hold. Messages are counted from 1 on, in the order they were sent.
+
+    It held what had been ordered when it joined, after message `joined`, but for `lacks` (workers), and has what was sent
+    to it since up to message `answered`. `unsure`: it may also hold withdrawals by an earlier life of this manager.
+    `latest`: the last message it has answered on any stream, 0 for none.
+    """
+
+    unsure: bool
+    lacks: set
+    joined: int
+    answered: int
+    latest: int
+
+    def has(self, worker, messages):
+        """Whether it has what is in force for that worker, said in each of `messages`."""
+        before = messages[0] <= self.joined and worker not in self.lacks
+        return before or any(self.joined < message <= self.answered for message in messages)
 
 
 class Withdrawals:
     """State by worker index. Times are whole microseconds.
 
+    `said_in`: the messages that withdrew a worker, or let it in, since that last changed; a repeat is one more.
+    `proofs`: what each proxy holds, by its index.
     `known`: all joined proxies were ordered not to send there. `missed`: since when some proxy, or the table of some
     slice, may have missed that order. `barred`: withdrawn and not let in since. `freed`: let in again since this
-    manager began. `doubted`: some proxy may still hold a withdrawal that is over.
+    manager began. `doubted`: some proxy may still hold a withdrawal that is over. `unremembered`: some proxy may hold one
+    of which this life of the manager does not know.
     """
 
     def __init__(self, setup):
@@ -23,17 +51,47 @@
         self.known, self.missed, self.barred, self.freed, self.doubted = set(), {}, set(), set(), set()
         self.came_at = 0  # when a proxy joined or a slice was given last
         self.doubted_since = None
+        self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
+        self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
 
-    def proxy_joined(self, now, may_hold):
-        """`may_hold`: workers whose withdrawal by an earlier life of a manager it may still hold."""
+    def proxy_joined(self, now, proxy, fresh, restarted):
+        """`fresh`: it was started anew. `restarted`: workers that an earlier life of this manager may have withdrawn.
+
+        Returns the last message of this life that it has answered and not forgotten since; 0 for none.
+        """
         self.came_at = now
-        for worker in self.known:
+        # A broken stream takes nothing away that was answered: said again for each that comes back, it would fill the
+        # channel, and tables would wait behind it.
+        proof = None if fresh else self.proofs.get(proxy)
+        unsure = not fresh if proof is None else proof.unsure
+        lacks = {w for w, messages in self.said_in.items() if proof is None or not proof.has(w, messages)}
+        if fresh:
+            lacks -= self.freed
+        latest = proof.latest if proof is not None else 0
+        self.proofs[proxy] = Proof(unsure, lacks, self.messages, self.messages, latest)
+        self.unremembered |= unsure
+        for worker in lacks & self.known:
             self.missed.setdefault(worker, now)
-        self.known = set()
-        self.doubted |= may_hold
+        self.known -= lacks
+        self._doubt(now, lacks & self.freed | (restarted - self.said_in.keys() if unsure else set()))
+        return latest
+
+    def _doubt(self, now, workers):
+        self.doubted |= workers
         if self.doubted and self.doubted_since is None:
             self.doubted_since = now
 
+    def answered(self, proxy, message):
+        """The proxy has all that was sent to it up to that message."""
+        proof = self.proofs.get(proxy)
+        if proof is not None:
+            proof.answered = proof.latest = max(proof.answered, message)
+
+    def came_back(self, now, worker):
+        """The list has it as ready, and had it not: an earlier life of this manager may have withdrawn it."""
+        if self.unremembered and worker not in self.said_in:
+            self._doubt(now, {worker})
+
     def row_given(self, now, worker):
         """A slice came into charge whose table names that worker."""
         self.came_at = now
@@ -50,16 +108,25 @@
         for the repeat."""
         since = min(self.missed.values())
         latest = since + self.grace_us - self.transit_most_us - leave_us
-        return min(self.came_at + int(SETTLED * self.grace_us), since + int(TOGETHER * self.grace_us), latest)
+        return min(self._settled_at(self.repeated_at), since + int(TOGETHER * self.grace_us), latest)
+
+    def _settled_at(self, last_at):
+        """When no more proxies are expected; while some come all the time, so long after the last such repeat."""
+        return max(self.came_at + int(SETTLED * self.grace_us), last_at + int(TOGETHER * self.grace_us))
 
     def keep(self, lost):
         """What no table names any more, or is ready, need not be said again."""
         self.missed = {worker: since for worker, since in self.missed.items() if worker in lost}
 
-    def due(self, now, lost, leave_us):
-        """Workers to withdraw now: whom the list caused to be, and whom to withdraw once more, the longest missed first."""
+    def due(self, now, lost, leave_us, few, idle):
+        """Workers to withdraw now: whom the list caused to be, and whom to withdraw once more, the longest missed first.
+
+        `few`: so many lines cost no more than a message of their own; a repeat of no more goes with what goes at once, or
+        with tables where the channel is `idle`.
+        """
         at_once = sorted(lost - self.known - self.missed.keys())
-        if not self.missed or now < self.ripe_at(leave_us):
+        rides = (at_once or idle) and len(self.missed) <= few
+        if not self.missed or not rides and now < self.ripe_at(leave_us):
             return at_once, []
         return at_once, sorted(self.missed, key=lambda worker: (self.missed[worker], worker))
 
@@ -67,10 +134,20 @@
         """Workers that are to be let in once more, for proxies that may have missed it."""
         if not self.doubted:
             return set()
-        ripe_at = min(self.came_at + SETTLED * self.grace_us, self.doubted_since + TOGETHER * self.grace_us)
+        ripe_at = min(self._settled_at(self.let_in_again_at), self.doubted_since + TOGETHER * self.grace_us)
         return self.doubted & usable if now >= ripe_at else set()
 
-    def ordered(self, out, back):
+    def ordered(self, now, out, back):
+        """The next message withdraws `out` and lets in `back`; also to be called for one that does neither."""
+        self.messages += 1
+        if self.missed.keys() & set(out):
+            self.repeated_at = now
+        if self.doubted & set(back):
+            self.let_in_again_at = now
+        for worker in [*out, *back]:
+            changed = (worker in self.barred) != (worker in out) or worker not in self.said_in
+            before = [] if changed else self.said_in[worker]
+            self.said_in[worker] = [*before[:1], *before[1:][-REPEATS_KEPT:], self.messages]
         for worker in out:
             self.missed.pop(worker, None)
         self.known = (self.known | set(out)) - set(back)
@@ -79,6 +156,9 @@
         self.doubted_since = self.doubted_since if self.doubted else None
 
     def forget(self, worker):
+        """It has been gone for long, and has just been let in for whoever is joined."""
+        self.unremembered |= worker in self.barred
         self.missed.pop(worker, None)
+        self.said_in.pop(worker, None)
         for group in (self.known, self.barred, self.freed, self.doubted):
             group.discard(worker)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -461,6 +461,7 @@
         stand.run(6, demand=demand, met=WELL)
         self.assertFalse(any({0, 1, 2} & set(table) for table in stand.sheet.tables.values()))
         del stand.sheet.orders[:]
+        stand.round(("left", 3))
         stand.run(2, demand=demand, met=WELL, each=[("listed", False, [entry(2, started=stand.now)])])
         self.assertEqual(stand.sheet.all("withhold"), [(2, False)])
         # Whether or not a table names it, every proxy answers, or the books would wait for it.
@@ -471,6 +472,11 @@
         self.assertEqual(stand.sheet.all("withhold"), [(2, False)])
         stand.run(3, demand=demand, met=WELL)
         self.assertEqual(len(stand.sheet.all("withhold")), 1)
+        del stand.sheet.orders[:]
+        stand.round(("left", 3))
+        stand.round(("joined", 3, 0, 1.0, False), after=0.5)  # it has answered all that, and keeps it
+        stand.run(3, demand=demand, met=WELL)
+        self.assertEqual((stand.sheet.all("withhold"), stand.sheet.all("mark")), ([], []))
 
     def test_proxies_that_come_back_by_the_dozen_do_not_fill_the_queue(self):
         new = [entry(w, started=(80 + w) * SECOND) for w in range(30)]
