SIGTERM answers what callers have asked before the end; accept is retried sooner

Change: at SIGTERM the links close at once, callers are answered until nobody has asked for 40 ms, 0.4 s at most; who waits in the backlog is accepted; what has come is read, answered and flushed before the close. Nothing is ordered and nothing dialled meanwhile. A shortage at accept held the listener for 200 ms each time; it is retried after 5 ms, then ever later up to 160 ms.

--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -24,6 +24,8 @@
 SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 SHORTAGE_WAIT_US = 50_000
 SHORTAGE_TRIES = 40  # at the start, where nothing else can be done meanwhile
+BACKLOG, ACCEPTS_A_TURN = 512, 64
+ACCEPT_RETRY_US, ACCEPT_RETRY_MOST_US = 5_000, 160_000
 TURN_BUCKET_US = 250  # turns are counted by length in buckets of so much
 
 
@@ -109,12 +111,20 @@
     def _cannot_write(self, reason):
         """The peer has gone. What it had said before is still heard: it may be the answer to the last request."""
         self.out, self.out_size, self.closing = [], 0, True
+        self._read_what_has_come()
+        self._finish(reason)
+
+    def _read_what_has_come(self):
+        """Returns whether the peer has closed its side."""
         try:
-            while self.open and self.reading and (data := self.sock.recv(READ_AT_ONCE)):
+            while self.open and self.reading:
+                data = self.sock.recv(READ_AT_ONCE)
+                if not data:
+                    return True
                 self._hand_on(data)
-        except OSError:  # nothing is left, or the reset once more
+        except OSError:  # nothing is left, or it was reset
             pass
-        self._finish(reason)
+        return False
 
     def write(self, data):
         if not self.open or self.closing:
@@ -161,6 +171,13 @@
             if not self.out:
                 self._finish("closed here")
 
+    def end(self):
+        self._read_what_has_come()
+        self.close()
+        if self.open:
+            self._flush()
+        self._finish("closed here")
+
     def abort(self, reason="aborted"):
         if self.open:
             try:
@@ -252,10 +269,11 @@
     def __init__(self, loop, sock, on_stream):
         self.loop, self.sock, self.on_stream = loop, sock, on_stream
         self.address = sock.getsockname()[:2]
+        self.paused, self.retry_us = False, ACCEPT_RETRY_US
         loop.selector.register(sock, selectors.EVENT_READ, self._ready)
 
     def _ready(self, mask):
-        for _ in range(64):
+        for _ in range(ACCEPTS_A_TURN):
             if self.sock.fileno() < 0:
                 return
             try:
@@ -265,17 +283,29 @@
             except OSError as problem:
                 self.loop.counts[f"accept failed: {reason_of(problem.errno)}"] += 1
                 if problem.errno in SHORTAGE:
-                    self.pause(200_000)  # out of descriptors: spinning on accept would starve everything else
+                    self._pause()
                     return
                 continue  # that caller has gone again; the next may wait behind it
+            self.retry_us = ACCEPT_RETRY_US
             sock.setblocking(False)
             self.on_stream(SocketStream(self.loop, sock, peer[:2]))
 
-    def pause(self, for_us):
+    def take_all(self):
+        """Accept who waits by now, of at most the backlog; they have been told that they are connected."""
+        if not self.paused:
+            for _ in range(BACKLOG // ACCEPTS_A_TURN):
+                self._ready(selectors.EVENT_READ)
+
+    def _pause(self):
+        """Out of descriptors, or of memory: spinning on accept would starve everything else, and a caller waits for each
+        moment that is lost. So it is tried again soon, and less and less often."""
+        self.paused = True
         self.loop.selector.unregister(self.sock)
-        self.loop.after(for_us, self._resume)
+        self.loop.after(self.retry_us, self._resume)
+        self.retry_us = min(ACCEPT_RETRY_MOST_US, self.retry_us * 2)
 
     def _resume(self):
+        self.paused = False
         if self.sock.fileno() >= 0:
             self.loop.selector.register(self.sock, selectors.EVENT_READ, self._ready)
 
@@ -310,7 +340,7 @@
         """Run `callback` later in this turn or early in the next."""
         self.ready.append(callback)
 
-    def listen(self, address, on_stream, backlog=512):
+    def listen(self, address, on_stream, backlog=BACKLOG):
         """Listen on (host, port); port 0 lets the system choose. Raises Refused."""
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         sock = through_shortage(lambda: socket.socket(family, socket.SOCK_STREAM))
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -74,6 +74,10 @@
             self._send(None)
             self._finish("closed here")
 
+    def end(self):
+        self._deliver()
+        self.close()
+
     def abort(self, reason="aborted"):
         if self.open:
             self._send("econnreset")
@@ -137,6 +141,9 @@
     def __init__(self, host, address, on_stream):
         self.host, self.address, self.on_stream = host, address, on_stream
 
+    def take_all(self):
+        pass  # nobody waits to be accepted
+
     def close(self):
         self.host.network.listeners.pop(self.address, None)
 
--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -21,6 +21,9 @@
 from .service import Service  # noqa: E402
 
 
+END_MOST_US = 500_000  # from SIGTERM to the end; the platform kills no sooner than after 0.7 s
+
+
 def main():
     loop, service = Loop(), None
 
@@ -34,8 +37,10 @@
             log("addresses read anew", discovery=service.watch.address, relay=service.relay.address)
 
     def stop():
-        loop.stop()
-        service.close()
+        if service.closing:
+            return
+        loop.after(END_MOST_US, loop.stop)  # whatever happens while callers are answered
+        service.drain(loop.stop)
 
     for number, callback in ((signal.SIGHUP, reload), (signal.SIGTERM, stop), (signal.SIGINT, stop)):
         loop.on_signal(number, callback)
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -1,6 +1,7 @@
 """The manager's address: collectors that join and report, and strangers that are shown out.
 
     Collectors(loop, address, door, counts, heard, strangers_most)
+    collectors.drain(on_done)      # answer what is still asked, for a bounded time, then close; `on_done()` after that
 
 Who has not named its zone within JOIN_US is told NACK and closed, also after a PING; so is who says anything else
 first. Before joining only short frames are read. Where strangers come by hundreds the eldest goes at once, so that
@@ -14,6 +15,8 @@
 JOIN_US = 900_000
 SWEEP_US = 100_000
 SHORT_MOST = 1024  # bytes of a frame before joining
+DRAIN_QUIET_US = 40_000  # the end waits until nobody has asked for so long,
+DRAIN_MOST_US = 400_000  # and for so long at most: the platform kills no sooner than 0.7 s after SIGTERM
 UNREAD_MOST = 128 << 10  # bytes that a caller may leave unread
 ZONE_MOST = 4  # collectors of one zone: the one that has been silent longest gives way, it may be half-open
 
@@ -32,6 +35,7 @@
     def __init__(self, loop, address, door, counts, heard, strangers_most):
         self.loop, self.door, self.counts, self.heard, self.strangers_most = loop, door, counts, heard, strangers_most
         self.strangers, self.collectors = {}, {}
+        self.asked_at = 0  # when somebody last asked for a sign of life
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
         self._sweep()
@@ -96,6 +100,7 @@
 
     def _answer_ping(self, caller):
         self.counts["pings answered"] += 1
+        self.asked_at = self.loop.now()
         caller.stream.write(frames.PONG)
 
     def _zone(self, message):
@@ -140,7 +145,22 @@
             self.counts["reports"] += len(heard)
             self.heard(heard)
 
+    def drain(self, on_done):
+        """For the end of the program: what has been asked is answered first, also on connections that still come."""
+        self.asked_at, latest = self.loop.now(), self.loop.now() + DRAIN_MOST_US
+
+        def weigh():
+            quiet_at = min(self.asked_at + DRAIN_QUIET_US, latest)
+            if self.loop.now() < quiet_at:
+                self.loop.at(quiet_at, weigh)
+                return
+            self.close()
+            on_done()
+        weigh()
+
     def close(self):
+        """An abort would throw away answers that have not left, and make a reset of what lies unread."""
+        self.listener.take_all()
         self.listener.close()
         for caller in [*self.strangers, *self.collectors]:
-            caller.stream.abort("closed here")
+            caller.stream.end()
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -44,6 +44,7 @@
         self.news_link, self.next_link = self._news_link(), None
         self.news_link.dial(address)
         self.timer, self.held_until, self.quiet_timer, self.partial = None, 0, None, False
+        self.closed = False
         self.waits_since = None  # since when orders wait without a break
 
     # News.
@@ -149,7 +150,7 @@
         """Send what is ordered, if the connection is there and no call is in flight."""
         if self.waits_since is None and self.calls.waiting:
             self.waits_since = self.loop.now()
-        if self.calls.in_flight or not self.calls.waiting or self.news.in_snapshot or self._in_phase(Phase.HELD) \
+        if self.closed or self.calls.in_flight or not self.calls.waiting or self.news.in_snapshot or self._in_phase(Phase.HELD) \
                 or self._in_phase(Phase.ASKED):
             return
         if self.loop.now() < self.held_until:
@@ -257,6 +258,7 @@
         return self.news.in_snapshot or self.partial or self.news.rows_follow
 
     def close(self):
+        self.closed = True
         for link in (self.call_link, self.news_link, self.next_link):
             if link is not None:
                 link.close()
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -2,6 +2,7 @@
 
     service = Service(loop, station, door, log)      # listens, dials, runs by itself
     service.move(discovery, relay)                   # other addresses, state kept
+    service.drain(on_done)                           # at the end: answers callers first
     service.close()
 """
 
@@ -47,7 +48,7 @@
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
         self.drains = DrainProgress(log)
         self.rounds, self.longest_us, self.busy_us, self.late_us = 0, 0, 0, 0
-        self.again_in_flight = 0
+        self.again_in_flight, self.closing = 0, False
         self.forget_at = loop.now() + FORGET_US
         loop.after(TELL_US, self._tell)
 
@@ -73,7 +74,7 @@
             self.due.cancel()
             self.due = None
         intake, self.intake = self.intake, []
-        if not intake:
+        if not intake or self.closing:
             return
         if self.relay.stalled or self.taken is None:  # nor is it known to be open before it has taken anything
             intake.insert(0, ("stalled", self.taken))
@@ -178,13 +179,25 @@
                  **dict(sorted({**self.counts, **self.loop.counts}.items())))
 
     def move(self, discovery, relay):
+        if self.closing:
+            return
         self.watch.move(discovery)
         self.relay.move(relay)
 
-    def close(self):
+    def drain(self, on_done):
+        """The end: the links go at once, so that others take over; callers are answered first. Then `on_done()`."""
+        self.closing = True
         self._tell()
         self.log("closing", callers=len(self.collectors.strangers) + len(self.collectors.collectors),
                  unsent=self.collectors.unsent, orders_waiting=len(self.waiting), in_flight=len(self.in_flight))
+        self.watch.close()
+        self.relay.close()
+        self.probes.close()
+        self.collectors.drain(on_done)
+
+    def close(self):
+        """At once, without a word to the log: for who has drained, or cannot wait."""
+        self.closing = True
         self.collectors.close()
         self.watch.close()
         self.relay.close()
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -96,7 +96,7 @@
     def test_a_fault_while_closing_and_a_sigterm_right_behind_a_sighup_end_it_all_the_same(self):
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         code = ("import sys\nfrom ospreyrouter.node import __main__, service\n"
-                "service.Service.close = service.Service.move = lambda *_: {}['fault']\nsys.exit(__main__.main())")
+                "service.Service.drain = service.Service.move = lambda *_: {}['fault']\nsys.exit(__main__.main())")
         process = self.begun(run.split()[1], "-c", code)
         self.until(self.answered)
         process.send_signal(signal.SIGHUP)
