What a caller asked before something unreadable is answered before the close

Cause: FrameReader.feed() raised Unreadable and dropped the messages that had come whole before it, a PING among them; a collector was then aborted with answers unsent. Same class as callers at SIGTERM: read, and closed unanswered.

--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -84,8 +84,15 @@
             # Reports may come right behind the joining: only what comes before it is bound to be short.
             messages = caller.reader.feed(data, SHORT_MOST, lambda message: self._zone(message) is not None)
         except Unreadable as problem:
-            self._show_out(caller, f"unreadable: {problem}")
-            return
+            self._before_joining(caller, problem.before)
+            if caller in self.strangers:
+                self._show_out(caller, f"unreadable: {problem}")
+            elif caller in self.collectors:
+                self._give_up(caller, problem)
+        else:
+            self._before_joining(caller, messages)
+
+    def _before_joining(self, caller, messages):
         for place, message in enumerate(messages):
             if frames.kind_of(message) == "PING":
                 self._answer_ping(caller)
@@ -114,7 +121,7 @@
         if len(same) >= ZONE_MOST:
             eldest = min(same, key=lambda other: other.heard_at)
             del self.collectors[eldest]
-            eldest.stream.abort("too many of one zone")
+            eldest.stream.close()
         caller.zone, caller.heard_at = zone, self.loop.now()
         self.collectors[caller] = True
         self.counts["collectors joined"] += 1
@@ -124,12 +131,17 @@
         try:
             messages = caller.reader.feed(data)
         except Unreadable as problem:
-            self.counts[f"collector unreadable: {problem}"] += 1
-            del self.collectors[caller]
-            caller.stream.abort("unreadable")
+            self._messages(caller, problem.before)
+            self._give_up(caller, problem)
             return
         self._messages(caller, messages)
 
+    def _give_up(self, caller, problem):
+        """What it said before is heard and answered; from here on it cannot be read."""
+        self.counts[f"collector unreadable: {problem}"] += 1
+        del self.collectors[caller]
+        caller.stream.close()
+
     def _messages(self, caller, messages):
         heard = []
         for message in messages:
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -18,7 +18,11 @@
 
 
 class Unreadable(Exception):
-    """The stream cannot be read on from here; the text says why."""
+    """The stream cannot be read on from here; the text says why. `before`: messages that came whole before that."""
+
+    def __init__(self, text, before=()):
+        super().__init__(text)
+        self.before = before
 
 
 class FrameReader:
@@ -35,13 +39,13 @@
         while len(data) - at >= 4:
             size = int.from_bytes(data[at:at + 4], "big")
             if not 1 <= size <= most:
-                raise Unreadable("length")
+                raise Unreadable("length", found)
             if len(data) - at - 4 < size:
                 break
             try:
                 found.append(orjson.loads(data[at + 4:at + 4 + size]))
             except orjson.JSONDecodeError:
-                raise Unreadable("not JSON") from None
+                raise Unreadable("not JSON", found) from None
             at += 4 + size
             most = FRAME_MOST if opens(found[-1]) else most
         self.held = data[at:]
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -57,3 +57,13 @@
             process.send_signal(signal.SIGTERM)
             self.assertEqual(ends(callers, 5), [(frames.PONG, "closed")] * CALLERS)
             self.assertEqual(process.wait(KILL_AFTER_S), 0)
+
+    def test_what_came_before_something_unreadable_is_answered(self):
+        self.started()
+        joined = frames.frame({"msg": "SOURCE", "az": "a"})
+        for said, answers in ((PING + b"GET / HTTP/1.1\r\n\r\n", frames.PONG + frames.NACK), (PING + joined + PING + b"\0" * 9, frames.PONG * 2),
+                              (joined + PING + frames.frame("x")[:4] + b"{{{", frames.PONG)):
+            with self.subTest(said=said):
+                caller, = self.callers(1)
+                caller.sendall(said)
+                self.assertEqual(ends([caller], 3)[0][0], answers)
