A probe that this machine could not send says nothing of the worker

Cause: a dial that failed with EADDRNOTAVAIL, ENETUNREACH, ENOBUFS or EMFILE was told to the decisions as 'unreachable' (probes.py _outcome, manager/service.py outcome_of); two in a row fade a healthy worker to a quarter and move its slices, so others get too full and answer late. Such a probe is counted, not told, and asked again after 0.1 s. The test fails without the change for all four errors.

--- a/ospreyrouter/loop/__init__.py
+++ b/ospreyrouter/loop/__init__.py
@@ -4,9 +4,9 @@
 and a clock that jumps from event to event. Everything above takes a loop as an argument and cannot tell which.
 """
 
-from .real import Loop
+from .real import LOCAL_ERRORS, Loop
 from .streams import Refused, Stream
 from .timers import Timer
 from .virtual import VirtualHost, VirtualNetwork
 
-__all__ = ["Loop", "Refused", "Stream", "Timer", "VirtualHost", "VirtualNetwork"]
+__all__ = ["LOCAL_ERRORS", "Loop", "Refused", "Stream", "Timer", "VirtualHost", "VirtualNetwork"]
--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -20,6 +20,8 @@
 
 READ_AT_ONCE = 256 << 10
 TIMERS_A_TURN = 500
+# A dial that ends so never left this machine: it says nothing of the peer. EHOSTUNREACH is the network's answer.
+LOCAL_ERRORS = ("eaddrnotavail", "enetunreach", "enetdown", "eagain", "emfile", "enfile", "enobufs", "enomem")
 # The system is short of something for a moment: what was asked is asked again, no connection is at fault.
 SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 SHORTAGE_WAIT_US = 50_000
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -19,6 +19,7 @@
 from ..files.reader import fences_text
 from ..intake import Intake
 from ..interface import Outcome
+from ..loop import LOCAL_ERRORS
 from ..policy import Manager
 from ..store import TableStore, list_path, read_list
 from ..store.tables import wall_us
@@ -615,6 +616,9 @@
         def answered(answer):
             del self.probing[worker]
             client.close()
+            if not answer.sent and answer.reason in LOCAL_ERRORS:  # it never left this machine
+                self.counts["probes not sent"] += 1
+                return
             self.core.probed(self.loop.now(), worker, outcome_of(answer), self.loop.now() - began,
                              orca_report(answer.headers.get(ORCA_HEADER)))
             self._soon()
--- a/ospreyrouter/node/probes.py
+++ b/ospreyrouter/node/probes.py
@@ -3,7 +3,8 @@
     probes = Probes(loop, most, counts, reports, life)      # life(worker): its address and start as now listed
     probes.probe(worker, on_done)                           # on_done(outcome, delay_us, report)
 
-A worker has one probe at most, on its way or waiting its turn. One on its way to an earlier life leaves its place to the
+A worker has one probe at most, on its way or waiting its turn. One that this machine could not send says nothing of the
+worker: it is asked again a little later, and nobody is told. One on its way to an earlier life leaves its place to the
 next asking, and what it still brings is not handed on.
 """
 
@@ -11,18 +12,21 @@
 
 from ..door import Malformed
 from ..interface import Outcome
+from ..loop import LOCAL_ERRORS
 from ..web.client import Client
 from .reports import load_report
 
 DIAL_US = 400_000
 ANSWER_US = 700_000
 BODY_MOST = 16 << 10
+UNSENT_WAIT_US = 100_000  # until a probe that this machine could not send is tried again
 
 
 class Probes:
     def __init__(self, loop, most, counts, reports, life):
         self.loop, self.most, self.counts, self.life = loop, most, counts, life
         self.path = "/status/load" if reports else "/health"
+        self.closed = False
         self.open, self.queue = {}, {}  # by worker: the life asked and its connection; whom to tell
 
     def probe(self, worker, on_done):
@@ -50,7 +54,11 @@
                 return  # it has left its place
             del self.open[worker]
             client.close()
-            if self.life(worker) == life:
+            if not answer.sent and answer.reason in LOCAL_ERRORS:
+                # Told as unreachable, it would fade a healthy worker, and its slices would move to others.
+                self.counts[f"probe not sent: {answer.reason}"] += 1
+                self.loop.after(UNSENT_WAIT_US, lambda: self.closed or self.probe(worker, on_done))
+            elif self.life(worker) == life:
                 outcome, report = self._outcome(answer)
                 self.counts[f"probe {outcome.value}"] += 1
                 on_done(outcome, self.loop.now() - began, report)
@@ -76,6 +84,7 @@
         return (Outcome.TIMED_OUT if answer.reason == "timed out" else Outcome.RESET), {}
 
     def close(self):
+        self.closed = True
         self.queue.clear()
         while self.open:
             self.open.popitem()[1][1].abort("closed here")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -106,6 +106,16 @@
                     self.until(lambda: callers, 1)
                 self.assertEqual(left, [])
 
+    def test_callers_are_accepted_soon_after_a_shortage_that_lasts(self):
+        """Each failed accept held the listener for 200 ms, however short the shortage was."""
+        callers = []
+        listener = self.loop.listen(HERE, callers.append)
+        self.addCleanup(listener.close)
+        left = self.failing("accept", *[errno.ENFILE] * 4)
+        with socket.create_connection(listener.address):
+            self.until(lambda: callers, 0.2)
+        self.assertEqual((left, self.loop.counts), ([], {"accept failed: enfile": 4}))
+
     def test_a_start_goes_through_a_shortage_and_not_on_from_a_real_fault(self):
         left = self.failing("listen", errno.ENOBUFS, errno.ENFILE)
         self.loop.listen(HERE, print).close()
@@ -636,6 +646,16 @@
         self.until(lambda: scene.manager.all("listed") and scene.discovery.streams and not scene.service.intake)
         return scene
 
+    def test_a_probe_that_this_machine_cannot_send_says_nothing_of_the_worker(self):
+        for number in (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EMFILE):
+            with self.subTest(errno.errorcode[number]):
+                scene, works, left = self.scene(), socket.socket.connect_ex, [number] * 3
+                with mock.patch.object(socket.socket, "connect_ex", lambda sock, address: left.pop() if left else works(sock, address)):
+                    scene.service.probe(0)
+                    self.until(lambda: scene.manager.all("probed"), 2)
+                self.assertEqual([outcome for _, outcome, *_ in scene.manager.all("probed")], [Outcome.PASSED])
+                self.assertEqual(scene.counts[f"probe not sent: {errno.errorcode[number].lower()}"], 3)
+
     def test_a_probe_held_by_the_worker_while_another_life_is_listed_says_nothing_of_that(self):
         """Another start, another address, both; gone, forgotten and listed again; asked anew by the manager, or not."""
         for name, lists, anew in (
