--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -691,6 +691,9 @@
             waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
         head = self.setup.message_head + 1 + len(self.setup.classes)
         count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
+        # Those heard of just now are the first of a handful: who joins meanwhile gets what is ordered now, unheard of.
+        if self.setup.slices and self.withdrawals.may_be_joining(self.now):
+            count = max(count, self.setup.proxies)
         if self.stalled_at == self.now:  # all who join until then will get what waits
             count = max(count, self.setup.proxies)
             unproven = waiting = max(unproven, count * sum(row[2] for row in self.sent))
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -49,7 +49,7 @@
     def __init__(self, setup):
         self.grace_us, self.transit_most_us = setup.grace_us, setup.transit_most_us
         self.known, self.missed, self.barred, self.freed, self.doubted = set(), {}, set(), set(), set()
-        self.came_at = 0  # when a proxy joined or a slice was given last
+        self.came_at = self.joined_at = 0  # when a proxy joined or a slice was given last; when a proxy did
         self.doubted_since = None
         self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
         self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
@@ -59,7 +59,7 @@
 
         Returns the last message of this life that it has answered and not forgotten since; 0 for none.
         """
-        self.came_at = now
+        self.came_at = self.joined_at = now
         # A broken stream takes nothing away that was answered: said again for each that comes back, it would fill the
         # channel, and tables would wait behind it.
         proof = None if fresh else self.proofs.get(proxy)
@@ -92,6 +92,10 @@
         if self.unremembered and worker not in self.said_in:
             self._doubt(now, {worker})
 
+    def may_be_joining(self, now):
+        """Whether more proxies may have joined than were heard of; so too before the first is."""
+        return not self.proofs or now - self.joined_at < SETTLED * self.grace_us
+
     def row_given(self, now, worker):
         """A slice came into charge whose table names that worker."""
         self.came_at = now
