--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -291,6 +291,9 @@
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
         restarted = {w for w, row in self.workers.items() if row.started is not None}
+        for row in self.sent:  # what was ordered just before may have gone to it, and to those who come with it
+            if self.setup.slices and self.now - row[3] < self.withdrawals.settled_us:
+                row[1] = max(row[1], row[2] * self.setup.proxies)
         # Any message carries the present levels: who has answered one since they were set has them.
         self.greet |= self.withdrawals.proxy_joined(self.now, proxy, fresh, restarted) < self.levels_in
         if not self.setup.slices:
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -14,6 +14,9 @@
 from ..loop import Refused
 
 HEAD_MOST = 32 << 10  # bytes of a request's head
+# For a connection too many, whatever it asks: a reset would leave it without an answer.
+REFUSED_WAIT_US = 500_000
+OVERLOADED = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n"
 
 
 class Request:
@@ -140,11 +143,18 @@
     def _accepted(self, stream):
         if len(self.connections) >= self.connections_most:
             self.counts["too many connections"] += 1
-            stream.start(None, None)
-            stream.abort("too many connections")
+            self._refuse_connection(stream)
             return
         self.connections[Connection(self, stream)] = None
 
+    def _refuse_connection(self, stream):
+        """Answered once it has asked something; given up if it does not soon."""
+        def asked(data):
+            stream.write(OVERLOADED)
+            stream.close()
+        stream.start(asked, None)
+        self.loop.after(REFUSED_WAIT_US, lambda: stream.abort("too many connections"))
+
     def close(self):
         self.listener.close()
         for connection in list(self.connections):
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -48,6 +48,7 @@
 
     def __init__(self, setup):
         self.grace_us, self.transit_most_us = setup.grace_us, setup.transit_most_us
+        self.settled_us = int(SETTLED * setup.grace_us)
         self.known, self.missed, self.barred, self.freed, self.doubted = set(), {}, set(), set(), set()
         self.came_at = self.joined_at = 0  # when a proxy joined or a slice was given last; when a proxy did
         self.doubted_since = None
@@ -93,8 +94,8 @@
             self._doubt(now, {worker})
 
     def may_be_joining(self, now):
-        """Whether more proxies may have joined than were heard of; so too before the first is."""
-        return not self.proofs or now - self.joined_at < SETTLED * self.grace_us
+        """Whether more proxies may have joined than were heard of, for they come in handfuls."""
+        return bool(self.proofs) and now - self.joined_at < self.settled_us
 
     def row_given(self, now, worker):
         """A slice came into charge whose table names that worker."""
@@ -116,7 +117,7 @@
 
     def _settled_at(self, last_at):
         """When no more proxies are expected; while some come all the time, so long after the last such repeat."""
-        return max(self.came_at + int(SETTLED * self.grace_us), last_at + int(TOGETHER * self.grace_us))
+        return max(self.came_at + self.settled_us, last_at + int(TOGETHER * self.grace_us))
 
     def keep(self, lost):
         """What no table names any more, or is ready, need not be said again."""
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -9,7 +9,9 @@
 import time
 
 from ospreyrouter.node import frames
+from ospreyrouter.web import Client, Server
 
+from .peers import HERE, SECOND, LiveCase
 from .program_case import ProgramCase
 
 CALLERS, ROUNDS = 40, 4
@@ -67,3 +69,13 @@
                 caller, = self.callers(1)
                 caller.sendall(said)
                 self.assertEqual(ends([caller], 3)[0][0], answers)
+
+
+class HttpAnswers(LiveCase):
+    def test_a_connection_too_many_is_answered(self):
+        server, answers = Server(self.loop, HERE, lambda request: request.answer(200), connections_most=1), []
+        clients = [Client(self.loop, server.listener.address) for _ in range(2)]
+        for client in clients:
+            client.ask("GET", "/", [], b"", lambda answer: answers.append(answer.status), SECOND)
+            self.until(lambda: len(answers) == clients.index(client) + 1)
+        self.assertEqual(answers, [200, 503])
