Who may still be joining is counted while it may matter, and not kept in the books

Cause: lines counted for all proxies stayed in the books until a later mark was answered, though most of them were not there; withdrawals found no room.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -291,9 +291,6 @@
     def joined(self, proxy, zone, rate, fresh):
         self.proxies.add(proxy)
         restarted = {w for w, row in self.workers.items() if row.started is not None}
-        for row in self.sent:  # what was ordered just before may have gone to it, and to those who come with it
-            if self.setup.slices and self.now - row[3] < self.withdrawals.settled_us:
-                row[1] = max(row[1], row[2] * self.setup.proxies)
         # Any message carries the present levels: who has answered one since they were set has them.
         self.greet |= self.withdrawals.proxy_joined(self.now, proxy, fresh, restarted) < self.levels_in
         if not self.setup.slices:
@@ -407,7 +404,7 @@
         self.stalled_at = self.now
         place = next((k for k, row in enumerate(self.sent) if row[0] == taken), -1)
         for row in self.sent[place + 1:]:
-            row[1], row[3] = max(row[1], row[2] * len(self.proxies)), self.now
+            row[1], row[3], row[5] = max(row[1], row[2] * len(self.proxies)), self.now, len(self.proxies)
 
     # What is made of it.
 
@@ -687,21 +684,26 @@
         """Lines not proven to have left; of these not yet due to; proxies; a message's head; the limit."""
         slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
-        unproven, waiting = sum(row[1] for row in self.sent), 0.0
+        count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
+        # Those heard of just now are the first of a handful: who joins meanwhile gets what is ordered now, unheard of.
+        if self.setup.slices and self.withdrawals.may_be_joining(self.now):
+            count = max(count, self.setup.proxies)
+        unproven, waiting = sum(row[1] + self.lines_for_who_came(row, count) for row in self.sent), 0.0
         for row in self.sent:
             left_at = row[3] + row[4] / self.pace_lines * 1_000_000
             overdue = row[4] and self.now > left_at + self.setup.transit_most_us
             waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
         head = self.setup.message_head + 1 + len(self.setup.classes)
-        count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
-        # Those heard of just now are the first of a handful: who joins meanwhile gets what is ordered now, unheard of.
-        if self.setup.slices and self.withdrawals.may_be_joining(self.now):
-            count = max(count, self.setup.proxies)
         if self.stalled_at == self.now:  # all who join until then will get what waits
             count = max(count, self.setup.proxies)
             unproven = waiting = max(unproven, count * sum(row[2] for row in self.sent))
         return unproven, waiting, count, head, full
 
+    def lines_for_who_came(self, row, count):
+        """Lines of a message to those who were heard of since it was sent, and may have joined before it left."""
+        recent = self.setup.slices and self.now - row[3] < self.withdrawals.together_us
+        return row[2] * max(0, count - row[5]) if recent else 0.0
+
     def send(self, sizes):
         """What changed, as far as the channel drains it: withheld servers first, then the largest change.
 
@@ -804,6 +806,7 @@
             self.number = self.withdrawals.messages % MARKS
             self.orders.mark(self.number, True)
             self.greet = False
-            cost = (head + each) * count
-            self.sent.append([self.number, cost, head + each, self.now, waiting + cost / 2])
+            joined = max(1, len(self.proxies))
+            cost = (head + each) * joined
+            self.sent.append([self.number, cost, head + each, self.now, waiting + cost / 2, joined])
             self.messages.append(self.now)
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -48,7 +48,7 @@
 
     def __init__(self, setup):
         self.grace_us, self.transit_most_us = setup.grace_us, setup.transit_most_us
-        self.settled_us = int(SETTLED * setup.grace_us)
+        self.settled_us, self.together_us = int(SETTLED * setup.grace_us), int(TOGETHER * setup.grace_us)
         self.known, self.missed, self.barred, self.freed, self.doubted = set(), {}, set(), set(), set()
         self.came_at = self.joined_at = 0  # when a proxy joined or a slice was given last; when a proxy did
         self.doubted_since = None
@@ -113,11 +113,11 @@
         for the repeat."""
         since = min(self.missed.values())
         latest = since + self.grace_us - self.transit_most_us - leave_us
-        return min(self._settled_at(self.repeated_at), since + int(TOGETHER * self.grace_us), latest)
+        return min(self._settled_at(self.repeated_at), since + self.together_us, latest)
 
     def _settled_at(self, last_at):
         """When no more proxies are expected; while some come all the time, so long after the last such repeat."""
-        return max(self.came_at + self.settled_us, last_at + int(TOGETHER * self.grace_us))
+        return max(self.came_at + self.settled_us, last_at + self.together_us)
 
     def keep(self, lost):
         """What no table names any more, or is ready, need not be said again."""
@@ -139,7 +139,7 @@
         """Workers that are to be let in once more, for proxies that may have missed it."""
         if not self.doubted:
             return set()
-        ripe_at = min(self._settled_at(self.let_in_again_at), self.doubted_since + TOGETHER * self.grace_us)
+        ripe_at = min(self._settled_at(self.let_in_again_at), self.doubted_since + self.together_us)
         return self.doubted & usable if now >= ripe_at else set()
 
     def ordered(self, now, out, back):
