--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from .assign import assign
+from .channel_books import ChannelBooks
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
 from .withdrawals import Withdrawals
 
@@ -50,7 +51,6 @@
 UNPROVEN = 0.8  # part of the latter that ordinary sends may fill before any is proven to have left
 SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
 FEW = 8  # lines that make a message worth its head
-SLOWEST = 8  # a channel is taken to be at most this many times slower than told
 
 MARKS = 65536  # marks are numbered from 0 to this less 1
 
@@ -192,7 +192,7 @@
         self.linger, self.asked_for, self.since, self.heard_at, self.mean = {}, {}, {}, {}, 0.0
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.urgent, self.window_at, self.tick_at, self.judged_at, self.within = True, 0, 0, 0, frozenset()
-        self.sent, self.number, self.spoken, self.greet, self.answered = [], 0, False, False, 1.0
+        self.books, self.number, self.spoken, self.greet, self.answered = ChannelBooks(setup), 0, False, False, 1.0
         self.list_heard = False  # whether a list has been heard
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
@@ -200,7 +200,7 @@
         self.levels_in = 1  # the first message that carries the levels as they are
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
-        self.messages, self.pace_lines, self.stalled_at, self.surge = [], setup.lines_per_s, None, 0.0
+        self.messages, self.stalled_at, self.surge = [], None, 0.0
         # How many withdrawals wait for room in the channel; when this manager is woken for the next repeat.
         self.withdrawals, self.held_back, self.alarm_at = Withdrawals(setup), 0, 0
 
@@ -242,7 +242,7 @@
     def repeat_leaves_us(self):
         """How long the channel takes for what waits in it and for saying again what was missed."""
         _, waiting, count, head, _ = self.channel()
-        return (waiting + (head + len(self.withdrawals.missed)) * count) / self.pace_lines * 1e6
+        return (waiting + (head + len(self.withdrawals.missed)) * count) / self.books.pace_lines * 1e6
 
     def mind_withdrawals(self):
         """Be woken when a repeat is ripe."""
@@ -381,18 +381,7 @@
 
     def applied(self, proxy, number, delay):
         self.withdrawals.answered(proxy, self.number_of_message(number))
-        # Messages leave in order: whatever was sent before an answered mark has left the channel.
-        place = next((k for k, row in enumerate(self.sent) if row[0] == number), None)
-        if place is not None:
-            self.sent = self.sent[place:]
-            row = self.sent[0]
-            row[1] -= row[2]
-            # The first answer to a mark tells the true pace: what was ahead of it took so long to leave.
-            if row[4]:
-                slow, full = delay - self.setup.transit_us, self.setup.lines_per_s
-                late = slow > self.setup.transit_most_us
-                self.pace_lines = min(full, row[4] / slow * 1_000_000) if late else full
-                row[4] = 0
+        self.books.answered(number, delay)
 
     def number_of_message(self, mark):
         """Which message it was that carried this mark; marks wrap around."""
@@ -402,9 +391,7 @@
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
-        place = next((k for k, row in enumerate(self.sent) if row[0] == taken), -1)
-        for row in self.sent[place + 1:]:
-            row[1], row[3], row[5] = max(row[1], row[2] * len(self.proxies)), self.now, len(self.proxies)
+        self.books.stalled(self.now, taken, len(self.proxies))
 
     # What is made of it.
 
@@ -682,28 +669,18 @@
 
     def channel(self):
         """Lines not proven to have left; of these not yet due to; proxies; a message's head; the limit."""
-        slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
-        self.sent = [row for row in self.sent if self.now - row[3] < slowest + self.setup.transit_most_us]
+        self.books.forget_old(self.now)
         count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
         # Those heard of just now are the first of a handful: who joins meanwhile gets what is ordered now, unheard of.
         if self.setup.slices and self.withdrawals.may_be_joining(self.now):
             count = max(count, self.setup.proxies)
-        unproven, waiting = sum(row[1] + self.lines_for_who_came(row, count) for row in self.sent), 0.0
-        for row in self.sent:
-            left_at = row[3] + row[4] / self.pace_lines * 1_000_000
-            overdue = row[4] and self.now > left_at + self.setup.transit_most_us
-            waiting = unproven if overdue else waiting + row[1] * (row[4] and left_at > self.now)
+        unproven, waiting = self.books.unproven_and_waiting(self.now, count, self.withdrawals.together_us)
         head = self.setup.message_head + 1 + len(self.setup.classes)
         if self.stalled_at == self.now:  # all who join until then will get what waits
             count = max(count, self.setup.proxies)
-            unproven = waiting = max(unproven, count * sum(row[2] for row in self.sent))
+            unproven = waiting = max(unproven, count * self.books.lines_at_each())
         return unproven, waiting, count, head, full
 
-    def lines_for_who_came(self, row, count):
-        """Lines of a message to those who were heard of since it was sent, and may have joined before it left."""
-        recent = self.setup.slices and self.now - row[3] < self.withdrawals.together_us
-        return row[2] * max(0, count - row[5]) if recent else 0.0
-
     def send(self, sizes):
         """What changed, as far as the channel drains it: withheld servers first, then the largest change.
 
@@ -747,11 +724,11 @@
             return
         unproven, waiting, count, head, full = self.channel()
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
-        usual = min(self.setup.queue_lines * USUAL_FILL, self.pace_lines * self.setup.grace_us / 1e6 * SOON)
+        usual = min(self.setup.queue_lines * USUAL_FILL, self.books.pace_lines * self.setup.grace_us / 1e6 * SOON)
         # Where proxies are many the shortest message is more than that, and no table would ever change. It
         # goes alone, if a removal behind it, which waits until enough is proven, still keeps the grace.
         few, after = min((head + FEW) * count, UNPROVEN * full), (head + 1) * count
-        soon = (max(0.0, few + after - full) + after) / self.pace_lines * 1e6 + 2 * self.setup.transit_most_us
+        soon = (max(0.0, few + after - full) + after) / self.books.pace_lines * 1e6 + 2 * self.setup.transit_most_us
         if usual < few and waiting < 0.1 * few and soon < self.setup.grace_us:
             usual = few
         room = self.room()
@@ -806,7 +783,5 @@
             self.number = self.withdrawals.messages % MARKS
             self.orders.mark(self.number, True)
             self.greet = False
-            joined = max(1, len(self.proxies))
-            cost = (head + each) * joined
-            self.sent.append([self.number, cost, head + each, self.now, waiting + cost / 2, joined])
+            self.books.send(self.now, self.number, head + each, waiting, max(1, len(self.proxies)))
             self.messages.append(self.now)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -5,6 +5,7 @@
 from unittest.mock import patch
 
 from ospreyrouter import policy
+from ospreyrouter.channel_books import SentMessage
 from ospreyrouter.interface import LevelKind, Outcome, Repeat, Retry
 from ospreyrouter.policy import Ring
 from tests.helper import DRAINING, GONE, READY, SECOND, Stand, entry, kind
@@ -383,7 +384,7 @@
         stand = Stand(slices=40, proxies=10, lines_per_s=2000.0, queue_lines=4000.0)
         stand.run(6, demand=demand, met=WELL)
         del stand.sheet.orders[:]
-        stand.manager.sent = [[*row[:3], stand.now - row[3], row[4]] for row in sent]
+        stand.manager.books.sent = [SentMessage(*row[:3], stand.now - row[3], row[4], 10) for row in sent]
         stand.manager.linger = {item: 3 if one != 3 else 2 for item, one in stand.manager.linger.items()}
         stand.manager.send(stand.manager.capacities())
         return [item for item, _, _ in stand.sheet.all("line")]
@@ -395,7 +396,7 @@
         for turn in range(6):
             stand.round(("listed", False, [entry(w, DRAINING if w in (turn, turn + 1) else READY)
                                            for w in range(12)]), after=0.5)
-            self.assertLessEqual(sum(row[1] for row in stand.manager.sent), 2000 * policy.URGENT_FILL)
+            self.assertLessEqual(sum(message.unproven for message in stand.manager.books.sent), 2000 * policy.URGENT_FILL)
         lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
         self.assertLessEqual(lines * 10, 2000)
 
@@ -417,7 +418,7 @@
             del stand.sheet.orders[:]
             stand.run(12, demand=EVEN, met=WELL | {1: (40, 38, 0.1)})
             self.assertEqual(bool(stand.sheet.all("line")), goes)
-            self.assertLessEqual(max((row[1] for row in stand.manager.sent), default=0), 0.85 * 10000)
+            self.assertLessEqual(max((message.unproven for message in stand.manager.books.sent), default=0), 0.85 * 10000)
 
     def test_what_waits_for_the_channel_will_go_to_all_who_join_until_then(self):
         # Nor is a call that was never taken, and is repeated when all have come, more than the channel holds.
@@ -484,7 +485,7 @@
         stand.manager.applied = lambda *_: None
         for turn in range(12):
             stand.round(*(("joined", 6 * turn + n, 0, 1.0, False) for n in range(6)), after=0.05)
-            self.assertLessEqual(sum(row[1] for row in stand.manager.sent), 2000 * policy.URGENT_FILL)
+            self.assertLessEqual(sum(message.unproven for message in stand.manager.books.sent), 2000 * policy.URGENT_FILL)
 
     def test_bare_slices_get_one_line_each_before_any_is_written_whole(self):
         both = dict.fromkeys(range(60), {0: 1.0, 1: policy.LINGER})
@@ -507,9 +508,9 @@
         for delay, pace in [(0.3, 2000.0), (5.0, 1000 / 4.8)]:
             stand = Stand(slices=40, proxies=10)
             manager = stand.manager
-            manager.sent = [[7, 300, 100, stand.now, 1000]]
+            manager.books.sent = [SentMessage(7, 300, 100, stand.now, 1000, 10)]
             manager.applied(0, 7, int(delay * SECOND))
-            self.assertAlmostEqual(manager.pace_lines, pace)
+            self.assertAlmostEqual(manager.books.pace_lines, pace)
 
     def test_a_cap_on_messages_is_kept(self):
         stand = Stand(messages_most=6)
