--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -150,8 +150,8 @@
         """Send what is ordered, if the connection is there and no call is in flight."""
         if self.waits_since is None and self.calls.waiting:
             self.waits_since = self.loop.now()
-        if self.closed or self.calls.in_flight or not self.calls.waiting or self.news.in_snapshot or self._in_phase(Phase.HELD) \
-                or self._in_phase(Phase.ASKED):
+        news_is_asked_for = self.news.in_snapshot or self._in_phase(Phase.HELD) or self._in_phase(Phase.ASKED)
+        if self.closed or self.calls.in_flight or not self.calls.waiting or news_is_asked_for:
             return
         if self.loop.now() < self.held_until:
             if self.timer is None:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -175,7 +175,8 @@
                  proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
                  workers=len(self.door.workers), orders_waiting=len(self.waiting),
                  strangers=len(self.collectors.strangers), collectors=len(self.collectors.collectors),
-                 **self._tables_behind(), dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
+                 **self._tables_behind(),
+                 dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
                  **dict(sorted({**self.counts, **self.loop.counts}.items())))
 
     def move(self, discovery, relay):
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -710,7 +710,7 @@
         changes.sort()
         changes += [(True, True, *rest) for later, kept, *rest in changes if not (later and kept)]
         self.withdrawals.keep(lost)
-        _, waiting, count, head, _ = self.channel()
+        unproven, waiting, count, head, full = self.channel()
         idle = bool(changes) and waiting < 0.1 * (head + FEW) * count
         at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us(), head, idle)
         out = at_once + again_out
@@ -722,7 +722,6 @@
             return
         if self.capped(usual=not urgent) or not (changes or urgent or due_back or self.greet):
             return
-        unproven, waiting, count, head, full = self.channel()
         # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
         usual = min(self.setup.queue_lines * USUAL_FILL, self.books.pace_lines * self.setup.grace_us / 1e6 * SOON)
         # Where proxies are many the shortest message is more than that, and no table would ever change. It
@@ -759,11 +758,14 @@
                 lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
-            cost = (spare + each + len(new) + len(old)) * count
-            if later and waiting + cost > usual and each + len(new) + len(old) > riding or unproven + cost > (UNPROVEN * full if later else full) \
-                    or each and spare + each + len(new) + len(old) > longest:
+            more = len(new) + len(old)
+            cost = (spare + each + more) * count
+            waits_long = later and waiting + cost > usual and each + more > riding
+            overfills = unproven + cost > (UNPROVEN * full if later else full)
+            too_long = each and spare + each + more > longest
+            if waits_long or overfills or too_long:
                 break
-            each += len(new) + len(old)
+            each += more
             for w in new:
                 self.orders.line(item, w, lines[w])
             if not self.setup.single_owner:
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -2,8 +2,8 @@
 
 An order goes to all joined proxies, so what one proxy has missed costs a line at each. What it holds is kept when its
 stream breaks: a proxy that comes back has missed only what was ordered after its last answer. A withdrawal that the list
-causes goes at once. One that is only said again, for proxies that have joined since or slices that were given, waits until no
-more of them come, for they come in handfuls: as long as `TOGETHER` of the drain grace, and never so long that the
+causes goes at once. One that is only said again, for proxies that have joined since or slices that were given, waits
+until no more of them come, for they come in handfuls: as long as `TOGETHER` of the drain grace, and never so long that the
 channel could not bring it within the grace, which begins for these proxies and slices when they come.
 """
 
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -63,7 +63,8 @@
     def test_what_came_before_something_unreadable_is_answered(self):
         self.started()
         joined = frames.frame({"msg": "SOURCE", "az": "a"})
-        for said, answers in ((PING + b"GET / HTTP/1.1\r\n\r\n", frames.PONG + frames.NACK), (PING + joined + PING + b"\0" * 9, frames.PONG * 2),
+        for said, answers in ((PING + b"GET / HTTP/1.1\r\n\r\n", frames.PONG + frames.NACK),
+                              (PING + joined + PING + b"\0" * 9, frames.PONG * 2),
                               (joined + PING + frames.frame("x")[:4] + b"{{{", frames.PONG)):
             with self.subTest(said=said):
                 caller, = self.callers(1)
