--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -74,6 +74,7 @@
     print("ready", flush=True)
     log.info("started", name=name)
     loop.run()
+    loop.ignore_signals()
     if calls is not None:
         calls.ended()
     failed = getattr(service, "failed", None)
--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -372,6 +372,12 @@
         self.handlers[number] = callback
         signal.signal(number, lambda *_: None)
 
+    def ignore_signals(self):
+        """For the end of the program: the interpreter gives each handled signal its default back while it ends, and one
+        more of a series would kill it."""
+        for number in self.handlers:
+            signal.signal(number, signal.SIG_IGN)
+
     def _signalled(self, mask):
         for number in os.read(self.pipe[0], 4096):
             if number in self.handlers:
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -120,8 +120,8 @@
         same = [other for other in self.collectors if other.zone == zone]
         if len(same) >= ZONE_MOST:
             eldest = min(same, key=lambda other: other.heard_at)
-            del self.collectors[eldest]
-            eldest.stream.close()
+            eldest.stream.end()  # what it has asked by now is answered
+            self.collectors.pop(eldest, None)
         caller.zone, caller.heard_at = zone, self.loop.now()
         self.collectors[caller] = True
         self.counts["collectors joined"] += 1
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -60,6 +60,15 @@
             self.assertEqual(ends(callers, 5), [(frames.PONG, "closed")] * CALLERS)
             self.assertEqual(process.wait(KILL_AFTER_S), 0)
 
+    def test_signals_in_series_until_it_has_gone_end_it_with_0(self):
+        for _ in range(5):
+            process = self.started()
+            while process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.0001)
+            self.assertEqual(process.returncode, 0)
+
     def test_what_came_before_something_unreadable_is_answered(self):
         self.started()
         joined = frames.frame({"msg": "SOURCE", "az": "a"})
