The test of starved tables replaces servers as fast as a channel can carry; not flaky any more

Traced: the test failed by its own rate, with load or without (5.8 s in one of three runs on an idle machine). It replaced a server each 1.2 s, in the log it was each 3 s. In virtual time with 16 phases: 4.6 to 7.1 s in 12 of them, late in the run and only for lingering replicas, whose lines carry no traffic; some 5,700 lines waited before each message all that time, half of them heads, so the channel had no more to give. The bound stays.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -5,7 +5,7 @@
 A line of that file is a test's whole name, why it fails and the issue it waits for: `tests.test_x.Y.test_z cause (issue 9)`.
 Only those may fail, and they are printed. More than three lines, a line without cause or issue, a listed test that
 passes, and one that does not exist fail the run; so does a run without a test. No file, no exception. A line that begins with
-`flaky:` names a test that failed at times, by the line's rest; it may fail or pass. One that begins with `seen:` tells of a fault that no test here shows, by the command and seed that did; it excuses no test.
+`seen:` tells of a fault that no test here shows, by the command and seed that did; it excuses no test.
 """
 
 import re
@@ -15,7 +15,7 @@
 
 ROOT = Path(__file__).parent.parent
 LINES_MOST = 3
-SEEN, FLAKY = "seen:", "flaky:"
+SEEN = "seen:"
 
 
 def read(text):
@@ -25,7 +25,7 @@
         raise ValueError(f"KNOWN-RED.txt: {len(lines)} lines, {LINES_MOST} at most")
     found = {}
     for line in lines:
-        match = re.fullmatch(r"(?:flaky: )?(tests\.\S+|seen:) (\S.*) \(issue \d+\)", line)
+        match = re.fullmatch(r"(tests\.\S+|seen:) (\S.*) \(issue \d+\)", line)
         if match is None:
             raise ValueError(f"KNOWN-RED.txt: not 'test cause (issue N)': {line}")
         found[match[1] if match[1] != SEEN else line] = line
@@ -41,8 +41,7 @@
     """What fails the run, as lines; nothing where only known tests failed, and all of those did."""
     return [f"failed: {name}" for name in sorted(failed - known.keys())] \
         + [f"KNOWN-RED.txt: no such test: {name}" for name in sorted(known.keys() - ran)] \
-        + [f"KNOWN-RED.txt: passes, take its line out: {name}" for name in sorted((known.keys() & ran) - failed)
-           if not known[name].startswith(FLAKY)] \
+        + [f"KNOWN-RED.txt: passes, take its line out: {name}" for name in sorted((known.keys() & ran) - failed)] \
         + ([] if ran else ["no test ran"])
 
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -13,8 +13,6 @@
     def test_lines(self):
         self.assertEqual(command.read(""), {})
         self.assertEqual(list(command.read("\n".join(map(LINE.format, "abc")) + "\n\n")), [f"tests.test_x.Y.test_{c}" for c in "abc"])
-        flaky = command.read("flaky: " + LINE.format("a"))
-        self.assertEqual((command.verdict(flaky, {"tests.test_x.Y.test_a"}, set()), command.verdict(flaky, {"b"}, {"b"})[0]), ([], "failed: b"))
         told = "seen: a day of the bench, seed 3, broke a rule (issue 9)"
         self.assertEqual(command.tests_of(command.read(told + "\n" + LINE.format("a"))).keys(), {"tests.test_x.Y.test_a"})
         for text in ("seen: a day broke a rule", "\n".join([told] * 4), "\n".join(map(LINE.format, "abcd")), "tests.test_x.Y.test_a", "tests.test_x.Y.test_a because", "a b (issue 9)",
--- a/tests/test_starved_tables.py
+++ b/tests/test_starved_tables.py
@@ -33,7 +33,9 @@
 GRACE_MS = 2_400  # of the settings; the rules allow 300 ms more on sockets
 GRACE_US = (GRACE_MS + 300) * 1000
 STEP_S = 0.1
-REPLACED_EACH = 6  # steps: one comes, then one drains, each 0.6 s
+# Steps between one that comes and one that drains: a server is replaced each 1.6 s. In the log it was each 3 s, with other
+# changes of tables between; much faster than this, tables alone ask for more than the channel carries.
+REPLACED_EACH, STEPS = 8, 400
 CLEARED_WITHIN_S = 4.0  # who drains or is gone leaves at once: the grace, and the way of a table that was just sent
 
 
@@ -75,7 +77,7 @@
     def test_servers_that_have_left_leave_the_tables_while_streams_break_and_come_back(self):
         self.steer()
         ready, away, left_at, longest_us = list(range(SERVERS)), [], {}, 0
-        for step in range(300):
+        for step in range(STEPS):
             if len(away) < 8 and step % 10 < 8:
                 away.append(self.relay.proxies[step * 37 % len(self.relay.proxies)])
                 self.relay.leave(away[-1])
