Who comes back cold is let in only once no table gives it more than it is to have

Found when the change was read again: a server whose withdrawal by an earlier life is in doubt was let in with ordinary sends, whatever the tables held; proxies that held it out kept its former load from it until then. Lettings-in once more now wait for the tables as those of this life do, and where tables name the server they do not wait behind ordinary sends.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -714,8 +714,9 @@
         idle = bool(changes) and waiting < 0.1 * (head + FEW) * count
         at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us(), head, idle)
         out = at_once + again_out
-        again = sorted(sizes.keys() & self.withdrawals.barred)
         due_back = self.withdrawals.due_back(self.now, usable) if self.own else set()  # no table, nobody to reach
+        # Whom tables name and some proxy holds out is missing where its slices are: it does not wait for ordinary sends.
+        again = sorted(sizes.keys() & (self.withdrawals.barred | due_back & named))
         urgent, self.held_back = out or again or changes and not changes[0][0], len(out)
         # A repeat that is to come soon takes all that is not urgent with it: heads of messages would fill the channel.
         if self.withdrawals.missed and not urgent:
@@ -741,7 +742,7 @@
             kept_free = (head + later_out) * count
             full, usual = full - kept_free, max(usual / 2, usual - kept_free, few if waiting < 0.1 * few else 0.0)
         # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
-        back = sorted(due_back)[:max(0, int((usual - waiting) / count - head - len(out)))]
+        back = sorted(due_back - named)[:max(0, int((usual - waiting) / count - head - len(out)))]
         each, spare, longest = len(out) + len(back), head + len(again), self.longest()
         # A repeat that goes anyway takes as many lines of tables with it: were they to wait for a channel that repeats
         # keep busy, they would wait as long as proxies come and go.
@@ -773,8 +774,8 @@
                     self.orders.line(item, w, 0)
             tables[item] = lines
         # Let in again only once no table holds more of it than it is to have: it may have come back cold.
-        again = [w for w in again[:max(0, int((full - unproven) / count - head) - each)]
-                 if all(tables[item].get(w, 0.0) <= due.get(w, 0.0) + 1e-6 for item, due in wanted.items())]
+        heavy = {w for item, due in wanted.items() for w, weight in tables[item].items() if weight > due.get(w, 0.0) + 1e-6}
+        again = [w for w in again[:max(0, int((full - unproven) / count - head) - each)] if w not in heavy]
         back, each = back + again, each + len(again)
         for w in back:
             self.orders.withhold(w, False)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -479,6 +479,20 @@
         stand.run(3, demand=demand, met=WELL)
         self.assertEqual((stand.sheet.all("withhold"), stand.sheet.all("mark")), ([], []))
 
+    def test_who_comes_back_cold_is_let_in_only_once_no_table_gives_it_more_than_it_is_to_have(self):
+        """Proxies may hold out what an earlier life of the manager withdrew: that keeps its former load from it."""
+        stand = Stand(workers=6, slices=60, proxies=12, lines_per_s=400.0, queue_lines=1600.0)
+        stand.run(6, demand=dict.fromkeys(range(60), 3), met=WELL)
+        del stand.sheet.orders[:]
+        stand.round(("listed", False, [entry(0, started=stand.now)]), ("joined", 12, 0, 1.0, False))
+        for _ in range(40):
+            stand.round(after=0.1)
+            wanted = {item: stand.manager.wanted(item) for item in range(60)}
+            heavy = [item for item, table in stand.sheet.tables.items() if table.get(0, 0.0) > wanted[item].get(0, 0.0) + 1e-6]
+            if stand.sheet.all("withhold"):
+                break
+        self.assertEqual((stand.sheet.all("withhold"), heavy), ([(0, False)], []))
+
     def test_proxies_that_come_back_by_the_dozen_do_not_fill_the_queue(self):
         new = [entry(w, started=(80 + w) * SECOND) for w in range(30)]
         stand = Stand(workers=30, slices=60, proxies=1, lines_per_s=1600.0, queue_lines=2000.0, entries=new)
