What was just inherited does not stay on a server that has started anew

Cause: lay() moves nothing while a slice was given less than a window ago, and the standing layout kept every part without a limit, so a server whose restart the list told of within that window kept all its slices until it was over: '17.327 mean=1.1 server 47 warmth=0.37 slices 165 and 365, share 0.99'; it fell over at 18.2 s. Change: within that window cold servers keep no more than their bin; otherwise the margin decides as before.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -617,7 +617,11 @@
             for w, part in (line for parts in placed.values() for line in parts.items()):
                 sums[w] += part
             return sums
-        standing, limits = pack(popularity, bins, held, None, most), dict(bins)
+        # What was just inherited stays for a window: its former owner had reasons that are not known here. But those were
+        # not of a server that has started anew since, and it cannot carry what it had; else the margin decides that.
+        settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
+        stays = None if settled else {w: bins[w] if w in most else float("inf") for w in bins}
+        standing, limits = pack(popularity, bins, held, stays, most), dict(bins)
         for w, load in loads(standing).items():
             # A server that answers well within the quoted time is not too full, whatever the counts say.
             row = self.workers[w]
@@ -625,8 +629,6 @@
                 limits[w] = max(bins[w], load)
         fresh = match(pack(popularity, bins, held, limits, most), bins, held)
         old, new = (max(load / limits[w] for w, load in loads(way).items()) for way in (standing, fresh))
-        # What was just inherited stays for a window: its former owner had reasons that are not known here.
-        settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
         moves = settled and not self.setup.single_owner and new < (1 - MARGIN) * old
         for item, parts in (fresh if moves else standing).items():
             if self.setup.single_owner:
