Packing, sums over time and sockets have modules of their own; what was derived or unused goes

The mark's number repeated the count of messages: it is worked out. A result that nobody used and an unused import go.

--- a/ospreyrouter/helper/calls.py
+++ b/ospreyrouter/helper/calls.py
@@ -7,7 +7,7 @@
 import subprocess
 import sys
 
-from ..loop.real import SocketStream
+from ..loop.sockets import SocketStream
 from .work import Work
 
 
--- a/ospreyrouter/loop/__init__.py
+++ b/ospreyrouter/loop/__init__.py
@@ -4,7 +4,8 @@
 and a clock that jumps from event to event. Everything above takes a loop as an argument and cannot tell which.
 """
 
-from .real import LOCAL_ERRORS, Loop
+from .real import Loop
+from .sockets import LOCAL_ERRORS
 from .streams import Refused, Stream
 from .timers import Timer
 from .virtual import VirtualHost, VirtualNetwork
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -101,7 +101,7 @@
 
 
 class VirtualDial:
-    """A connection on its way up, as `loop.real.Dial`."""
+    """A connection on its way up, as `loop.sockets.Dial`."""
 
     def __init__(self, host, address, timeout_us, on_done):
         self.host, self.address, self.on_done = host, address, on_done
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from random import Random
 
-from ..interface import Outcome, State
+from ..interface import State
 from ..policy import Manager
 from .calls import Calls
 from .collectors import Collectors
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -6,13 +6,12 @@
 match (the mechanism), what is heard, what is made of it, the layout, the sends.
 """
 
-import hashlib
-import heapq
 from random import Random
 
-from .assign import assign
 from .channel_books import ChannelBooks
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
+from .packing import hashed, match, pack
+from .ring import Ring
 from .withdrawals import Withdrawals
 
 WINDOW_US = 2_000_000  # one window of demand; a voluntary new layout is weighed once a window
@@ -21,7 +20,6 @@
 MARGIN = 0.10  # what a new layout must cut off the largest load
 FIRST_BIN = 0.25  # of a full bin, for a server that has just started
 LINGER = 0.01  # share of a lingering replica: enough to retry at, too little to count
-LEAST_PART = 0.25  # of what is left of a slice: a smaller part is not worth a line at every proxy
 SLOTS = 20  # a bin is rounded up to this many parts of a mean bin, so that near-equal servers can swap bins
 BUCKET_US, BUCKETS = 500_000, 4  # what workers did is kept in so many buckets of this length
 LEARN = 0.02  # weight of a new load report in a worker's learned speed: more, and noise moves slices
@@ -57,111 +55,6 @@
 RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
 
 
-class Ring:
-    """Sums in fixed buckets of time, used again in a ring."""
-
-    def __init__(self, span_us, count, width):
-        self.span, self.width, self.at = span_us, width, 0
-        self.rows = [[0.0] * width for _ in range(count)]
-
-    def turn(self, now):
-        """Bring the ring to `now`; buckets that were skipped are empty."""
-        at = now // self.span
-        for step in range(max(self.at + 1, at - len(self.rows) + 1), at + 1):
-            self.rows[step % len(self.rows)] = [0.0] * self.width
-        self.at = max(self.at, at)
-
-    def add(self, now, span, *values):
-        """Add what was counted over the last `span` (0: just now): a sum that waited its turn is no burst."""
-        self.turn(now)
-        span = max(1, span)
-        for back in range(len(self.rows)):
-            low = (self.at - back) * self.span
-            part = (min(now, low + self.span) - max(now - span, low)) / span
-            if part > 0:
-                row = self.row(back)
-                row[:] = [old + value * part for old, value in zip(row, values)]
-
-    def row(self, back):
-        return self.rows[(self.at - back) % len(self.rows)]
-
-
-def pack(popularity, bins, held, limits=None, most=None):
-    """ModifiedBestFit on bins that may already hold parts of slices; returns {slice: {server: part}}.
-
-    What a server holds stays up to its limit, most popular slice first (without limits, all); the rest goes
-    the paper's way: where fewest slots are left after it, else the roomiest is filled, the rest requeued.
-    `most`: the largest slice a server gets part of, as what others refuse comes to it. Ties: first in `bins`.
-    """
-    room, placed, heap, most = dict(bins), {}, [], most or {}
-    limits = {s: float("inf") for s in bins} if limits is None else limits
-    for item in sorted(popularity, key=lambda s: (-popularity[s], s)):
-        total, kept = popularity[item], {}
-        for server, part in sorted(held.get(item, {}).items(), key=lambda line: (-line[1], line[0])):
-            if server not in room:
-                continue
-            want = part * total
-            # A part that does not fit leaves whole, unless it is more than the bin could ever hold.
-            space = room[server] + limits[server] - bins[server] + 1e-9
-            stays = want if want <= space else space if want > limits[server] else 0.0
-            if stays > 0:
-                kept[server] = stays
-                room[server] -= stays
-        placed[item] = kept
-        left = total - sum(kept.values())
-        if left > 1e-9 * total:
-            heapq.heappush(heap, (-left, item))
-    while heap and room:
-        left, item = heapq.heappop(heap)
-        left = -left
-        rest = [s for s in room if popularity[item] <= most.get(s, float("inf"))] or list(room)
-        fits = [s for s in rest if room[s] >= left]
-        server = min(fits, key=room.get) if fits else max(rest, key=room.get)
-        part = left if fits else room[server]
-        if part <= LEAST_PART * left:  # all are near full: the least overfull by it, never a small bin
-            part, server = left, max(rest, key=lambda s: (room[s] - left) / bins[s])
-        placed[item][server] = placed[item].get(server, 0.0) + part
-        room[server] -= part
-        if left - part > 1e-9 * popularity[item]:
-            heapq.heappush(heap, (part - left, item))
-    return placed
-
-
-def match(placed, bins, held):
-    """Deal bins of equal size out among their servers so that the fewest replicas are to be loaded."""
-    groups, goes = {}, {}
-    for server in bins:
-        groups.setdefault(bins[server], []).append(server)
-    content = {server: [] for server in bins}
-    for item, parts in placed.items():
-        for server in parts:
-            content[server].append(item)
-    for group in groups.values():
-        loads = [loads_of_moving(source, group, content[source], held) for source in group]
-        goes.update((group[row], group[column]) for row, column in enumerate(assign(loads)))
-    return {item: {goes[server]: part for server, part in parts.items()} for item, parts in placed.items()}
-
-
-def loads_of_moving(source, targets, content, held):
-    """How many slices each target would have to load to take over the bin of `source`; a tie stays."""
-    already = {}
-    for item in content:
-        for target in held.get(item, ()):
-            already[target] = already.get(target, 0) + 1
-    return [len(content) - already.get(target, 0) - (source == target) * 0.5 for target in targets]
-
-
-def hashed(item, servers):
-    """The server of a slice by rendezvous hashing: the same at every call, spread evenly."""
-    begun = hashlib.blake2b(f"{item}/".encode(), digest_size=8)
-
-    def rank(server):
-        whole = begun.copy()
-        whole.update(str(server).encode())
-        return whole.digest()
-    return min(servers, key=rank)
-
-
 class Worker:
     """One worker as far as this manager knows it."""
 
@@ -192,7 +85,7 @@
         self.linger, self.asked_for, self.since, self.heard_at, self.mean = {}, {}, {}, {}, 0.0
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.urgent, self.window_at, self.tick_at, self.judged_at, self.within = True, 0, 0, 0, frozenset()
-        self.books, self.number, self.spoken, self.greet, self.answered = ChannelBooks(setup), 0, False, False, 1.0
+        self.books, self.spoken, self.greet, self.answered = ChannelBooks(setup), False, False, 1.0
         self.list_heard = False  # whether a list has been heard
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
@@ -785,8 +678,8 @@
             self.withdrawals.ordered(self.now, out, back)
             # To all: who joined may hold levels of before a restart, and any message carries the present
             # ones; and a line that concerns no proxy would never be answered, and wait in the books for long.
-            self.number = self.withdrawals.messages % MARKS
-            self.orders.mark(self.number, True)
+            mark = self.withdrawals.messages % MARKS
+            self.orders.mark(mark, True)
             self.greet = False
-            self.books.send(self.now, self.number, head + each, waiting, max(1, len(self.proxies)))
+            self.books.send(self.now, mark, head + each, waiting, max(1, len(self.proxies)))
             self.messages.append(self.now)
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -14,8 +14,8 @@
 from ..loop import Refused
 
 HEAD_MOST = 32 << 10  # bytes of a request's head
-# For a connection too many, whatever it asks: a reset would leave it without an answer.
-REFUSED_WAIT_US = 500_000
+REFUSED_WAIT_US = 500_000  # for what a connection too many asks
+# The answer to that, whatever it is: a reset would leave it without one.
 OVERLOADED = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n"
 
 
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -7,7 +7,7 @@
 from ospreyrouter import policy
 from ospreyrouter.channel_books import SentMessage
 from ospreyrouter.interface import LevelKind, Outcome, Repeat, Retry
-from ospreyrouter.policy import Ring
+from ospreyrouter.ring import Ring
 from tests.helper import DRAINING, GONE, READY, SECOND, Stand, entry, kind
 
 EVEN = dict.fromkeys(range(8), 20)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from ospreyrouter.policy import match, pack
+from ospreyrouter.packing import match, pack
 
 # popularity, bins, replicas of the least-replica layout: the paper's running example and its kind
 WORKED = [
