--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -52,6 +52,8 @@
 class KnowsNoQueue(Manager):
     """Writes every table anew at each turn, whatever waits."""
 
+    number = 0
+
     def send(self, sizes):
         for item in sorted(self.own):
             for worker in sizes:
