Failing test: requests over HTTP that lie there as SIGTERM is seen end by a reset

Of 40 callers of 'ospreyrouter manager', 20 of them connected before the signal and 20 behind it in the listener, 20 read 'Connection reset by peer' in place of an answer: the service closes its listener and its connections at once.

--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -3,16 +3,23 @@
 answered still in its buffer, and what lay unread in the receive buffer made the end a reset.
 """
 
+import json
 import select
 import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import time
+import unittest
+from pathlib import Path
 
 from ospreyrouter.node import frames
 from ospreyrouter.web import Client, Server
 
 from .peers import HERE, SECOND, LiveCase
-from .program_case import ProgramCase
+from .program_case import ProgramCase, free_address
+from .test_cli import good_deployment
 
 CALLERS, ROUNDS = 40, 4
 KILL_AFTER_S = 0.7  # the platform ends the program outright no sooner than this after SIGTERM
@@ -82,6 +89,12 @@
 
 
 class HttpAnswers(LiveCase):
+    def callers(self, server, count):
+        found = [socket.create_connection(server.address) for _ in range(count)]
+        for caller in found:
+            self.addCleanup(caller.close)
+        return found
+
     def test_a_connection_too_many_is_answered(self):
         server, answers = Server(self.loop, HERE, lambda request: request.answer(200), connections_most=1), []
         clients = [Client(self.loop, server.listener.address) for _ in range(2)]
@@ -89,3 +102,43 @@
             client.ask("GET", "/", [], b"", lambda answer: answers.append(answer.status), SECOND)
             self.until(lambda: len(answers) == clients.index(client) + 1)
         self.assertEqual(answers, [200, 503])
+
+
+class HttpProgram(unittest.TestCase):
+    """`ospreyrouter manager`, told to end while callers wait: for a table of sites, or for a change to be stored."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "deployment.json"
+        self.address = free_address()
+        self.path.write_text(json.dumps(good_deployment(self.address[1])))
+
+    def started(self):
+        process = subprocess.Popen([sys.executable, "-m", "ospreyrouter", "manager", str(self.path), "--name", "manager-0"],
+                                   stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        for last in (process.stdout.close, process.wait, process.kill):
+            self.addCleanup(last)
+        self.assertEqual(process.stdout.readline(), b"ready\n")
+        return process
+
+    def test_each_request_right_before_sigterm_is_answered(self):
+        for attempt in range(3):
+            process = self.started()
+            connected = [socket.create_connection(self.address) for _ in range(CALLERS // 2)]
+            time.sleep(0.05)
+            process.send_signal(signal.SIGSTOP)  # so that all of it lies there when the signal is seen
+            callers = connected + [socket.create_connection(self.address) for _ in range(CALLERS // 2)]
+            for number, caller in enumerate(callers):
+                self.addCleanup(caller.close)
+                change = {"caller": "school", "worker": ["127.0.0.1", number], "on": True, "at": attempt, "key": f"{attempt}.{number}"}
+                caller.sendall(http("POST", "/v3/drains", json.dumps(change).encode()) if number % 2 else http("GET", "/v3/sites"))
+            process.send_signal(signal.SIGTERM)
+            process.send_signal(signal.SIGCONT)
+            answers = ends(callers, 5)
+            self.assertEqual([(data[:9], how) for data, how in answers], [(b"HTTP/1.1 ", "closed")] * CALLERS)
+            self.assertEqual(process.wait(5), 0)
+
+
+def http(method, path, body=b""):
+    return f"{method} {path} HTTP/1.1\r\nhost: here\r\ncontent-length: {len(body)}\r\n\r\n".encode() + body
