The manager that serves HTTP answers its callers before it ends

Cause: ManagerService.close() closed the listener and every connection as SIGTERM was seen; who was in the listener's queue or whose request was unread met a reset, and a change that was being stored lost its answer (20 of 40 requests in the test). web.Server.drain() accepts and reads for 50 ms more, answers what is in work, ends each connection once it is idle, and refuses with 503 what has no answer after 1 s; a manager that ends answers new requests with 503, as does the intake for bodies that wait.

--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -43,8 +43,8 @@
 
 
 def serve(build, log, name, flush=None):
-    """`build(loop)` makes a service with `close()`; runs until SIGTERM or SIGINT. A port in use is bad input.
-    Where `flush` is given the service gets a disk helper too, which flushes or leaves that to the system."""
+    """`build(loop)` makes a service with `drain(on_done)` or `close()`; runs until SIGTERM or SIGINT. A port in use is
+    bad input. Where `flush` is given the service gets a disk helper too, which flushes or leaves that to the system."""
     loop, calls = Loop(), None
     try:
         calls = ProcessCalls(loop, flush) if flush is not None else None
@@ -60,10 +60,16 @@
     except OSError as problem:
         raise BadInput(f"{problem.filename or name}: {problem.strerror}") from None
 
-    def stop():
-        service.close()
+    def stop_soon():
         loop.after(100_000, loop.stop)  # what was said last still goes out
 
+    def stop():
+        if hasattr(service, "drain"):
+            service.drain(stop_soon)
+        else:
+            service.close()
+            stop_soon()
+
     loop.on_signal(signal.SIGTERM, stop)
     loop.on_signal(signal.SIGINT, stop)
     # What was made so far lives as long as the process; and bodies of reports make dictionaries by the thousand
--- a/ospreyrouter/intake/service.py
+++ b/ospreyrouter/intake/service.py
@@ -163,4 +163,8 @@
                 "longest slice us": self.longest_slice_us, "pressure changes": self.pressure.changes}
 
     def close(self):
+        """What has been read and waits for its turn is refused: nobody will take it in."""
         self.closed = True
+        while (entry := self.queue.take()) is not None:
+            _, request, _ = entry
+            request.answer(503, [("retry-after", "1")])
--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -85,10 +85,10 @@
     def _cannot_write(self, reason):
         """The peer has gone. What it had said before is still heard: it may be the answer to the last request."""
         self.out, self.out_size, self.closing = [], 0, True
-        self._read_what_has_come()
+        self.read_now()
         self._finish(reason)
 
-    def _read_what_has_come(self):
+    def read_now(self):
         try:
             while self.open and self.reading and (data := self.sock.recv(READ_AT_ONCE)):
                 self._hand_on(data)
@@ -141,7 +141,7 @@
                 self._finish("closed here")
 
     def end(self):
-        self._read_what_has_come()
+        self.read_now()
         self.close()
         if self.open:
             self._flush()
--- a/ospreyrouter/loop/streams.py
+++ b/ospreyrouter/loop/streams.py
@@ -34,6 +34,10 @@
     def close(self):
         raise NotImplementedError
 
+    def read_now(self):
+        """Hand on what has come by now, without waiting for the loop to notice it."""
+        raise NotImplementedError
+
     def end(self):
         """Hand on what has come by now, send what that was answered with, and close: for the end of the program."""
         raise NotImplementedError
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -74,8 +74,11 @@
             self._send(None)
             self._finish("closed here")
 
-    def end(self):
+    def read_now(self):
         self._deliver()
+
+    def end(self):
+        self.read_now()
         self.close()
 
     def abort(self, reason="aborted"):
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -443,6 +443,9 @@
     # What proxies ask.
 
     def _request(self, request):
+        if self.stopped:
+            request.answer(503, [("retry-after", "1")])
+            return
         if request.path == "/v3/load_stats" and request.method == "POST":
             self.intake.post(request)
             return
@@ -631,10 +634,31 @@
                 "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
                 **self.counts, **self.changes.figures(), "reports": self.intake.figures(), "background": self.background.figures()}
 
+    def drain(self, on_done):
+        """Stop, but answer callers first, also those who wait for a change to be stored; then `on_done()`."""
+        if self.stopped:
+            return
+        self._leave()
+
+        def answered():
+            if self.front is not None:
+                self.front.close()
+            self.calls.close()
+            on_done()
+        self.server.drain(answered)
+
     def close(self):
-        """Stop: slices go to those who live, proxies are let go."""
+        """Stop at once."""
         if self.stopped:
             return
+        self._leave()
+        if self.front is not None:
+            self.front.close()
+        self.server.close()
+        self.calls.close()
+
+    def _leave(self):
+        """Slices go to those who live, proxies are let go."""
         epoch = self.custody.farewell(self.loop.now())
         if epoch is not None:
             self._propose(epoch)
@@ -643,10 +667,6 @@
             self._drop(proxy, "stopped")
         self.intake.close()
         self.hints.close()
-        if self.front is not None:
-            self.front.close()
-        self.server.close()
-        self.calls.close()
 
 
 def outcome_of(answer):
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -2,6 +2,7 @@
 
     Server(loop, address, handle, counts)
     handle(request)      # answer now or later by request.answer(status, headers, body)
+    server.drain(on_done)      # at the end: answers what has been asked, then closes
 
 What is malformed or too large is counted in `counts`, answered if the peer still listens, and that peer alone
 is closed. A request that has been answered, or whose peer is gone, may be answered again without effect.
@@ -15,6 +16,8 @@
 
 HEAD_MOST = 32 << 10  # bytes of a request's head
 REFUSED_WAIT_US = 500_000  # for what a connection too many asks
+DRAIN_QUIET_US = 50_000  # at the end: a request that is under way arrives within so long,
+DRAIN_MOST_US = 1_000_000  # and what has no answer after so long is refused
 # The answer to that, whatever it is: a reset would leave it without one.
 OVERLOADED = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n"
 
@@ -38,7 +41,7 @@
     def __init__(self, server, stream):
         self.server, self.stream, self.http = server, stream, h11.Connection(h11.SERVER, HEAD_MOST)
         self.context, self.on_closed, self.head, self.body, self.size = None, None, None, [], 0
-        self.waiting = False
+        self.in_work = None  # the request that has not been answered yet
         stream.start(self._data, self._closed)
 
     @property
@@ -46,7 +49,7 @@
         return self.stream.open
 
     def _closed(self, reason):
-        self.server.connections.pop(self, None)
+        self.server.forget(self)
         if self.on_closed is not None:
             self.on_closed(reason)
 
@@ -56,7 +59,21 @@
     def abort(self, reason):
         self.stream.abort(reason)
         if self.on_closed is None:
-            self.server.connections.pop(self, None)
+            self.server.forget(self)
+
+    def end_if_idle(self):
+        """For the end of the server: what has come by now is read first, or the close would be a reset."""
+        self.stream.read_now()
+        in_pieces = self.head is not None or self.http.trailing_data[0]
+        if self.in_work is None and not in_pieces:
+            self.stream.close()
+
+    def give_up(self):
+        """For the end of the server: what could not be answered in time is refused."""
+        if self.in_work is not None:
+            self.in_work.answer(503, [("connection", "close"), ("retry-after", "1")])
+        elif self.stream.open:
+            self._refuse(503, "incomplete at the end")
 
     def _refuse(self, status, why):
         self.server.counts[why] += 1
@@ -75,7 +92,7 @@
             self._refuse(getattr(problem, "error_status_hint", 400) or 400, "malformed")
 
     def _events(self):
-        while self.stream.open and not self.waiting:
+        while self.stream.open and self.in_work is None:
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
@@ -100,7 +117,7 @@
                 self.head, self.body = None, []
                 headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
                 request = Request(head.method.decode(), head.target.decode("latin-1"), headers, body, self)
-                self.waiting = True
+                self.in_work = request
                 self.server.counts["requests"] += 1
                 self.server.handle(request)
             elif isinstance(event, h11.ConnectionClosed):
@@ -116,7 +133,7 @@
             data += self.http.send(h11.Data(data=body))
         data += self.http.send(h11.EndOfMessage())
         self.stream.write(data)
-        self.waiting = False
+        self.in_work = None
         if self.http.our_state is h11.MUST_CLOSE:
             self.stream.close()
         elif self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
@@ -128,6 +145,8 @@
             self._events()
         except h11.RemoteProtocolError:
             self._refuse(400, "malformed")
+        if self.server.ending:
+            self.end_if_idle()
 
 
 class Server:
@@ -139,6 +158,12 @@
         self.connections, self.connections_most = {}, connections_most  # in order: a day ends them as it did before
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
+        self.ending, self.on_drained = False, None
+
+    def forget(self, connection):
+        self.connections.pop(connection, None)
+        if self.ending and not self.connections:
+            self._drained()
 
     def _accepted(self, stream):
         if len(self.connections) >= self.connections_most:
@@ -155,6 +180,34 @@
         stream.start(asked, None)
         self.loop.after(REFUSED_WAIT_US, lambda: stream.abort("too many connections"))
 
+    def drain(self, on_done):
+        """For the end of the program: answers what has been asked, also what arrives for a short while, and closes.
+
+        `on_done()` is called once, after DRAIN_MOST_US at the latest; what has no answer by then gets 503.
+        """
+        self.on_drained = on_done
+        self.loop.after(DRAIN_QUIET_US, self._end_idle)
+        self.loop.after(DRAIN_MOST_US, self._end_all)
+
+    def _end_idle(self):
+        self.listener.take_all()
+        self.listener.close()
+        self.ending = True
+        for connection in list(self.connections):
+            connection.end_if_idle()
+        if not self.connections:
+            self._drained()
+
+    def _end_all(self):
+        for connection in list(self.connections):
+            connection.give_up()
+        self._drained()
+
+    def _drained(self):
+        on_drained, self.on_drained = self.on_drained, None
+        if on_drained is not None:
+            on_drained()
+
     def close(self):
         self.listener.close()
         for connection in list(self.connections):
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -1,6 +1,7 @@
 """A caller that asks for a sign of life just before the program is told to end is owed its answer. Of 160 PINGs sent
 0.1 ms before SIGTERM, 26 ended by a reset with nothing read: the program aborted every caller with what it had read and
-answered still in its buffer, and what lay unread in the receive buffer made the end a reset.
+answered still in its buffer, and what lay unread in the receive buffer made the end a reset. The program that serves
+HTTP did the same: of 40 requests that lay there as the signal was seen, 20 ended by a reset.
 """
 
 import json
@@ -103,6 +104,36 @@
             self.until(lambda: len(answers) == clients.index(client) + 1)
         self.assertEqual(answers, [200, 503])
 
+    def test_what_is_in_work_or_on_its_way_when_the_server_drains_is_answered(self):
+        def handle(request):
+            self.loop.after(SECOND // 10, lambda: request.answer(200, [], request.body))
+
+        server, drained = Server(self.loop, HERE, handle), []
+        in_work, in_pieces, unread, idle = self.callers(server, 4)
+        self.loop.run(self.loop.now() + SECOND // 50)
+        in_work.sendall(http("POST", "/", b"in work") + http("POST", "/", b"behind it"))
+        head, body = http("POST", "/", b"in pieces").split(b"\r\n\r\n")
+        in_pieces.sendall(head + b"\r\n\r\n")
+        self.loop.run(self.loop.now() + SECOND // 50)
+        unread.sendall(http("POST", "/", b"unread"))
+        server.drain(lambda: drained.append(self.loop.now()))
+        in_pieces.sendall(body)
+        self.until(lambda: drained)
+        answers = ends([in_work, in_pieces, unread, idle], 1)
+        self.assertEqual([(data.count(b"HTTP/1.1 200"), how) for data, how in answers],
+                         [(2, "closed"), (1, "closed"), (1, "closed"), (0, "closed")])
+        self.assertTrue(all(text in answers[0][0] for text in (b"in work", b"behind it")))
+
+    def test_what_cannot_be_answered_in_time_is_refused_before_the_end(self):
+        server, drained = Server(self.loop, HERE, lambda request: None), []
+        caller, = self.callers(server, 1)
+        caller.sendall(http("GET", "/"))
+        self.loop.run(self.loop.now() + SECOND // 50)
+        server.drain(lambda: drained.append(self.loop.now()))
+        self.until(lambda: drained)
+        (data, how), = ends([caller], 1)
+        self.assertEqual((data[:12], how), (b"HTTP/1.1 503", "closed"))
+
 
 class HttpProgram(unittest.TestCase):
     """`ospreyrouter manager`, told to end while callers wait: for a table of sites, or for a change to be stored."""
