--- a/benchmarks/custody.py
+++ b/benchmarks/custody.py
@@ -143,6 +143,7 @@
             if len(seen) == slices:
                 return (fleet.now - start) / 1000
         return None
+
     for k in range(3, 3 + min(5, managers - 4)):
         fleet.stop(k)
         taken.append(until_owned("death", 10 * LEASE))
@@ -168,11 +169,21 @@
         largest, held = max(largest, fleet.moved - held), fleet.moved
         if fleet.epochs and all(owner == item % managers for item, owner in enumerate(fleet.epochs[-1].owners)):
             break
-    out["return"] = {"s": round((fleet.now - back_at) / 1e6, 2), "largest_move_in_50_ms": largest, "most_without_publisher": bare,
-                     "writes_a_second": round((fleet.writes - writes) / max(1e-6, (fleet.now - back_at) / 1e6), 1)}
+    out["return"] = {
+        "s": round((fleet.now - back_at) / 1e6, 2),
+        "largest_move_in_50_ms": largest,
+        "most_without_publisher": bare,
+        "writes_a_second": round((fleet.writes - writes) / max(1e-6, (fleet.now - back_at) / 1e6), 1),
+    }
     reached = sorted(at for at in taken if at is not None)
-    out |= {"takeover_ms": [taken[0], reached[-1] if reached else None], "never_taken": taken.count(None), "double_owners": double,
-            "epochs": len(fleet.epochs), "epoch_bytes": slices * 24, "cpu_s": round(time.perf_counter() - began, 1)}
+    out |= {
+        "takeover_ms": [taken[0], reached[-1] if reached else None],
+        "never_taken": taken.count(None),
+        "double_owners": double,
+        "epochs": len(fleet.epochs),
+        "epoch_bytes": slices * 24,
+        "cpu_s": round(time.perf_counter() - began, 1),
+    }
     return out
 
 
@@ -187,8 +198,17 @@
     rows = {"strict": measure(managers, slices, options.seed, Custody)}
     with mock.patch.object(custody, "RETURN_STEPS", 1):
         rows["plain"] = measure(managers, slices, options.seed, Plain)
-    print(json.dumps({"managers": managers, "slices": slices, "takeover_p99_ms": rows["strict"]["takeover_ms"][1],
-                      "double_owners": rows["strict"]["double_owners"], **rows}))
+    print(
+        json.dumps(
+            {
+                "managers": managers,
+                "slices": slices,
+                "takeover_p99_ms": rows["strict"]["takeover_ms"][1],
+                "double_owners": rows["strict"]["double_owners"],
+                **rows,
+            }
+        )
+    )
     return 0 if not rows["strict"]["double_owners"] and not rows["strict"]["never_taken"] else 1
 
 
--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -42,16 +42,22 @@
                     left.setdefault((number, worker[1]), loop.now())
                 else:
                     left.pop((number, worker[1]), None)
+
         return changed
+
     for k in range(plan["first"], plan["first"] + plan["count"]):
         mine = {(k * 3 + step * 5) % SLICES: workers for step in range(GROUPS)}
         if k % 10 == 9 and plan["deaf"]:
+
             def connected(stream, reason, k=k, mine=mine):
                 if stream is not None:
                     stream.start(None, None)
                     stream.pause()
-                    groups = tuple(Group(f"lb-{k}", f"slice-{item}", tuple(Member(*row) for row in workers)) for item in mine)
+                    groups = tuple(
+                        Group(f"lb-{k}", f"slice-{item}", tuple(Member(*row) for row in workers)) for item in mine
+                    )
                     stream.write(encode(LbStateRequest(f"lb-{k}"), 1) + encode(RegistrationRequest(groups), 2))
+
             loop.connect(tuple(plan["address"]), 5_000_000, connected)
             continue
         follower = SaspFollower(loop, [tuple(plan["address"])], f"lb-{k}", mine, seed=k)
@@ -82,9 +88,15 @@
                     for _ in range(20_000):
                         worker = one.pick(item)
                         counts[worker] = counts.get(worker, 0) + 1
-                    worst = max(worst, max(abs(counts.get(worker, 0) / 20_000 - weight / sum(weights.values()))
-                                           for worker, weight in weights.items()))
+                    worst = max(
+                        worst,
+                        max(
+                            abs(counts.get(worker, 0) / 20_000 - weight / sum(weights.values()))
+                            for worker, weight in weights.items()
+                        ),
+                    )
             print(json.dumps(worst), flush=True)
+
     parent()
     loop.run()
     return done
@@ -102,19 +114,28 @@
     path.write_text(json.dumps(data))
     loop, processes = Loop(), []
     probes = [Server(loop, ("127.0.0.1", 0), lambda request: request.answer(200)) for _ in range(WORKERS)]
-    specs = [WorkerSpec(f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 4, 4, 1.0, 64, 0.3, 10_000_000, 0, 0)
-             for k in range(WORKERS)]
+    specs = [
+        WorkerSpec(
+            f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 4, 4, 1.0, 64, 0.3, 10_000_000, 0, 0
+        )
+        for k in range(WORKERS)
+    ]
     listing = WorkerListService(loop, setup, specs, Journal(loop), 0)
     try:
+
         def start(*words):
             process = subprocess.Popen([sys.executable, "-m", *words], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
             processes.append(process)
             process.stdout.readline()
             return process
+
         start("benchmarks.size", "--agents", str(path), "--first", "0")
         with open(folder / "manager.log", "wb") as log:
-            manager = subprocess.Popen([sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0", "--seed", "1"],
-                                       stderr=log, stdout=subprocess.DEVNULL)
+            manager = subprocess.Popen(
+                [sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0", "--seed", "1"],
+                stderr=log,
+                stdout=subprocess.DEVNULL,
+            )
         processes.append(manager)
         readers = [TableReader(str(folder / row.folder)) for row in setup.proxies]
         until = loop.now() + 40_000_000
@@ -123,8 +144,14 @@
         loop.run(loop.now() + 4_000_000)
         address = [data["managers"][0]["sasp"]["host"], data["managers"][0]["sasp"]["port"]]
         plan = {"address": address, "workers": [[row.host, row.port] for row in specs], "deaf": deaf}
-        followers = [start("benchmarks.fronts", "--followers", json.dumps(plan | {"first": k, "count": min(A_PROCESS, balancers - k)}))
-                     for k in range(0, balancers, A_PROCESS)]
+        followers = [
+            start(
+                "benchmarks.fronts",
+                "--followers",
+                json.dumps(plan | {"first": k, "count": min(A_PROCESS, balancers - k)}),
+            )
+            for k in range(0, balancers, A_PROCESS)
+        ]
 
         def ask(word, wait_us=200_000):
             loop.run(loop.now() + wait_us)
@@ -140,6 +167,7 @@
                     line += process.stdout.readline() or b""
                 answers.append(json.loads(line))
             return answers
+
         expect = balancers - (balancers // 10 if deaf else 0)
         until = loop.now() + 30_000_000
         while sum(ask("known")) < expect and loop.now() < until:
@@ -154,8 +182,12 @@
                 loop.run(loop.now() + 4_000)
                 for reader in readers:
                     reader.poll()
-                if not any(line.worker == spec.name and spec.name not in row[1] for reader in readers
-                           for row in reader.tables.values() for line in row[0].lines):
+                if not any(
+                    line.worker == spec.name and spec.name not in row[1]
+                    for reader in readers
+                    for row in reader.tables.values()
+                    for line in row[0].lines
+                ):
                     seen = (loop.now() - began) / 1000
             files.append(seen)
             rows = [at for answer in ask(spec.port, 2_500_000) for at in answer]
@@ -166,10 +198,17 @@
         manager.terminate()
         manager.wait(10)
         reached = [at for at in times if at is not None]
-        return {"balancers": balancers, "never_read": balancers // 10 if deaf else 0, "known": known,
-                "p50_ms": round(percentile(reached, 0.5) or 0, 1), "p99_ms": round(percentile(reached, 0.99) or 0, 1),
-                "never_told": len(times) - len(reached), "file_front_ms": [round(at, 1) if at else None for at in files],
-                "share_error_max": round(shares, 4), "rss_mb": memory}
+        return {
+            "balancers": balancers,
+            "never_read": balancers // 10 if deaf else 0,
+            "known": known,
+            "p50_ms": round(percentile(reached, 0.5) or 0, 1),
+            "p99_ms": round(percentile(reached, 0.99) or 0, 1),
+            "never_told": len(times) - len(reached),
+            "file_front_ms": [round(at, 1) if at else None for at in files],
+            "share_error_max": round(shares, 4),
+            "rss_mb": memory,
+        }
     finally:
         for process in processes:
             if process.poll() is None:
@@ -186,15 +225,27 @@
         run_followers(options.followers)
         return 0
     rows = []
-    for balancers, deaf in ((10, False),) if options.short else ((10, False), (10, True), (100, False), (100, True), (500, False), (500, True)):
+    for balancers, deaf in (
+        ((10, False),)
+        if options.short
+        else ((10, False), (10, True), (100, False), (100, True), (500, False), (500, True))
+    ):
         with tempfile.TemporaryDirectory(dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None) as folder:
             rows.append(measure(Path(folder), balancers, deaf))
         print(json.dumps(rows[-1]))
     keyed = lambda part: {f"sasp/{row['balancers']}{'+deaf' if row['never_read'] else ''}": row[part] for row in rows}  # noqa: E731
     files = [at for row in rows for at in row["file_front_ms"] if at is not None]
-    print(json.dumps({"p50_ms": keyed("p50_ms") | {"files/12": percentile(files, 0.5)},
-                      "p99_ms": keyed("p99_ms") | {"files/12": percentile(files, 0.99)}, "sizes": rows, "stalled_others": sum(row["never_told"] for row in rows),
-                      "share_error_max": max(row["share_error_max"] for row in rows)}))
+    print(
+        json.dumps(
+            {
+                "p50_ms": keyed("p50_ms") | {"files/12": percentile(files, 0.5)},
+                "p99_ms": keyed("p99_ms") | {"files/12": percentile(files, 0.99)},
+                "sizes": rows,
+                "stalled_others": sum(row["never_told"] for row in rows),
+                "share_error_max": max(row["share_error_max"] for row in rows),
+            }
+        )
+    )
     return 0 if not sum(row["never_told"] for row in rows) else 1
 
 
--- a/benchmarks/fuzz_sasp.py
+++ b/benchmarks/fuzz_sasp.py
@@ -12,16 +12,38 @@
 import time
 from random import Random
 
-from ospreyrouter.sasp import (BadMessage, DeregistrationRequest, Framer, GetWeightsReply, GetWeightsRequest, Group,
-                               LbStateRequest, Member, MemberState, MemberStateRequest, RegistrationRequest, Reply,
-                               SendWeights, WeightEntry, decode, encode, framing, messages)
+from ospreyrouter.sasp import (
+    BadMessage,
+    DeregistrationRequest,
+    Framer,
+    GetWeightsReply,
+    GetWeightsRequest,
+    Group,
+    LbStateRequest,
+    Member,
+    MemberState,
+    MemberStateRequest,
+    RegistrationRequest,
+    Reply,
+    SendWeights,
+    WeightEntry,
+    decode,
+    encode,
+    framing,
+    messages,
+)
 
 PEOPLE = (Member("10.0.0.1", 80), Member("::1", 81, 6, "label"))
-SEEDS = [RegistrationRequest((Group("lb", "slice-1", PEOPLE),)), DeregistrationRequest((Group("lb", "slice-1", PEOPLE),)),
-         GetWeightsRequest((Group("lb", "slice-1"), Group("lb", "slice-2"))), LbStateRequest("lb", 7, True, True, True),
-         GetWeightsReply(0, 5, (Group("lb", "slice-1", tuple(WeightEntry(one, 7) for one in PEOPLE)),)),
-         SendWeights((Group("lb", "slice-1", tuple(WeightEntry(one, 7) for one in PEOPLE)),)), Reply(0x1015, 0),
-         MemberStateRequest((Group("lb", "slice-1", tuple(MemberState(one, 1, True) for one in PEOPLE)),))]
+SEEDS = [
+    RegistrationRequest((Group("lb", "slice-1", PEOPLE),)),
+    DeregistrationRequest((Group("lb", "slice-1", PEOPLE),)),
+    GetWeightsRequest((Group("lb", "slice-1"), Group("lb", "slice-2"))),
+    LbStateRequest("lb", 7, True, True, True),
+    GetWeightsReply(0, 5, (Group("lb", "slice-1", tuple(WeightEntry(one, 7) for one in PEOPLE)),)),
+    SendWeights((Group("lb", "slice-1", tuple(WeightEntry(one, 7) for one in PEOPLE)),)),
+    Reply(0x1015, 0),
+    MemberStateRequest((Group("lb", "slice-1", tuple(MemberState(one, 1, True) for one in PEOPLE)),)),
+]
 
 
 def lines_of(code, out):
@@ -37,7 +59,7 @@
     out = set()
     for module in (messages, framing):
         for part in vars(module).values():
-            for call in ([part] if hasattr(part, "__code__") else vars(part).values() if isinstance(part, type) else []):
+            for call in [part] if hasattr(part, "__code__") else vars(part).values() if isinstance(part, type) else []:
                 code = getattr(call, "__code__", None)
                 if code and code.co_filename == module.__file__:
                     lines_of(code, out)
@@ -54,12 +76,12 @@
         if kind == 0:
             data[place] = chance.randrange(256)
         elif kind == 1:
-            data[place:place + 2] = chance.choice((0, 1, 3, 4, 255, 256, 65535, len(data))).to_bytes(2, "big")
+            data[place : place + 2] = chance.choice((0, 1, 3, 4, 255, 256, 65535, len(data))).to_bytes(2, "big")
         elif kind == 2:
-            del data[place:place + chance.randint(1, 12)]
+            del data[place : place + chance.randint(1, 12)]
         elif kind == 3:
             start = chance.randrange(len(data))
-            data[place:place] = data[start:start + chance.choice((4, 28, 400))]
+            data[place:place] = data[start : start + chance.choice((4, 28, 400))]
         else:
             data[place] ^= 1 << chance.randrange(8)
     if len(data) >= 13 and chance.random() < 0.8:
@@ -77,6 +99,7 @@
             seen.add((frame.f_code.co_filename, frame.f_lineno))
             return trace
         return None
+
     cases, slowest, refused, end = 0, (0.0, 0), 0, time.monotonic() + seconds
     while time.monotonic() < end and cases < most:
         data, traced, before = mutate(chance.choice(pool), chance), cases % 10 == 0, len(seen)
@@ -99,20 +122,30 @@
             slowest = (took, len(data))
         if len(seen) > before and len(data) < 20_000:
             pool.append(data)
-    return {"cases": cases, "refused": refused, "failures": failures, "lines_run": len(seen & known), "lines": len(known),
-            "coverage": round(len(seen & known) / len(known), 3), "slowest_ms": round(slowest[0] * 1000, 2),
-            "slowest_bytes": slowest[1], "seed": seed}
+    return {
+        "cases": cases,
+        "refused": refused,
+        "failures": failures,
+        "lines_run": len(seen & known),
+        "lines": len(known),
+        "coverage": round(len(seen & known) / len(known), 3),
+        "slowest_ms": round(slowest[0] * 1000, 2),
+        "slowest_bytes": slowest[1],
+        "seed": seed,
+    }
 
 
 def growth():
     """Time to decode by size: a registration of 1,000 to 16,000 members, fed in pieces of 1 KB."""
     out = {}
     for count in (1_000, 4_000, 16_000):
-        groups = tuple(Group("lb", f"slice-{k}", tuple(Member("10.0.0.1", row) for row in range(100))) for k in range(count // 100))
+        groups = tuple(
+            Group("lb", f"slice-{k}", tuple(Member("10.0.0.1", row) for row in range(100))) for k in range(count // 100)
+        )
         data = encode(RegistrationRequest(groups), 1)
         began, framer = time.perf_counter(), Framer(1 << 30)
         for place in range(0, len(data), 1024):
-            for one in framer.feed(data[place:place + 1024]):
+            for one in framer.feed(data[place : place + 1024]):
                 decode(one)
         out[str(count)] = round((time.perf_counter() - began) * 1000, 1)
     return out
--- a/benchmarks/load_reports.py
+++ b/benchmarks/load_reports.py
@@ -27,8 +27,17 @@
 from ospreyrouter.loop import Loop
 from ospreyrouter.rehearse.day import WorkerSpec
 from ospreyrouter.standins import Journal, WorkerListService
-from ospreyrouter.standins.reporters import (JSON, PROTOBUF, ZSTD, Flood, OneReporter, ReporterFleet, Truth, coverage,
-                                             encoded)
+from ospreyrouter.standins.reporters import (
+    JSON,
+    PROTOBUF,
+    ZSTD,
+    Flood,
+    OneReporter,
+    ReporterFleet,
+    Truth,
+    coverage,
+    encoded,
+)
 from ospreyrouter.web import Client, Server
 
 WORKERS, SLICES, INTERVAL_US, A_STREAM, SEED = 78, 400, 2_000_000, 100, 5
@@ -40,7 +49,7 @@
     """[(numbers of reporters that share a stream)] and the form of each stream."""
     groups = [[k] for k in range(min(direct, count))]
     rest = list(range(len(groups), count))
-    return groups, [rest[k:k + A_STREAM] for k in range(0, len(rest), A_STREAM)]
+    return groups, [rest[k : k + A_STREAM] for k in range(0, len(rest), A_STREAM)]
 
 
 def run_fleet(options):
@@ -53,12 +62,18 @@
 
     def made(group):
         return [OneReporter(k, truth, SLICES, SEED, loop.now(), offset=(k % 11 - 5) * 3_000_000) for k in group]
+
     address, fleets = tuple(plan["address"]), []
-    fleets.append(ReporterFleet(loop, address, truth, parts, [made(g) for g in direct[part::of]], JSON, INTERVAL_US, part))
+    fleets.append(
+        ReporterFleet(loop, address, truth, parts, [made(g) for g in direct[part::of]], JSON, INTERVAL_US, part)
+    )
     mine = shared[part::of]
     for place, form in enumerate((JSON, ZSTD, PROTOBUF)):
-        fleets.append(ReporterFleet(loop, address, truth, parts, [made(g) for g in mine[place::3]], form, INTERVAL_US,
-                                    f"{part}/{form}"))
+        fleets.append(
+            ReporterFleet(
+                loop, address, truth, parts, [made(g) for g in mine[place::3]], form, INTERVAL_US, f"{part}/{form}"
+            )
+        )
     if part == 0 and plan["flood"]:
         flood = Flood(loop, address, 200, 10, 1)
         at = plan["start_us"] + round(plan["seconds"] * 0.6e6)
@@ -66,8 +81,17 @@
         loop.at(at + 8_000_000, lambda: flood.control("flood", False))
     print("ready", flush=True)
     loop.run(plan["start_us"] + round(plan["seconds"] * 1e6))
-    print(json.dumps({"sent": sum(one.sent for one in fleets), "refused": sum(one.refused for one in fleets),
-                      "failed": sum(one.failed for one in fleets), "busy": loop.busy_us}), flush=True)
+    print(
+        json.dumps(
+            {
+                "sent": sum(one.sent for one in fleets),
+                "refused": sum(one.refused for one in fleets),
+                "failed": sum(one.failed for one in fleets),
+                "busy": loop.busy_us,
+            }
+        ),
+        flush=True,
+    )
 
 
 def percentile(values, part):
@@ -109,18 +133,28 @@
     path, setup = write_deployment(folder, 12, SLICES, WORKERS)
     loop = Loop()
     probes = [Server(loop, ("127.0.0.1", 0), lambda request: request.answer(200)) for _ in range(WORKERS)]
-    specs = [WorkerSpec(f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 9, 4, 1.0, 64, 0.3, 10_000_000,
-                        0, 0) for k in range(WORKERS)]
+    specs = [
+        WorkerSpec(
+            f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 9, 4, 1.0, 64, 0.3, 10_000_000, 0, 0
+        )
+        for k in range(WORKERS)
+    ]
     listing = WorkerListService(loop, setup, specs, Journal(loop), 0)
     children, manager = [], None
     try:
-        agents = subprocess.Popen([sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", "0", "--no-sums"],
-                                  stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        agents = subprocess.Popen(
+            [sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", "0", "--no-sums"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         children.append(agents)
         agents.stdout.readline()
         with open(folder / "manager.log", "wb") as log:
-            manager = subprocess.Popen([sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0",
-                                        "--seed", "1"], stderr=log, stdout=subprocess.DEVNULL)
+            manager = subprocess.Popen(
+                [sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0", "--seed", "1"],
+                stderr=log,
+                stdout=subprocess.DEVNULL,
+            )
         children.append(manager)
         readers = [TableReader(str(folder / row.folder)) for row in setup.proxies]
         until = loop.now() + 30_000_000
@@ -134,10 +168,23 @@
         start = loop.now() + 4_000_000 + reporters * 300
         truth = Truth(WORKERS, start, seconds, SEED)
         parts = coverage(reporters, truth, SLICES, SEED) if reporters else []
-        plan = {"start_us": start, "seconds": seconds, "parts": parts, "reporters": reporters, "direct": direct, "of": processes,
-                "address": list(setup.managers[0].listen.pair), "flood": flood}
-        fleets = [subprocess.Popen([sys.executable, "-m", "benchmarks.load_reports", "--fleet", json.dumps(plan | {"part": k})],
-                                   stdout=subprocess.PIPE) for k in range(processes if reporters else 0)]
+        plan = {
+            "start_us": start,
+            "seconds": seconds,
+            "parts": parts,
+            "reporters": reporters,
+            "direct": direct,
+            "of": processes,
+            "address": list(setup.managers[0].listen.pair),
+            "flood": flood,
+        }
+        fleets = [
+            subprocess.Popen(
+                [sys.executable, "-m", "benchmarks.load_reports", "--fleet", json.dumps(plan | {"part": k})],
+                stdout=subprocess.PIPE,
+            )
+            for k in range(processes if reporters else 0)
+        ]
         children += fleets
         for fleet in fleets:
             fleet.stdout.readline()
@@ -159,8 +206,12 @@
                 loop.run(loop.now() + 4_000)
                 for reader in readers:
                     reader.poll()
-                if not any(line.worker == name and name not in row[1] for reader in readers
-                           for row in reader.tables.values() for line in row[0].lines):
+                if not any(
+                    line.worker == name and name not in row[1]
+                    for reader in readers
+                    for row in reader.tables.values()
+                    for line in row[0].lines
+                ):
                     seen = (loop.now() - at) / 1000
             drains.append(seen if seen is not None else 8000.0)
             drain(name, "ready")
@@ -172,21 +223,34 @@
         sums = [json.loads(fleet.communicate(timeout=20)[0].splitlines()[-1]) for fleet in fleets]
         manager.terminate()
         manager.wait(10)
-        rows = [orjson.loads(line) for line in (folder / "manager.log").read_bytes().splitlines() if line.startswith(b"{")]
+        rows = [
+            orjson.loads(line) for line in (folder / "manager.log").read_bytes().splitlines() if line.startswith(b"{")
+        ]
         stopped = next(row for row in rows if row["event"] == "stopped")
         figures = next(row for row in rows if row["event"] == "figures")["reports"]
-        return {"reporters": reporters, "streams": len(split(reporters, direct)[0]) + len(split(reporters, direct)[1]),
-                "seconds": seconds, "reports_per_s": round(figures.get("reports", 0) / seconds),
-                "error_p50": round(percentile(watcher.errors, 0.5), 4), "error_p99": round(percentile(watcher.errors, 0.99), 4),
-                "error_max": round(max(watcher.errors, default=0.0), 4), "compared": len(watcher.errors),
-                "worst": sorted(watcher.rows, key=lambda row: -row[2])[:200:20],
-                "truth_late_s": round(percentile(watcher.ages, 0.5), 2),
-                "silent_box_confidence_least": round(min(watcher.silent_confidence, default=1.0), 3),
-                "loop_turn_p99_ms": stopped["turn_p99_us"] / 1000, "longest_turn_ms": stopped["longest_turn_us"] / 1000,
-                "drain_ms": drains, "cpu_part": round(cpu, 3), "rss_mb": memory, "steps": sorted(watcher.steps),
-                "dropped": {name[9:]: count for name, count in figures.items() if name.startswith("dropped: ")},
-                "no_room": figures.get("no room", 0), "longest_slice_ms": figures["longest slice us"] / 1000,
-                "fleet": {"sent": sum(one["sent"] for one in sums), "failed": sum(one["failed"] for one in sums)}}
+        return {
+            "reporters": reporters,
+            "streams": len(split(reporters, direct)[0]) + len(split(reporters, direct)[1]),
+            "seconds": seconds,
+            "reports_per_s": round(figures.get("reports", 0) / seconds),
+            "error_p50": round(percentile(watcher.errors, 0.5), 4),
+            "error_p99": round(percentile(watcher.errors, 0.99), 4),
+            "error_max": round(max(watcher.errors, default=0.0), 4),
+            "compared": len(watcher.errors),
+            "worst": sorted(watcher.rows, key=lambda row: -row[2])[:200:20],
+            "truth_late_s": round(percentile(watcher.ages, 0.5), 2),
+            "silent_box_confidence_least": round(min(watcher.silent_confidence, default=1.0), 3),
+            "loop_turn_p99_ms": stopped["turn_p99_us"] / 1000,
+            "longest_turn_ms": stopped["longest_turn_us"] / 1000,
+            "drain_ms": drains,
+            "cpu_part": round(cpu, 3),
+            "rss_mb": memory,
+            "steps": sorted(watcher.steps),
+            "dropped": {name[9:]: count for name, count in figures.items() if name.startswith("dropped: ")},
+            "no_room": figures.get("no room", 0),
+            "longest_slice_ms": figures["longest slice us"] / 1000,
+            "fleet": {"sent": sum(one["sent"] for one in sums), "failed": sum(one["failed"] for one in sums)},
+        }
     finally:
         for child in children:
             if child.poll() is None:
@@ -214,10 +278,12 @@
         steps = int(seconds * 4)
         for step in range(1, steps + 1):
             now = step * 250_000
-            for one in fleet[step % 8::8]:
+            for one in fleet[step % 8 :: 8]:
                 for report in decode(encoded([one.report(now, truth, parts)], JSON)[1], "application/json"):
                     if now > bad_at * 1e6:
-                        report.met = [(w, t, t if int(w[7:]) in bad else 0, d, load, b) for w, t, _, d, load, b in report.met]
+                        report.met = [
+                            (w, t, t if int(w[7:]) in bad else 0, d, load, b) for w, t, _, d, load, b in report.met
+                        ]
                     digest.take_in(now, report)
             for line in digest.lines(now):
                 if line[0] == "met":
@@ -235,9 +301,13 @@
                 for rows in believed.values():
                     del rows[:-20]
         out[handover.__name__] = {
-            "error_p50": round(percentile(errors, 0.5), 3), "error_p90": round(percentile(errors, 0.9), 3),
+            "error_p50": round(percentile(errors, 0.5), 3),
+            "error_p90": round(percentile(errors, 0.9), 3),
             "reaction_s_p50": round(percentile(list(heard.values()), 0.5), 2),
-            "reaction_s_max": round(max(heard.values(), default=seconds), 2), "heard": len(heard), "of": len(bad)}
+            "reaction_s_max": round(max(heard.values(), default=seconds), 2),
+            "heard": len(heard),
+            "of": len(bad),
+        }
     return out
 
 
@@ -249,8 +319,10 @@
     digest, spent, told = new_digest(Handover, 500.0), 0.0, 0
     for turn in range(1, rounds + 1):
         now = turn * INTERVAL_US
-        bodies = [encoded([one.report(now, truth, parts) for one in fleet[k:k + A_STREAM]], JSON)[1]
-                  for k in range(0, reporters, A_STREAM)]
+        bodies = [
+            encoded([one.report(now, truth, parts) for one in fleet[k : k + A_STREAM]], JSON)[1]
+            for k in range(0, reporters, A_STREAM)
+        ]
         began = time.process_time()
         for body in bodies:
             for report in decode(body, "application/json"):
@@ -279,14 +351,19 @@
         (Path(folder) / "quiet").mkdir()
         quiet = on_sockets(Path(folder) / "quiet", 0, 0, 12.0 if options.short else 20.0, 0, False)
     with tempfile.TemporaryDirectory(dir=temporary) as folder:
-        result = on_sockets(Path(folder), options.reporters, options.direct, options.seconds, 1 if options.short else 4, True)
+        result = on_sockets(
+            Path(folder), options.reporters, options.direct, options.seconds, 1 if options.short else 4, True
+        )
     sizes = (300, 1000) if options.short else (1000, 3000, 10_000, 30_000)
     costs = {str(count): cost(count) for count in sizes}
     compared = side_by_side(200 if options.short else 1000, 24.0 if options.short else 40.0, 150.0)
     if options.plot:
         plot(costs, options.plot)
-    result |= {"drain_reaction_ms": {"without": quiet["drain_ms"], "with": result.pop("drain_ms")},
-               "handover": compared, "cpu_by_reporters": costs}
+    result |= {
+        "drain_reaction_ms": {"without": quiet["drain_ms"], "with": result.pop("drain_ms")},
+        "handover": compared,
+        "cpu_by_reporters": costs,
+    }
     print(json.dumps(result))
     good = result["error_p99"] <= (0.2 if options.short else 0.05) and max(result["drain_reaction_ms"]["with"]) < 2000
     return 0 if good else 1
@@ -294,8 +371,10 @@
 
 def plot(costs, path):
     import matplotlib
+
     matplotlib.use("Agg")
     from matplotlib import pyplot
+
     figure, axes = pyplot.subplots(figsize=(6, 4))
     counts = [int(count) for count in costs]
     axes.loglog(counts, list(costs.values()), "o-")
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -45,17 +45,34 @@
 def write_deployment(folder, proxies, slices, workers):
     ports = iter(free_ports(proxies + 2))
     zones = ["a", "b", "c"]
-    kinds = [{"name": "look-up", "quoted_s": 1.2, "client_timeout_s": 3.0, "repeat": "safe"},
-             {"name": "order", "quoted_s": 1.2, "client_timeout_s": 4.0, "utility": 3.0, "repeat": "keyed", "dedup_s": 4.0}]
-    setup = DeploymentFile.model_validate({
-        "zones": zones, "slices": slices, "classes": kinds, "store": "store",
-        "managers": [{"name": "manager-0", "zone": "a", "listen": {"port": next(ports)}}],
-        "proxies": [{"name": f"proxy-{k}", "zone": zones[k % 3], "agent": {"port": next(ports)},
-                     "folder": f"proxies/{k}", "usual_per_s": 6.0} for k in range(proxies)],
-        "worker_list": {"listen": {"port": next(ports)}, "wait_s": 5.0},
-        "channel": {"lines_per_s": 8000.0, "queue_lines": 8000.0, "transit_s": 0.1,
-                    "transit_most_s": 0.5},
-        "rules": {"drain_grace_s": 2.0}, "reports": {"period_s": 0.5, "lines_per_s": 500.0}, "flush": False})
+    kinds = [
+        {"name": "look-up", "quoted_s": 1.2, "client_timeout_s": 3.0, "repeat": "safe"},
+        {"name": "order", "quoted_s": 1.2, "client_timeout_s": 4.0, "utility": 3.0, "repeat": "keyed", "dedup_s": 4.0},
+    ]
+    setup = DeploymentFile.model_validate(
+        {
+            "zones": zones,
+            "slices": slices,
+            "classes": kinds,
+            "store": "store",
+            "managers": [{"name": "manager-0", "zone": "a", "listen": {"port": next(ports)}}],
+            "proxies": [
+                {
+                    "name": f"proxy-{k}",
+                    "zone": zones[k % 3],
+                    "agent": {"port": next(ports)},
+                    "folder": f"proxies/{k}",
+                    "usual_per_s": 6.0,
+                }
+                for k in range(proxies)
+            ],
+            "worker_list": {"listen": {"port": next(ports)}, "wait_s": 5.0},
+            "channel": {"lines_per_s": 8000.0, "queue_lines": 8000.0, "transit_s": 0.1, "transit_most_s": 0.5},
+            "rules": {"drain_grace_s": 2.0},
+            "reports": {"period_s": 0.5, "lines_per_s": 500.0},
+            "flush": False,
+        }
+    )
     path = folder / "deployment.json"
     path.write_text(setup.model_dump_json())
     return path, setup
@@ -88,8 +105,10 @@
 def swapped(reader, folder):
     """As a proxy reads after a swap. When the draining worker has no line left is noted beside the files."""
     reader.poll()
-    note, usable = os.path.join(folder, "let-go"), any(
-        line.worker == GONE and GONE not in row[1] for row in reader.tables.values() for line in row[0].lines)
+    note, usable = (
+        os.path.join(folder, "let-go"),
+        any(line.worker == GONE and GONE not in row[1] for row in reader.tables.values() for line in row[0].lines),
+    )
     if usable and os.path.exists(note):
         os.unlink(note)
     elif not usable and not os.path.exists(note):
@@ -107,7 +126,7 @@
 def run_agents(path, first, most, with_sums=True):
     """A process of agents; ends when its parent closes its standard input."""
     setup, loop = read_deployment(path), Loop()
-    for place in setup.proxies[first:first + most]:
+    for place in setup.proxies[first : first + most]:
         folder = str(Path(path).parent / place.folder)
         os.makedirs(folder, exist_ok=True)
         reader = TableReader(folder)
@@ -119,8 +138,17 @@
             data["node"]["id"] = name
             data["node"]["metadata"] = {"life": "1", "sequence": next(numbers), "sent_us": loop.now()}
             return data
-        FileAgent(loop, setup, place, folder, InlineCalls(loop, Disk(flush=False)), Quiet(),
-                  on_swap=lambda reader=reader, folder=folder: swapped(reader, folder), sums=report if with_sums else None)
+
+        FileAgent(
+            loop,
+            setup,
+            place,
+            folder,
+            InlineCalls(loop, Disk(flush=False)),
+            Quiet(),
+            on_swap=lambda reader=reader, folder=folder: swapped(reader, folder),
+            sums=report if with_sums else None,
+        )
     print("ready", flush=True)
     os.set_blocking(0, False)
 
@@ -131,6 +159,7 @@
                 loop.stop()
         except BlockingIOError:
             pass
+
     parent()
     loop.run()
 
@@ -150,20 +179,32 @@
     path, setup = write_deployment(folder, proxies, slices, workers)
     loop = Loop()
     probes = [Server(loop, ("127.0.0.1", 0), lambda request: request.answer(200)) for _ in range(workers)]
-    specs = [WorkerSpec(f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 9, 4, 1.0, 64, 0.3, 10_000_000,
-                        0, 0) for k in range(workers)]
+    specs = [
+        WorkerSpec(
+            f"worker-{k}", "127.0.0.1", probes[k].address[1], "abc"[k % 3], k % 9, 4, 1.0, 64, 0.3, 10_000_000, 0, 0
+        )
+        for k in range(workers)
+    ]
     write_history(folder, specs, slices)
     listing = WorkerListService(loop, setup, specs, Journal(loop), 0)
     processes = []
     try:
         for first in range(0, proxies, A_PROCESS):
-            processes.append(subprocess.Popen([sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", str(first)],
-                                              stdin=subprocess.PIPE, stdout=subprocess.PIPE))
+            processes.append(
+                subprocess.Popen(
+                    [sys.executable, "-m", "benchmarks.size", "--agents", str(path), "--first", str(first)],
+                    stdin=subprocess.PIPE,
+                    stdout=subprocess.PIPE,
+                )
+            )
         for process in processes:
             process.stdout.readline()
         log = open(folder / "manager.log", "wb")
-        manager = subprocess.Popen([sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0",
-                                    "--seed", "1"], stderr=log, stdout=subprocess.DEVNULL)
+        manager = subprocess.Popen(
+            [sys.executable, "-m", "ospreyrouter", "manager", str(path), "--name", "manager-0", "--seed", "1"],
+            stderr=log,
+            stdout=subprocess.DEVNULL,
+        )
         processes.append(manager)
         readers = [TableReader(str(folder / row.folder)) for row in setup.proxies]
         began = loop.now()
@@ -175,6 +216,7 @@
                 if len(reader.tables) < slices or not all(row[0].lines for row in reader.tables.values()):
                     return False
             return True
+
         while not settled() and loop.now() - began < 60_000_000:
             loop.run(loop.now() + 100_000)
         full_at = (loop.now() - began) / 1e6
@@ -189,13 +231,27 @@
         memory = rss_mb(manager.pid)
         manager.terminate()
         manager.wait(10)
-        rows = [orjson.loads(line) for line in (folder / "manager.log").read_bytes().splitlines() if line.startswith(b"{")]
+        rows = [
+            orjson.loads(line) for line in (folder / "manager.log").read_bytes().splitlines() if line.startswith(b"{")
+        ]
         figures = next(row for row in rows if row["event"] == "figures")
         stopped = next(row for row in rows if row["event"] == "stopped")
-        return {"proxies": proxies, "slices": slices, "workers": workers, "cpu_part": round(cpu, 3), "rss_mb": memory,
-                "longest_turn_ms": stopped["longest_turn_us"] / 1000, "mb_pushed": round(figures.get("bytes pushed", 0) / 1e6, 2),
-                "pushes": figures.get("pushes", 0), "lines_longest": figures["lines_longest"], "all_tables_s": round(full_at, 1),
-                "drain_ms": drained, "joins_put_off": figures.get("joins put off", 0), "reports": figures["reports"].get("reports", 0), "refused": figures["refused"]} | returned
+        return {
+            "proxies": proxies,
+            "slices": slices,
+            "workers": workers,
+            "cpu_part": round(cpu, 3),
+            "rss_mb": memory,
+            "longest_turn_ms": stopped["longest_turn_us"] / 1000,
+            "mb_pushed": round(figures.get("bytes pushed", 0) / 1e6, 2),
+            "pushes": figures.get("pushes", 0),
+            "lines_longest": figures["lines_longest"],
+            "all_tables_s": round(full_at, 1),
+            "drain_ms": drained,
+            "joins_put_off": figures.get("joins put off", 0),
+            "reports": figures["reports"].get("reports", 0),
+            "refused": figures["refused"],
+        } | returned
     finally:
         for process in processes:
             if process.poll() is None:
@@ -210,7 +266,10 @@
         first = None
         for count in range(2):
             picked = [specs[(5 * item + 7 * k + 3 * count) % len(specs)] for k in range(5)]
-            lines = {spec.name: Line(spec.name, spec.host, spec.port, spec.zone, 0.2 + 0.1 * k) for k, spec in enumerate(picked)}
+            lines = {
+                spec.name: Line(spec.name, spec.host, spec.port, spec.zone, 0.2 + 0.1 * k)
+                for k, spec in enumerate(picked)
+            }
             first = successor(first, item, "manager-0", 1, tuple(lines[name] for name in sorted(lines)))
             store.append([first], lambda problem: None)
 
@@ -219,8 +278,9 @@
     """Every slice comes back as a former life had it, at once."""
     loop.run(loop.now() + 3_000_000)
     answers, began = [], loop.now()
-    Client(loop, setup.managers[0].listen.pair).ask("POST", "/v3/rollback", [], orjson.dumps(
-        {"to": "1.1", "key": "size", "hold_s": 30}), answers.append, 30_000_000)
+    Client(loop, setup.managers[0].listen.pair).ask(
+        "POST", "/v3/rollback", [], orjson.dumps({"to": "1.1", "key": "size", "hold_s": 30}), answers.append, 30_000_000
+    )
     while not answers:
         loop.run(loop.now() + 5_000)
     answered = (loop.now() - began) / 1000
@@ -229,10 +289,16 @@
 
     def arrived(reader):
         # The module may have gone on from there: that version or a later one.
-        return due and all(reader.tables[item][0].version >= tuple(int(part) for part in version.split("."))
-                   for item, version in due.items())
-    return {"rolled_back": len(due), "rollback_answer_ms": round(answered),
-            "rollback_last_file_ms": last_read_ms(loop, readers, began, 60, arrived)}
+        return due and all(
+            reader.tables[item][0].version >= tuple(int(part) for part in version.split("."))
+            for item, version in due.items()
+        )
+
+    return {
+        "rolled_back": len(due),
+        "rollback_answer_ms": round(answered),
+        "rollback_last_file_ms": last_read_ms(loop, readers, began, 60, arrived),
+    }
 
 
 def last_read_ms(loop, readers, began, seconds, holds):
--- a/benchmarks/stores.py
+++ b/benchmarks/stores.py
@@ -82,8 +82,13 @@
             written, began = time.perf_counter() - began, time.perf_counter()
             found = len(store.read())
             out[kind.__name__.lower()] = {
-                "write_s": round(written, 3), "read_s": round(time.perf_counter() - began, 3), "versions": found,
-                "mb": round(sum(os.stat(os.path.join(folder, name)).st_blocks for name in os.listdir(folder)) * 512 / 1e6, 1)}
+                "write_s": round(written, 3),
+                "read_s": round(time.perf_counter() - began, 3),
+                "versions": found,
+                "mb": round(
+                    sum(os.stat(os.path.join(folder, name)).st_blocks for name in os.listdir(folder)) * 512 / 1e6, 1
+                ),
+            }
     return out
 
 
--- a/benchmarks/swaps.py
+++ b/benchmarks/swaps.py
@@ -69,11 +69,18 @@
 
 def day():
     kind = {"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 2.0, "repeat": "safe"}
-    return Day.model_validate({
-        "name": "swaps", "seconds": 3000, "slices": SLICES, "classes": [kind],
-        "fleet": {"zones": ["a"], "managers": 1, "proxies": PROXIES, "workers": 4, "cores": 8},
-        "traffic": {"per_s": 60.0, "shares": {"look-up": 1.0}, "work_ms": {"look-up": 20.0}, "retries": 3},
-        "channel": {"lines_per_s": 1e8, "queue_lines": 1e9, "message_head": 1.0}, "custody": {"lease_s": 3.0}})
+    return Day.model_validate(
+        {
+            "name": "swaps",
+            "seconds": 3000,
+            "slices": SLICES,
+            "classes": [kind],
+            "fleet": {"zones": ["a"], "managers": 1, "proxies": PROXIES, "workers": 4, "cores": 8},
+            "traffic": {"per_s": 60.0, "shares": {"look-up": 1.0}, "work_ms": {"look-up": 20.0}, "retries": 3},
+            "channel": {"lines_per_s": 1e8, "queue_lines": 1e9, "message_head": 1.0},
+            "custody": {"lease_s": 3.0},
+        }
+    )
 
 
 def read_until_told(folder):
@@ -99,7 +106,9 @@
 
 
 def start_reader(folder):
-    process = subprocess.Popen([sys.executable, "-m", "benchmarks.swaps", "--reader", str(folder)], stdout=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.swaps", "--reader", str(folder)], stdout=subprocess.PIPE
+    )
     process.stdout.readline()
     return process
 
@@ -126,7 +135,9 @@
             stage.start(name)
         stage.wait_ready(["workers", "list", *proxies])
         calls = ProcessCalls(loop, flush)
-        manager = ManagerService(loop, stage.setup, "manager-0", str(stage.folder / "store"), calls, Quiet(), seed, Restless)
+        manager = ManagerService(
+            loop, stage.setup, "manager-0", str(stage.folder / "store"), calls, Quiet(), seed, Restless
+        )
         plain = manager.core.answered
 
         def answered(now, proxy, mark):
@@ -134,6 +145,7 @@
                 times.append(now - manager.core.marks[mark])
                 done["swaps"] += 1
             plain(now, proxy, mark)
+
         manager.core.answered = answered
         stage.start("clients", "--start-us", str(loop.now() + 3_000_000))
         readers = [start_reader(stage.folder / name) for name in proxies for _ in range(2)]
@@ -150,6 +162,7 @@
                     loop.after(300_000, lambda: stage.start(name))
             if done["swaps"] >= swaps:
                 loop.stop()
+
         look()
         loop.run(loop.now() + round(most_s * 1e6))
         loop.run(loop.now() + 500_000)
@@ -163,10 +176,17 @@
             reader.kill()
         stage.stop_all()
     rows = [row for row in read_journal(stage.folder / "clients.journal") if row["what"] == "transaction"]
-    return {"swaps": done["swaps"], "kills": done["kills"], "reads": sum(row["sets"] for row in seen),
-            "torn_reads": sum(row["torn"] for row in seen), "moments_without": sum(row["without"] for row in seen),
-            "in_force_ms_p50": round(percentile(times, 0.5) / 1000, 2), "in_force_ms_p99": round(percentile(times, 0.99) / 1000, 2),
-            "transactions": len(rows), "refused_for_want_of_a_table": sum(row["how"] == "failed 503" for row in rows)}
+    return {
+        "swaps": done["swaps"],
+        "kills": done["kills"],
+        "reads": sum(row["sets"] for row in seen),
+        "torn_reads": sum(row["torn"] for row in seen),
+        "moments_without": sum(row["without"] for row in seen),
+        "in_force_ms_p50": round(percentile(times, 0.5) / 1000, 2),
+        "in_force_ms_p99": round(percentile(times, 0.99) / 1000, 2),
+        "transactions": len(rows),
+        "refused_for_want_of_a_table": sum(row["how"] == "failed 503" for row in rows),
+    }
 
 
 def in_place(folder, rounds):
@@ -176,8 +196,14 @@
 
     def body(page, weight):
         lines = tuple(Line(f"w{k}", "127.0.0.1", 9, "a", weight) for k in range(4))
-        return dump(response("1.1", CLA, [table_resource(Table(item, "m", (1, 1), lines))
-                                          for item in range(page * 32, page * 32 + 32)]))
+        return dump(
+            response(
+                "1.1",
+                CLA,
+                [table_resource(Table(item, "m", (1, 1), lines)) for item in range(page * 32, page * 32 + 32)],
+            )
+        )
+
     # Another link each time, so that readers look again; the folder behind it is the same.
     (folder / "generations" / "2").symlink_to("1")
     for page in range(2):
@@ -189,7 +215,7 @@
             with open(path, "r+b") as file:
                 for start in range(0, len(data), 4096):
                     file.seek(start)
-                    file.write(data[start:start + 4096])
+                    file.write(data[start : start + 4096])
                     file.flush()
                 file.truncate(len(data))
         beside = folder / "current.new"
@@ -216,12 +242,22 @@
         flushed = whole_path(folder / "flushed", 60 if options.short else 300, 0, True, options.seed, 120)
         (folder / "in-place").mkdir()
         edited = in_place(folder / "in-place", 300 if options.short else 3000)
-    result |= {"flushed_swaps": flushed["swaps"], "flushed_torn_reads": flushed["torn_reads"],
-               "flushed_in_force_ms_p50": flushed["in_force_ms_p50"], "flushed_in_force_ms_p99": flushed["in_force_ms_p99"],
-               "in_place_torn_reads": edited["torn"], "in_place_reads": edited["sets"] + edited["torn"]}
+    result |= {
+        "flushed_swaps": flushed["swaps"],
+        "flushed_torn_reads": flushed["torn_reads"],
+        "flushed_in_force_ms_p50": flushed["in_force_ms_p50"],
+        "flushed_in_force_ms_p99": flushed["in_force_ms_p99"],
+        "in_place_torn_reads": edited["torn"],
+        "in_place_reads": edited["sets"] + edited["torn"],
+    }
     print(json.dumps(result))
-    good = result["swaps"] >= swaps and not result["torn_reads"] and not result["moments_without"] \
-        and not result["flushed_torn_reads"] and result["in_place_torn_reads"] > 0
+    good = (
+        result["swaps"] >= swaps
+        and not result["torn_reads"]
+        and not result["moments_without"]
+        and not result["flushed_torn_reads"]
+        and result["in_place_torn_reads"] > 0
+    )
     return 0 if good else 1
 
 
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -81,8 +81,11 @@
         push = push_of(body, "manager-0")
         if chance.random() < 0.002 and sent is not new and push.tables[0].changed:
             row = push.tables[0].changed[0]
-            push.tables[0] = type(sent)(*(getattr(push.tables[0], name) for name in ("slice", "manager", "version", "base", "target")),
-                                        (Line(row.worker, row.host, row.port, row.zone, row.weight + 1),), push.tables[0].removed)
+            push.tables[0] = type(sent)(
+                *(getattr(push.tables[0], name) for name in ("slice", "manager", "version", "base", "target")),
+                (Line(row.worker, row.host, row.port, row.zone, row.weight + 1),),
+                push.tables[0].removed,
+            )
         began = time.perf_counter()
         try:
             missing = proxy.push(push)[2]
@@ -102,15 +105,25 @@
         if item not in proxy.tables or proxy.tables[item].digest != table.digest:
             late += proxy.read("manager-0", 1, [table]) == {item}  # as the next audit finds and mends it
     wrong = sum(proxy.tables[item].digest != table.digest for item, table in held.items())
-    return {"versions": versions, "delta_part": round(deltas / versions, 3), "mb_with_deltas": round(sizes["delta"] / 1e6, 1),
-            "mb_whole": round(sizes["whole"] / 1e6, 1), "applied_per_s": round(versions / spent), "whole_reads": reads,
-            "refused_as_altered": refused, "mended_by_audit": late, "wrong_final_tables": wrong}
+    return {
+        "versions": versions,
+        "delta_part": round(deltas / versions, 3),
+        "mb_with_deltas": round(sizes["delta"] / 1e6, 1),
+        "mb_whole": round(sizes["whole"] / 1e6, 1),
+        "applied_per_s": round(versions / spent),
+        "whole_reads": reads,
+        "refused_as_altered": refused,
+        "mended_by_audit": late,
+        "wrong_final_tables": wrong,
+    }
 
 
 def on_disk(versions, seed, folder):
     """Recovery time and size by length of history, and after compaction."""
     chance, held, rows, wall = Random(seed), {}, {}, [0]
-    store = TableStore(folder, "manager-0", Direct(Disk(flush=False)), history=History(64, 10**18), wall=lambda: wall[0])
+    store = TableStore(
+        folder, "manager-0", Direct(Disk(flush=False)), history=History(64, 10**18), wall=lambda: wall[0]
+    )
     marks = [versions // 10, versions // 3, versions]
     failed, batch = [], []
     for number in range(1, versions + 1):
@@ -125,15 +138,20 @@
         if number in marks:
             began = time.perf_counter()
             again = TableStore(folder, "manager-1", None, history=History(10**9, 10**18))
-            rows[str(number)] = {"recovery_s": round(time.perf_counter() - began, 2),
-                                 "mb": round(os.path.getsize(store.path) / 1e6, 1)}
+            rows[str(number)] = {
+                "recovery_s": round(time.perf_counter() - began, 2),
+                "mb": round(os.path.getsize(store.path) / 1e6, 1),
+            }
             if digests(again.newest) != digests(held):
                 failed.append("newest differs")
     store.compact()
     began = time.perf_counter()
     again = TableStore(folder, "manager-1", None, history=History(10**9, 10**18))
-    after = {"recovery_s": round(time.perf_counter() - began, 2), "mb": round(os.path.getsize(store.path) / 1e6, 1),
-             "versions": len(again.history.by_digest)}
+    after = {
+        "recovery_s": round(time.perf_counter() - began, 2),
+        "mb": round(os.path.getsize(store.path) / 1e6, 1),
+        "versions": len(again.history.by_digest),
+    }
     if digests(again.newest) != digests(held) or again.damaged or again.history.problems():
         failed.append("after compaction")
     return {"recovery": rows, "after_compaction": after, "store_failures": len(failed)}
@@ -153,7 +171,9 @@
                     for turn in range(turns):
                         tables = []
                         for item in chance.sample(range(5), 2):
-                            held[item] = successor(held.get(item), item, "manager-0", 1, next_lines(held.get(item), chance))
+                            held[item] = successor(
+                                held.get(item), item, "manager-0", 1, next_lines(held.get(item), chance)
+                            )
                             tables.append(held[item])
                         store.append(tables, lambda problem: None)
                         acknowledged.update({table.slice: table for table in tables})
@@ -182,14 +202,35 @@
     for rolled in (False, True):
         troubles = [{"what": "hidden", "at_s": 10.0, "for_s": 8.0, "workers": list(range(0, 16, 2))}]
         troubles += [{"what": "rollback", "at_s": 18.8, "for_s": 10.0, "back_s": 9.5}] if rolled else []
-        day = Day.model_validate({
-            "name": "wrong list", "seconds": 40.0, "seed": seed, "slices": 64, "flush": False,
-            "classes": [{"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 3.0, "repeat": "safe"}],
-            "fleet": {"zones": ["a", "b", "c"], "managers": 2, "proxies": 4, "workers": 16, "cores": 3, "queue": 40,
-                      "list_notice_s": 0.2},
-            "traffic": {"per_s": 250.0, "shares": {"look-up": 1.0}, "work_ms": {"look-up": 160.0}, "keys": 400, "retries": 2},
-            "rules": {"gone_binds": True, "drain_grace_s": 2.0}, "troubles": troubles,
-            "channel": {"lines_per_s": 3000.0, "queue_lines": 3000.0, "transit_s": 0.03}})
+        day = Day.model_validate(
+            {
+                "name": "wrong list",
+                "seconds": 40.0,
+                "seed": seed,
+                "slices": 64,
+                "flush": False,
+                "classes": [{"name": "look-up", "quoted_s": 1.0, "client_timeout_s": 3.0, "repeat": "safe"}],
+                "fleet": {
+                    "zones": ["a", "b", "c"],
+                    "managers": 2,
+                    "proxies": 4,
+                    "workers": 16,
+                    "cores": 3,
+                    "queue": 40,
+                    "list_notice_s": 0.2,
+                },
+                "traffic": {
+                    "per_s": 250.0,
+                    "shares": {"look-up": 1.0},
+                    "work_ms": {"look-up": 160.0},
+                    "keys": 400,
+                    "retries": 2,
+                },
+                "rules": {"gone_binds": True, "drain_grace_s": 2.0},
+                "troubles": troubles,
+                "channel": {"lines_per_s": 3000.0, "queue_lines": 3000.0, "transit_s": 0.03},
+            }
+        )
         with tempfile.TemporaryDirectory(dir="/dev/shm" if os.access("/dev/shm", os.W_OK) else None) as folder:
             account, stage = play_virtually(day, folder)
         start = min(row["asked"] for row in stage.rows if row["what"] == "transaction")
@@ -201,12 +242,18 @@
                 second[1] += row["how"] == "answered" and row["took"] <= 1_000_000
         part = {at: good / asked for at, (asked, good) in seconds.items()}
         usual = sum(part[at] for at in range(4, 10)) / 6
-        back = next((at - 18 for at in range(18, 39) if all(part.get(later, 1.0) >= usual - 0.02 for later in (at, at + 1))), None)
+        back = next(
+            (at - 18 for at in range(18, 39) if all(part.get(later, 1.0) >= usual - 0.02 for later in (at, at + 1))),
+            None,
+        )
         out["with" if rolled else "without"] = {
-            "back_s": back, "usual": round(usual, 3), "worst": round(min(part[at] for at in range(10, 22)), 3),
+            "back_s": back,
+            "usual": round(usual, 3),
+            "worst": round(min(part[at] for at in range(10, 22)), 3),
             "after": round(sum(part[at] for at in range(19, 29)) / 10, 3),
             "rules_broken": sum(row["broken"] for row in account["rules"].values()),
-            "rolled": sum(row["what"] == "rollback" and row["status"] == 200 for row in stage.rows)}
+            "rolled": sum(row["what"] == "rollback" and row["status"] == 200 for row in stage.rows),
+        }
     return out
 
 
@@ -225,12 +272,16 @@
                 reader.poll()
                 wrong += sum(row[0].digest not in published for row in reader.tables.values())
         ways = sorted(row["t"] - int(row["ordered"]) for row in stage.rows if row["what"] == "pushed")
-        out[name] = {"service": account["service"], "rules_broken": sum(row["broken"] for row in account["rules"].values()),
-                     "lines": round(sum(manager.channel.lines_sent for manager in managers)),
-                     "kb_pushed": round(sum(manager.counts["bytes pushed"] for manager in managers) / 1000),
-                     "to_agent_ms_p50": round(ways[len(ways) // 2] / 1000, 1),
-                     "to_agent_ms_p99": round(ways[len(ways) * 99 // 100] / 1000, 1), "wrong_tables": wrong,
-                     "tampered": sum(stage.tampered.values())}
+        out[name] = {
+            "service": account["service"],
+            "rules_broken": sum(row["broken"] for row in account["rules"].values()),
+            "lines": round(sum(manager.channel.lines_sent for manager in managers)),
+            "kb_pushed": round(sum(manager.counts["bytes pushed"] for manager in managers) / 1000),
+            "to_agent_ms_p50": round(ways[len(ways) // 2] / 1000, 1),
+            "to_agent_ms_p99": round(ways[len(ways) * 99 // 100] / 1000, 1),
+            "wrong_tables": wrong,
+            "tampered": sum(stage.tampered.values()),
+        }
     return out
 
 
--- a/ospreyrouter/advice/registry.py
+++ b/ospreyrouter/advice/registry.py
@@ -79,6 +79,7 @@
                 else:
                     rows[name] = GroupState(dict(state.members))
             self.tidy(lb)
+
         return undo
 
     def tidy(self, lb):
@@ -161,8 +162,9 @@
         """Groups to be told: those whose advice is another than the balancer last took; all of them where one is and
         it did not ask for changes only."""
         balancer = self.balancers[lb]
-        changed = [group for group, state in sorted(balancer.groups.items())
-                   if state.said != tuple(self.advice(lb, group))]
+        changed = [
+            group for group, state in sorted(balancer.groups.items()) if state.said != tuple(self.advice(lb, group))
+        ]
         return changed if balancer.only_changes or not changed else sorted(balancer.groups)
 
     def taken(self, lb, group, entries):
@@ -176,8 +178,9 @@
         out = []
         for lb, balancer in sorted(self.balancers.items()):
             for state in balancer.groups.values():
-                if member in state.members and (state.said is None or any(
-                        row[0] == member and row[1] > 0 for row in state.said)):
+                if member in state.members and (
+                    state.said is None or any(row[0] == member and row[1] > 0 for row in state.said)
+                ):
                     out.append(lb)
                     break
         return out
--- a/ospreyrouter/advice/weights.py
+++ b/ospreyrouter/advice/weights.py
@@ -1,6 +1,6 @@
 """Shares as whole weights: their sum is always WHOLE, and a small change moves no other weight.
 
-    weights = steady_weights({worker: share}, held={worker: weight before})
+weights = steady_weights({worker: share}, held={worker: weight before})
 """
 
 WHOLE = 10_000  # what the weights of a group sum up to; 16 bits hold it
@@ -24,9 +24,11 @@
     # is furthest below; never below 1. Names break ties, so equal input gives equal output.
     while rest:
         step = 1 if rest > 0 else -1
-        order = sorted((name for name in weights if weights[name] + step >= 1),
-                       key=lambda name: (step * (weights[name] - exact[name]), name))
-        for name in order[:abs(rest)]:
+        order = sorted(
+            (name for name in weights if weights[name] + step >= 1),
+            key=lambda name: (step * (weights[name] - exact[name]), name),
+        )
+        for name in order[: abs(rest)]:
             weights[name] += step
         rest = whole - sum(weights.values())
     return weights
--- a/ospreyrouter/balancers/service.py
+++ b/ospreyrouter/balancers/service.py
@@ -15,8 +15,23 @@
 
 from ..advice import DrainWatch, Refused, Registry
 from ..changes import Change, Closed
-from ..sasp import (BadMessage, DeregistrationRequest, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest,
-                    Member, MemberStateRequest, RegistrationRequest, Reply, SendWeights, WeightEntry, decode, encode)
+from ..sasp import (
+    BadMessage,
+    DeregistrationRequest,
+    Framer,
+    GetWeightsReply,
+    GetWeightsRequest,
+    Group,
+    LbStateRequest,
+    Member,
+    MemberStateRequest,
+    RegistrationRequest,
+    Reply,
+    SendWeights,
+    WeightEntry,
+    decode,
+    encode,
+)
 from ..sasp import numbers as n
 from .pacing import Admission, Turns
 
@@ -31,10 +46,20 @@
 MESSAGES_PER_S = 200  # of one balancer
 ADMIT_PER_S, ADMIT_BURST = 200, 200
 
-CODES = {"unknown group": n.UNKNOWN_GROUP, "duplicate": n.DUPLICATE, "already registered": n.ALREADY_REGISTERED,
-         "unknown member": n.UNKNOWN_MEMBER, "too many members": n.NOT_ACCEPTED, "too many groups": n.NOT_ACCEPTED}
-REPLIES = {RegistrationRequest: n.REGISTRATION_REPLY, DeregistrationRequest: n.DEREGISTRATION_REPLY,
-           LbStateRequest: n.LB_STATE_REPLY, MemberStateRequest: n.MEMBER_STATE_REPLY}
+CODES = {
+    "unknown group": n.UNKNOWN_GROUP,
+    "duplicate": n.DUPLICATE,
+    "already registered": n.ALREADY_REGISTERED,
+    "unknown member": n.UNKNOWN_MEMBER,
+    "too many members": n.NOT_ACCEPTED,
+    "too many groups": n.NOT_ACCEPTED,
+}
+REPLIES = {
+    RegistrationRequest: n.REGISTRATION_REPLY,
+    DeregistrationRequest: n.DEREGISTRATION_REPLY,
+    LbStateRequest: n.LB_STATE_REPLY,
+    MemberStateRequest: n.MEMBER_STATE_REPLY,
+}
 
 
 class Line:
@@ -169,6 +194,7 @@
                 self.counts["changes undone"] += 1
             if line.stream.open:
                 line.stream.write(encode(Reply(kind, n.NOT_ACCEPTED if change is None else change.answer), number))
+
         try:
             if self.changes.book.repeated(caller_of(lb), str(number), digest, reply):
                 return
@@ -183,7 +209,11 @@
         elif isinstance(message, DeregistrationRequest):
             steps = [["deregister", group.name, [place(row) for row in group.rows]] for group in message.groups]
         else:
-            steps = [["quiesce", group.name, place(row.member), row.quiesce] for group in message.groups for row in group.rows]
+            steps = [
+                ["quiesce", group.name, place(row.member), row.quiesce]
+                for group in message.groups
+                for row in group.rows
+            ]
         self._enter(lb, str(number), digest, steps, reply)
 
     def _enter(self, lb, key, digest, steps, then):
@@ -203,7 +233,10 @@
         def taken_back():
             undo()
             self._due(lb)
-        self.changes.ask_for(Change(caller_of(lb), key, digest, frozenset(names), ["sasp", lb, *steps], n.SUCCESS, taken_back), then)
+
+        self.changes.ask_for(
+            Change(caller_of(lb), key, digest, frozenset(names), ["sasp", lb, *steps], n.SUCCESS, taken_back), then
+        )
         for _, members in (step[1:3] for step in steps if step[0] == "register"):
             for member in members:
                 self.watch.again(member)
@@ -234,8 +267,14 @@
         entries = self.registry.advice(lb, name)
         self.registry.taken(lb, name, entries)
         self.counts["groups told"] += 1
-        return Group(lb, name, tuple(WeightEntry(Member(host, port), weight, contact, quiesce)
-                                     for (host, port), weight, contact, quiesce in entries))
+        return Group(
+            lb,
+            name,
+            tuple(
+                WeightEntry(Member(host, port), weight, contact, quiesce)
+                for (host, port), weight, contact, quiesce in entries
+            ),
+        )
 
     # What balancers are told.
 
@@ -264,7 +303,9 @@
         for lb, balancer in list(self.registry.balancers.items()):
             if name in balancer.groups:
                 # Stored too: it would else stand again after a restart, beside what it registers elsewhere.
-                self._enter(lb, f"given away {name}", str(self.loop.now()), [["deregister", name, []]], lambda change: None)
+                self._enter(
+                    lb, f"given away {name}", str(self.loop.now()), [["deregister", name, []]], lambda change: None
+                )
                 line = self.by_lb.get(lb)
                 if line is not None:
                     line.stream.close()
@@ -291,7 +332,8 @@
     def _push(self):
         """Some balancers a turn of the loop; what is told is read from the registry now, so it is the newest."""
         if not self.may_publish():
-            # A process that stood still past its lease: its slices may be another's by now. `_mind` goes on when it may.
+            # A process that stood still past its lease: its slices may be another's by now. `_mind` goes on when it
+            # may.
             self.counts["pushes held without lease"] += 1
             self.pushing = False
             return
@@ -312,7 +354,9 @@
             if names:
                 line.number = line.number + 1 & 0xFFFFFFFF
                 line.told_at = self.loop.now()
-                line.stream.write(encode(SendWeights(tuple(self._group(lb, name, line) for name in names)), line.number))
+                line.stream.write(
+                    encode(SendWeights(tuple(self._group(lb, name, line) for name in names)), line.number)
+                )
                 self.counts["pushes"] += 1
         self.loop.soon(self._push)
 
@@ -353,7 +397,11 @@
         rows = set(self.registry.unproven(member))
         for lb, line in self.by_lb.items():
             balancer = self.registry.balancers.get(lb)
-            if line.stream.unsent and balancer is not None and any(member in state.members for state in balancer.groups.values()):
+            if (
+                line.stream.unsent
+                and balancer is not None
+                and any(member in state.members for state in balancer.groups.values())
+            ):
                 rows.add(lb)
         return sorted(rows)
 
@@ -370,16 +418,32 @@
     def _standing(self):
         for lb, balancer in sorted(self.registry.balancers.items()):
             for name, state in sorted(balancer.groups.items()):
-                yield caller_of(lb), ["sasp", lb, ["register", name, sorted(state.members)],
-                                      *(["quiesce", name, member, True] for member, quiesced in sorted(state.members.items()) if quiesced)]
+                yield (
+                    caller_of(lb),
+                    [
+                        "sasp",
+                        lb,
+                        ["register", name, sorted(state.members)],
+                        *(
+                            ["quiesce", name, member, True]
+                            for member, quiesced in sorted(state.members.items())
+                            if quiesced
+                        ),
+                    ],
+                )
 
     def settled(self, items):
         """Slices in charge, by an epoch: what is registered for others, from before a restart, is let go."""
         for lb, balancer in list(self.registry.balancers.items()):
             gone = [name for name in balancer.groups if self.registry.slice_of(name) not in items]
             if gone:
-                self._enter(lb, "given away at start", str(self.loop.now()), [["deregister", name, []] for name in gone],
-                            lambda change: None)
+                self._enter(
+                    lb,
+                    "given away at start",
+                    str(self.loop.now()),
+                    [["deregister", name, []] for name in gone],
+                    lambda change: None,
+                )
 
     def close(self):
         self.closed = True
--- a/ospreyrouter/benchlink/host.py
+++ b/ospreyrouter/benchlink/host.py
@@ -12,20 +12,35 @@
 from ..policy import Manager
 
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
-OUTCOMES = {"pass": Outcome.PASSED, "fault": Outcome.ERROR, "no_room": Outcome.FULL,
-            "too_slow": Outcome.TIMED_OUT, "no_route": Outcome.UNREACHABLE, "cut": Outcome.RESET,
-            "undone": Outcome.CANCELLED, "stale_send": Outcome.CANCELLED}
+OUTCOMES = {
+    "pass": Outcome.PASSED,
+    "fault": Outcome.ERROR,
+    "no_room": Outcome.FULL,
+    "too_slow": Outcome.TIMED_OUT,
+    "no_route": Outcome.UNREACHABLE,
+    "cut": Outcome.RESET,
+    "undone": Outcome.CANCELLED,
+    "stale_send": Outcome.CANCELLED,
+}
 REPORT_NAMES = {"outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s"}
 
 NUMBER, WHOLE, TEXT, FLAG, ROWS, FIELDS = "number", "whole number", "text", "bool", "array", "object or null"
 SHAPES = {
-    "BEGIN": (WHOLE, "object"), "SHUTDOWN": (), "SNAPSHOT_ROWS": (WHOLE, ROWS),
-    "MEMBERSHIP": (TEXT, WHOLE, "whole number or null"), "FIRED": (WHOLE,),
-    "STATUS_BACK": (TEXT, TEXT, NUMBER, FIELDS), "DATAGRAM": (WHOLE, TEXT),
-    "ENROLLED": (WHOLE, TEXT, NUMBER, FLAG), "PARTED": (WHOLE,),
+    "BEGIN": (WHOLE, "object"),
+    "SHUTDOWN": (),
+    "SNAPSHOT_ROWS": (WHOLE, ROWS),
+    "MEMBERSHIP": (TEXT, WHOLE, "whole number or null"),
+    "FIRED": (WHOLE,),
+    "STATUS_BACK": (TEXT, TEXT, NUMBER, FIELDS),
+    "DATAGRAM": (WHOLE, TEXT),
+    "ENROLLED": (WHOLE, TEXT, NUMBER, FLAG),
+    "PARTED": (WHOLE,),
     "STATS": (TEXT, TEXT, WHOLE, WHOLE, NUMBER, NUMBER, FIELDS),
-    "USAGE": (WHOLE, TEXT, WHOLE, WHOLE, NUMBER), "KEY_LOAD": (WHOLE, TEXT, WHOLE, WHOLE, NUMBER),
-    "CUSTODY": (FLAG, WHOLE), "RECORDED": (NUMBER, WHOLE, TEXT), "CONFIRMED": (WHOLE, NUMBER, WHOLE),
+    "USAGE": (WHOLE, TEXT, WHOLE, WHOLE, NUMBER),
+    "KEY_LOAD": (WHOLE, TEXT, WHOLE, WHOLE, NUMBER),
+    "CUSTODY": (FLAG, WHOLE),
+    "RECORDED": (NUMBER, WHOLE, TEXT),
+    "CONFIRMED": (WHOLE, NUMBER, WHOLE),
 }
 FITS = {
     NUMBER: lambda v: isinstance(v, (int, float)) and not isinstance(v, bool),
@@ -65,15 +80,28 @@
         if not isinstance(row, list) or len(row) != 7:
             raise Malformed(f"SNAPSHOT_ROWS: an entry is not an array of 7 values: {row!r:.80}")
         name, zone, kind, cell, state, weight, ready_at = row
-        if not (isinstance(name, str) and isinstance(kind, str) and FITS[WHOLE](cell) and FITS[NUMBER](weight)
-                and (ready_at is None or FITS[NUMBER](ready_at))):
+        if not (
+            isinstance(name, str)
+            and isinstance(kind, str)
+            and FITS[WHOLE](cell)
+            and FITS[NUMBER](weight)
+            and (ready_at is None or FITS[NUMBER](ready_at))
+        ):
             raise Malformed(f"SNAPSHOT_ROWS: an entry has a value of the wrong type: {row!r:.120}")
-        return self.door.entry(name, zone, kind, cell, self.door.named(STATES, state, "condition"), weight,
-                               micros(ready_at) if ready_at else None)
+        return self.door.entry(
+            name,
+            zone,
+            kind,
+            cell,
+            self.door.named(STATES, state, "condition"),
+            weight,
+            micros(ready_at) if ready_at else None,
+        )
 
     def report(self, fields):
-        return {key: float(value) for key, value in (fields or {}).items()
-                if key in REPORT_NAMES and FITS[NUMBER](value)}
+        return {
+            key: float(value) for key, value in (fields or {}).items() if key in REPORT_NAMES and FITS[NUMBER](value)
+        }
 
     def intake(self, item, lists):
         """One event as a method of the manager and its arguments."""
@@ -87,8 +115,16 @@
                 raise Malformed(f"MEMBERSHIP: no list has number {v[2]}")
             return ("listed", v[0] != "delta", [self.entry(row) for row in lists[v[2]]])
         if name == "STATS":
-            return ("met", door.zone(v[0]), door.worker(v[1]), v[2], v[3], micros(v[4]),
-                    micros(v[5]), self.report(v[6]))
+            return (
+                "met",
+                door.zone(v[0]),
+                door.worker(v[1]),
+                v[2],
+                v[3],
+                micros(v[4]),
+                micros(v[5]),
+                self.report(v[6]),
+            )
         if name == "KEY_LOAD":
             return ("demanded", v[0], door.kind(v[1]), v[2], v[3], micros(v[4]))
         if name == "USAGE":
@@ -96,8 +132,7 @@
         if name == "FIRED":
             return ("woke", v[0])
         if name == "STATUS_BACK":
-            return ("probed", door.worker(v[0]), door.named(OUTCOMES, v[1], "outcome"), micros(v[2]),
-                    self.report(v[3]))
+            return ("probed", door.worker(v[0]), door.named(OUTCOMES, v[1], "outcome"), micros(v[2]), self.report(v[3]))
         if name == "DATAGRAM":
             return ("told", v[0], v[1])
         if name == "ENROLLED":
@@ -195,13 +230,20 @@
             data = json.loads(line)
         except ValueError as problem:
             raise Malformed(f"a line is not JSON: {problem}") from None
-        if not isinstance(data, dict) or not FITS[NUMBER](data.get("WallS")) or not FITS[WHOLE](data.get("turn")) \
-                or not isinstance(data.get("groups"), list):
+        if (
+            not isinstance(data, dict)
+            or not FITS[NUMBER](data.get("WallS"))
+            or not FITS[WHOLE](data.get("turn"))
+            or not isinstance(data.get("groups"), list)
+        ):
             raise Malformed("a batch lacks WallS, turn or groups")
         now, replies = micros(data["WallS"]), []
         for group in data["groups"]:
-            if not isinstance(group, dict) or not isinstance(group.get("I"), str) \
-                    or not isinstance(group.get("items"), list):
+            if (
+                not isinstance(group, dict)
+                or not isinstance(group.get("I"), str)
+                or not isinstance(group.get("items"), list)
+            ):
                 raise Malformed(f"turn {data['turn']}: a group lacks I or items")
             outbox = self.group(now, group["I"], group["items"])
             if outbox:
--- a/ospreyrouter/changes/book.py
+++ b/ospreyrouter/changes/book.py
@@ -8,8 +8,9 @@
     book.ask(caller, key, then)                     # told what became of it; one never seen is closed from then on
 
 A change is in force when it is entered and is answered when it is stored: one that was answered is never lost, and one
-that was not is found by its key, or was never done. To ask about a key that is unknown closes it: the change may still be
-on its way on another connection, and is refused when it comes, so "did not" holds for good. Where the store refuses, all that waits is taken back, newest first.
+that was not is found by its key, or was never done. To ask about a key that is unknown closes it: the change may still
+be on its way on another connection, and is refused when it comes, so "did not" holds for good. Where the store refuses,
+all that waits is taken back, newest first.
 """
 
 from collections import OrderedDict
@@ -60,7 +61,7 @@
         if change is None or change.digest != digest:
             return None
         later = list(rows.values())
-        later = later[later.index(change) + 1:]
+        later = later[later.index(change) + 1 :]
         return None if any(row.subjects & change.subjects for row in later) else change
 
     def repeated(self, caller, key, digest, then):
--- a/ospreyrouter/changes/callers.py
+++ b/ospreyrouter/changes/callers.py
@@ -13,7 +13,9 @@
 
 
 class CallerDrains:
-    """The last word on each worker, by caller: also "not any more", for another manager may still hold an older word."""
+    """The last word on each worker, by caller: also "not any more", for another manager may still hold an older
+    word.
+    """
 
     def __init__(self, workers_most=WORKERS_MOST, callers_most=CALLERS_MOST):
         self.workers_most, self.callers_most, self.rows = workers_most, callers_most, {}
--- a/ospreyrouter/channel_books.py
+++ b/ospreyrouter/channel_books.py
@@ -12,8 +12,9 @@
 class SentMessage:
     """One message to all joined proxies.
 
-    `unproven`: lines not proven to have left. `lines`: at each proxy, head included. `ahead`: lines that were ahead of it
-    in the channel, half of its own among them; 0 once a proxy has answered its mark. `proxies`: joined when it was sent.
+    `unproven`: lines not proven to have left. `lines`: at each proxy, head included. `ahead`: lines that were ahead of
+    it in the channel, half of its own among them; 0 once a proxy has answered its mark. `proxies`: joined when it was
+    sent.
     """
 
     mark: int
@@ -56,7 +57,7 @@
     def stalled(self, now, taken, proxies):
         """What was sent after the mark `taken` comes to the channel only now, for so many proxies."""
         place = self._place(taken)
-        for message in self.sent[0 if place is None else place + 1:]:
+        for message in self.sent[0 if place is None else place + 1 :]:
             message.unproven = max(message.unproven, message.lines * proxies)
             message.sent_at, message.proxies = now, proxies
 
--- a/ospreyrouter/cli/custody.py
+++ b/ospreyrouter/cli/custody.py
@@ -53,7 +53,10 @@
             members.seen(began, clock(), manager, beat)
         members.looked(began)
         if began >= end:
-            return ["lost" if members.dead(k) else "up" if members.alive(k, began) else "unknown" for k in range(len(shelf.names))]
+            return [
+                "lost" if members.dead(k) else "up" if members.alive(k, began) else "unknown"
+                for k in range(len(shelf.names))
+            ]
         time.sleep(min(0.05, lease / 8e6))
 
 
@@ -71,18 +74,31 @@
     held, states, epoch = shelf.orders().managers, watched(shelf), shelf.files.newest()
     if epoch is None:
         raise Unreadable(f"{shelf.folder}: custody: no epoch can be read")
-    owners, taken = Counter(epoch.owners), Counter(
-        owner for owner, past in zip(epoch.owners, epoch.past) if past != GIVEN)
+    owners, taken = (
+        Counter(epoch.owners),
+        Counter(owner for owner, past in zip(epoch.owners, epoch.past) if past != GIVEN),
+    )
     away = Counter(owner for item, owner in enumerate(epoch.owners) if item % len(shelf.names) != owner)
-    rows = [{"manager": name, "state": "held out" if name in held else states[k], "alive": states[k] == "up",
-             "slices": owners[k], "of_others": away[k], "taken": taken[k]} for k, name in enumerate(shelf.names)]
+    rows = [
+        {
+            "manager": name,
+            "state": "held out" if name in held else states[k],
+            "alive": states[k] == "up",
+            "slices": owners[k],
+            "of_others": away[k],
+            "taken": taken[k],
+        }
+        for k, name in enumerate(shelf.names)
+    ]
     if as_json:
         click.echo(json.dumps({"epoch": epoch.number, "managers": rows}))
         return
     click.echo(f"epoch {epoch.number}, {len(epoch.owners)} slices")
     for row in rows:
-        click.echo(f"  {row['manager']}: {row['state']}, {row['slices']} slices, {row['of_others']} of them others' by "
-                   f"home, {row['taken']} taken from the dead")
+        click.echo(
+            f"  {row['manager']}: {row['state']}, {row['slices']} slices, {row['of_others']} of them others' by "
+            f"home, {row['taken']} taken from the dead"
+        )
 
 
 def ordered(path, field, name, out):
@@ -103,14 +119,23 @@
 
 
 def by_hand(group, field, kind, held, released):
-    """`hold` and `release` of a group; `held` and `released` say what follows, for the help and for whoever ordered it."""
+    """`hold` and `release` of a group; `held` and `released` say what follows, for the help and for whoever ordered
+    it.
+    """
     for name, out, follows in (("hold", True, held), ("release", False, released)):
+
         def run(path, one, out=out, follows=follows):
             ordered(path, field, one, out)
             click.echo(f"{one}: {follows}")
+
         run.__doc__ = f"{name.capitalize()} a {kind}: {follows}."
         group.command(name)(click.argument("path", type=click.Path())(click.argument("one", metavar=kind.upper())(run)))
 
 
-by_hand(custody, "managers", "manager", "it gives its slices away and is given none until it is released",
-        "its slices return, a quarter a lease")
+by_hand(
+    custody,
+    "managers",
+    "manager",
+    "it gives its slices away and is given none until it is released",
+    "its slices return, a quarter a lease",
+)
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -43,8 +43,9 @@
     seed = int.from_bytes(os.urandom(4), "big") if seed is None else seed
     log = open_log(log_level)
     folder = str(Path(deployment).parent / setup.store)
-    service = serve(lambda loop, calls: ManagerService(loop, setup, name, folder, calls, log, seed), log, name,
-                    setup.flush)
+    service = serve(
+        lambda loop, calls: ManagerService(loop, setup, name, folder, calls, log, seed), log, name, setup.flush
+    )
     log.info("figures", manager=name, **service.figures())
 
 
@@ -55,6 +56,7 @@
 def agent(deployment, name, log_level):
     """Run the file agent beside a proxy that reads the files by itself."""
     from ..files import FileAgent
+
     setup = checked(read_deployment, deployment)
     place = named(setup.proxies, name, deployment, "proxies")
     log = open_log(log_level)
@@ -74,6 +76,7 @@
     from ..rehearse.play import TeeLog
     from ..standins import Journal, Proxy
     from ..standins.control import Controlled
+
     setup = checked(read_deployment, deployment)
     place = named(setup.proxies, name, deployment, "proxies")
     log = open_log()
@@ -103,6 +106,7 @@
         from ..rehearse.play import balancer_rows
         from ..standins import Balancers, Clients, Journal, WorkerListService, Workers
         from ..standins.control import Controlled
+
         day, setup, specs, ports = stage_of(stage)
         log = open_log()
 
@@ -111,20 +115,23 @@
             if name == "workers":
                 part = Workers(loop, setup, specs, rows, day.seed, day.fleet.spare)
             elif name == "list":
-                part = WorkerListService(loop, setup, specs, rows, round(day.fleet.list_notice_s * 1e6),
-                                         day.fleet.spare)
+                part = WorkerListService(
+                    loop, setup, specs, rows, round(day.fleet.list_notice_s * 1e6), day.fleet.spare
+                )
             elif name == "balancers":
                 places = [("127.0.0.1", port) for port in ports["balancers"]]
                 part = Balancers(loop, setup, specs, places, rows, day.seed)
             else:
-                proxies = [(row.name, row.zone, ("127.0.0.1", ports["proxies"][k]))
-                           for k, row in enumerate(setup.proxies)]
+                proxies = [
+                    (row.name, row.zone, ("127.0.0.1", ports["proxies"][k])) for k, row in enumerate(setup.proxies)
+                ]
                 proxies += balancer_rows([("127.0.0.1", port) for port in ports["balancers"]])
                 traffic = day.traffic.model_copy(update={"seconds": day.seconds})
                 part = Clients(loop, setup, traffic, proxies, rows, day.seed, start_us)
             return Controlled(loop, part, control, rows)
 
         serve(build, log, name)
+
     run.__doc__ = f"The stand-in {name} of a rehearsal's stage file."
 
 
@@ -144,6 +151,7 @@
     """Play a day on loopback sockets and check the rules from what passed. Without a day: the bad day."""
     from ..rehearse import Day, day_schema, play_on_sockets, play_virtually
     from ..rehearse.bench_day import read_bench_day
+
     if schema:
         click.echo(json.dumps(day_schema(), indent=1))
         return
@@ -154,8 +162,9 @@
         path = day or resources.files("ospreyrouter.rehearse") / "bad-day.json"
         plan = checked(read_json, path, Day)
     if seconds is not None:
-        plan = plan.model_copy(update={"seconds": seconds, "troubles": [
-            row for row in plan.troubles if row.at_s + row.for_s <= seconds]})
+        plan = plan.model_copy(
+            update={"seconds": seconds, "troubles": [row for row in plan.troubles if row.at_s + row.for_s <= seconds]}
+        )
     for text in unplayed:
         click.echo(f"not playable here: {text}", err=True)
     kept = folder is not None
@@ -169,8 +178,9 @@
         if not kept:
             shutil.rmtree(folder, ignore_errors=True)
     account["unplayed"] = unplayed
-    good = all(row["checked"] > 0 and not row["broken"] for row in account["rules"].values()) \
-        and not account["torn_reads"]
+    good = (
+        all(row["checked"] > 0 and not row["broken"] for row in account["rules"].values()) and not account["torn_reads"]
+    )
     if not as_json:
         tell(plan, account)
     click.echo(json.dumps(account) if as_json else ("all rules kept" if good else "NOT all rules checked and kept"))
--- a/ospreyrouter/cli/serve.py
+++ b/ospreyrouter/cli/serve.py
@@ -35,10 +35,14 @@
 
 def open_log(level="info"):
     structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
     return structlog.get_logger()
 
 
@@ -86,6 +90,12 @@
     failed = getattr(service, "failed", None)
     if failed:
         raise BadInput(failed)
-    log.info("stopped", name=name, turns=loop.turns, longest_turn_us=loop.longest_turn_us,
-             turn_p99_us=loop.turn_quantile_us(0.99), busy_us=loop.busy_us)
+    log.info(
+        "stopped",
+        name=name,
+        turns=loop.turns,
+        longest_turn_us=loop.longest_turn_us,
+        turn_p99_us=loop.turn_quantile_us(0.99),
+        busy_us=loop.busy_us,
+    )
     return service
--- a/ospreyrouter/cli/sites.py
+++ b/ospreyrouter/cli/sites.py
@@ -1,7 +1,8 @@
-"""`ospreyrouter sites`: how sites are, what they carry for each other, what losing one would cost; sites held out by hand.
+"""`ospreyrouter sites`: how sites are, what they carry for each other, what losing one would cost; sites held out by
+hand.
 
-`show` and `plan` ask managers, `hold` and `release` write the store. Exit codes: 0 done, 2 bad input, 6 orders or an epoch
-that cannot be read, 7 no manager could be asked, 8 capacities are not known yet.
+`show` and `plan` ask managers, `hold` and `release` write the store. Exit codes: 0 done, 2 bad input, 6 orders or an
+epoch that cannot be read, 7 no manager could be asked, 8 capacities are not known yet.
 """
 
 import json
@@ -63,9 +64,11 @@
         click.echo(row["manager"])
         for name, site in row["sites"].items():
             answered = "nothing known" if site["answered"] is None else f"{site['answered']:.2f} answered"
-            click.echo(f"  {name}: {site['state']}{' (not seen from here)' if site['blind'] else ''}, {answered}, "
-                       f"{site['carried_per_s']:.1f} tries a second, limit {site['limit']:.2f}, "
-                       f"able to {site['able_per_s']:.0f} of {site['usual_per_s']:.0f} a second")
+            click.echo(
+                f"  {name}: {site['state']}{' (not seen from here)' if site['blind'] else ''}, {answered}, "
+                f"{site['carried_per_s']:.1f} tries a second, limit {site['limit']:.2f}, "
+                f"able to {site['able_per_s']:.0f} of {site['usual_per_s']:.0f} a second"
+            )
             for kind, count in site["classes"].items():
                 if count["refused"]:
                     click.echo(f"    {kind}: {count['asked']:.0f} asked there, {count['refused']:.0f} refused")
@@ -78,13 +81,24 @@
 
 @sites.command("plan")
 @click.argument("path", type=click.Path())
-@click.option("--lose", multiple=True, required=True, metavar="SITE", help="a site that is taken to be lost; may stand several times")
-@click.option("--need", type=click.FloatRange(0.0, 1e9, min_open=True), default=None,
-              help="transactions a second that are asked for in all; otherwise what managers see now")
+@click.option(
+    "--lose",
+    multiple=True,
+    required=True,
+    metavar="SITE",
+    help="a site that is taken to be lost; may stand several times",
+)
+@click.option(
+    "--need",
+    type=click.FloatRange(0.0, 1e9, min_open=True),
+    default=None,
+    help="transactions a second that are asked for in all; otherwise what managers see now",
+)
 @click.option("--json", "as_json", is_flag=True)
 def plan_sites(path, lose, need, as_json):
-    """What the others would carry if sites were lost, by the tiers and reserves of the deployment file and by what managers
-    have learned of the workers. Asks managers, changes nothing."""
+    """What the others would carry if sites were lost, by the tiers and reserves of the deployment file and by what
+    managers have learned of the workers. Asks managers, changes nothing.
+    """
     shelf = Shelf(path)
     setup = shelf.setup
     for name in lose:
@@ -93,21 +107,43 @@
     told = asked(shelf, path)
     usual = {site: median(row["sites"][site]["usual_per_s"] for row in told) for site in setup.zones}
     if not sum(usual.values()):
-        raise NotKnown(f"{path}: managers: none knows yet what workers can do: load reports with utilization and throughput are needed")
+        raise NotKnown(
+            f"{path}: managers: none knows yet what workers can do: "
+            "load reports with utilization and throughput are needed"
+        )
     needs = [row["need_per_s"] for row in told if row["need_per_s"]]
     need = need if need is not None else median(needs) if needs else 0.0
     able = {site: 0.0 if site in lose else usual[site] for site in setup.zones}
     plan = plan_spill(need, usual, able, setup.tiers(), setup.reserve())
     total = sum(sum(row["classes_per_s"].values()) for row in told)
-    came = {row.name: need * sum(one["classes_per_s"].get(row.name, 0.0) for one in told) / total if total else 0.0 for row in setup.classes}
+    came = {
+        row.name: need * sum(one["classes_per_s"].get(row.name, 0.0) for one in told) / total if total else 0.0
+        for row in setup.classes
+    }
     mean = sum(came[row.name] * row.quoted_s for row in setup.classes) / need if total and need else 1.0
-    let_in = levels(came, {row.name: row.quoted_s / mean for row in setup.classes},
-                    {row.name: row.utility / row.quoted_s for row in setup.classes}, plan.carried)
-    result = {"need_per_s": round(need, 1), "carried_per_s": round(plan.carried, 1), "refused_part": round(1 - plan.carried / need, 4) if need else 0.0,
-              "sites": {site: {"usual_per_s": round(usual[site], 1), "load_per_s": round(plan.load[site], 1),
-                               "of_what_it_can": round(plan.load[site] / able[site], 3) if able[site] else None} for site in setup.zones},
-              "spilled": [{"from": one, "to": other, "per_s": round(amount, 1)} for (one, other), amount in plan.spilled.items()],
-              "let_in": {kind: round(level, 3) for kind, level in let_in.items()} if total else None}
+    let_in = levels(
+        came,
+        {row.name: row.quoted_s / mean for row in setup.classes},
+        {row.name: row.utility / row.quoted_s for row in setup.classes},
+        plan.carried,
+    )
+    result = {
+        "need_per_s": round(need, 1),
+        "carried_per_s": round(plan.carried, 1),
+        "refused_part": round(1 - plan.carried / need, 4) if need else 0.0,
+        "sites": {
+            site: {
+                "usual_per_s": round(usual[site], 1),
+                "load_per_s": round(plan.load[site], 1),
+                "of_what_it_can": round(plan.load[site] / able[site], 3) if able[site] else None,
+            }
+            for site in setup.zones
+        },
+        "spilled": [
+            {"from": one, "to": other, "per_s": round(amount, 1)} for (one, other), amount in plan.spilled.items()
+        ],
+        "let_in": {kind: round(level, 3) for kind, level in let_in.items()} if total else None,
+    }
     if as_json:
         click.echo(json.dumps(result))
         return
@@ -121,5 +157,10 @@
         click.echo(f"  {kind}: {level:.2f} let in")
 
 
-by_hand(sites, "sites", "site", "its workers drain within the grace and get nothing until it is released",
-        "it may be used again, as far as the worker list and its state allow")
+by_hand(
+    sites,
+    "sites",
+    "site",
+    "its workers drain within the grace and get nothing until it is released",
+    "it may be used again, as far as the worker list and its state allow",
+)
--- a/ospreyrouter/cli/tables.py
+++ b/ospreyrouter/cli/tables.py
@@ -92,15 +92,24 @@
 
 def row_data(row):
     table = row.table
-    return {"slice": table.slice, "version": f"{table.version[0]}.{table.version[1]}", "digest": table.digest,
-            "parent": table.parent, "manager": table.manager, "at": when(row.at_us), "cause": row.cause,
-            "lines": {line.worker: line.weight for line in table.lines}}
+    return {
+        "slice": table.slice,
+        "version": f"{table.version[0]}.{table.version[1]}",
+        "digest": table.digest,
+        "parent": table.parent,
+        "manager": table.manager,
+        "at": when(row.at_us),
+        "cause": row.cause,
+        "lines": {line.worker: line.weight for line in table.lines},
+    }
 
 
 def row_text(data):
     lines = " ".join(f"{worker}={weight:g}" for worker, weight in data["lines"].items()) or "(no line)"
     cause = f" [{data['cause']}]" if data["cause"] else ""
-    return f"slice {data['slice']} {data['version']} {data['digest'][:12]} {data['at']} {data['manager']}{cause}: {lines}"
+    return (
+        f"slice {data['slice']} {data['version']} {data['digest'][:12]} {data['at']} {data['manager']}{cause}: {lines}"
+    )
 
 
 def tell(rows, as_json):
@@ -159,7 +168,11 @@
     """What changed from one version of a slice to another."""
     store = Store(deployment)
     a, b = (row_data(store.find(item, version_option(which)))["lines"] for which in (one, other))
-    changes = {worker: [a.get(worker), b.get(worker)] for worker in sorted(a.keys() | b.keys()) if a.get(worker) != b.get(worker)}
+    changes = {
+        worker: [a.get(worker), b.get(worker)]
+        for worker in sorted(a.keys() | b.keys())
+        if a.get(worker) != b.get(worker)
+    }
     if as_json:
         click.echo(json.dumps(changes))
     for worker, (before, after) in () if as_json else changes.items():
@@ -191,7 +204,9 @@
             if table.digest not in known:
                 differ.append(f"{place.name}: slice {item}: {table.digest[:12]} is in force and nobody published it")
             elif table.digest != newest.get(item):
-                differ.append(f"{place.name}: slice {item}: holds {table.version[0]}.{table.version[1]}, an older version")
+                differ.append(
+                    f"{place.name}: slice {item}: holds {table.version[0]}.{table.version[1]}, an older version"
+                )
     problems = store.tables.damaged + store.history.problems()
     data = {"versions": len(known), "slices": len(newest), "proxies": seen, "problems": problems, "claims": differ}
     if as_json:
@@ -199,8 +214,10 @@
     else:
         for text in problems + differ:
             click.echo(text)
-        click.echo(f"{len(known)} versions of {len(newest)} slices, files of {seen} proxies: "
-                   f"{len(problems)} problems, {len(differ)} claims that differ")
+        click.echo(
+            f"{len(known)} versions of {len(newest)} slices, files of {seen} proxies: "
+            f"{len(problems)} problems, {len(differ)} claims that differ"
+        )
     sys.exit(6 if problems or differ else 0)
 
 
@@ -221,7 +238,9 @@
 
 @tables.command()
 @DEPLOYMENT
-@click.option("--to", "which", required=True, help="a version, a digest's beginning, a time, or -5m for five minutes ago")
+@click.option(
+    "--to", "which", required=True, help="a version, a digest's beginning, a time, or -5m for five minutes ago"
+)
 @click.option("--slice", "items", type=int, multiple=True, help="only these; without it all that the managers have")
 @click.option("--hold", default=None, help="keep it for so long (90s, 5m): no layout moves these slices meanwhile")
 @click.option("--key", default=None, help="a repeated command with the same key has no second effect")
@@ -241,9 +260,15 @@
         for item, row in sorted(answer["slices"].items(), key=lambda pair: int(pair[0])):
             returned += "version" in row
             if not as_json:
-                click.echo(f"slice {item}: " + (f"{row['version']} {row['digest'][:12]}" + (
-                    f", without {', '.join(row['without'])}" if row.get("without") else "") if "version" in row else
-                    f"left as it is: {row['left']}"))
+                click.echo(
+                    f"slice {item}: "
+                    + (
+                        f"{row['version']} {row['digest'][:12]}"
+                        + (f", without {', '.join(row['without'])}" if row.get("without") else "")
+                        if "version" in row
+                        else f"left as it is: {row['left']}"
+                    )
+                )
     if as_json:
         click.echo(json.dumps({"key": key, "managers": dict(answers), "returned": returned}))
     else:
@@ -271,7 +296,9 @@
 def ask(address, name, order):
     loop, answers = Loop(), []
     client = Client(loop, address)
-    client.ask("POST", "/v3/rollback", [("content-type", "application/json")], orjson.dumps(order), answers.append, ASK_US)
+    client.ask(
+        "POST", "/v3/rollback", [("content-type", "application/json")], orjson.dumps(order), answers.append, ASK_US
+    )
     until = loop.now() + ASK_US
     while not answers and loop.now() < until:
         loop.turn(loop.now() + 100_000)
--- a/ospreyrouter/client/files.py
+++ b/ospreyrouter/client/files.py
@@ -1,7 +1,7 @@
 """Follows the table files beside a proxy: `FileFollower(loop, folder)`.
 
-With `uid` and `doors`, the managers' HTTP addresses, its drains are told to a manager and hold when it starts anew: they
-are kept by the first manager of the list that is reached, asked for at the start of all.
+With `uid` and `doors`, the managers' HTTP addresses, its drains are told to a manager and hold when it starts anew:
+they are kept by the first manager of the list that is reached, asked for at the start of all.
 """
 
 from random import Random
@@ -40,11 +40,14 @@
                 key = (table.digest, withheld)
                 if self.seen.get(item) != key:
                     self.seen[item] = key
-                    self.from_shares(item, {(line.host, line.port): line.weight for line in table.lines
-                                            if line.worker not in withheld})
+                    self.from_shares(
+                        item,
+                        {(line.host, line.port): line.weight for line in table.lines if line.worker not in withheld},
+                    )
 
     def _restore(self, place, times):
         """What this caller drained in an earlier life; what it said since counts more."""
+
         def told(rows):
             if rows is None:
                 if times and not self.closed:
@@ -55,6 +58,7 @@
                 if at > self.last_word.get((host, port), -1):
                     self.last_word[host, port] = at
                     (self.drained.add if on else self.drained.discard)((host, port))
+
         self.doors.drained(place, self.uid, told)
 
     def _tell(self, change):
@@ -78,18 +82,24 @@
                 self._send(change, place + 1, at)
             else:
                 change.became(place, key, state)
+
         self.doors.drain(place, body, became)
 
     def ask(self, change):
         for place, key in change.unknown():
-            self.doors.became(place, self.uid, key, lambda state, place=place, key=key: change.became(place, key, state))
+            self.doors.became(
+                place, self.uid, key, lambda state, place=place, key=key: change.became(place, key, state)
+            )
 
     def repeat(self, change):
         for (place, key), state in list(change.parts.items()):
             if state == UNKNOWN:
                 change.parts[place, key] = SENT
-                self.doors.drain(place, change.bodies[place, key],
-                                 lambda state, place=place, key=key: change.became(place, key, state))
+                self.doors.drain(
+                    place,
+                    change.bodies[place, key],
+                    lambda state, place=place, key=key: change.became(place, key, state),
+                )
             elif state == DID_NOT:
                 # Its key is closed: the manager would refuse it.
                 body = orjson.loads(change.bodies.pop((place, key)))
--- a/ospreyrouter/client/sasp.py
+++ b/ospreyrouter/client/sasp.py
@@ -8,8 +8,22 @@
 
 from random import Random
 
-from ..sasp import (BadMessage, Framer, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest, Member, MemberState,
-                    MemberStateRequest, RegistrationRequest, Reply, SendWeights, decode, encode)
+from ..sasp import (
+    BadMessage,
+    Framer,
+    GetWeightsReply,
+    GetWeightsRequest,
+    Group,
+    LbStateRequest,
+    Member,
+    MemberState,
+    MemberStateRequest,
+    RegistrationRequest,
+    Reply,
+    SendWeights,
+    decode,
+    encode,
+)
 from ..sasp import numbers as n
 from .changes import DID_NOT, SENT, TOOK_EFFECT, UNKNOWN
 from .door import Doors
@@ -68,12 +82,14 @@
 
     def _ask_weights(self, place, link, after_us):
         """Without pushes: ask for all that is registered here, as often as the manager says."""
+
         def ask():
             if self.links[place] is link and link.stream is not None and link.stream.open:
                 groups = tuple(Group(self.uid, f"slice-{item}") for item in sorted(self.at) if self.at[item] == place)
                 if groups:
                     self._say(link, GetWeightsRequest(groups), ("all", None))
                 self._ask_weights(place, link, self.asking or ASK_FIRST_US)
+
         self.loop.after(after_us, ask)
 
     def _tell(self, change):
@@ -83,8 +99,18 @@
                 self._quiesce(place, link, items, [change.worker], change.on, change)
 
     def _quiesce(self, place, link, items, workers, on, change=None):
-        rows = tuple(Group(self.uid, f"slice-{item}", tuple(MemberState(Member(host, port), 0, on) for host, port in workers
-                                                            if (host, port) in self.groups[item])) for item in items)
+        rows = tuple(
+            Group(
+                self.uid,
+                f"slice-{item}",
+                tuple(
+                    MemberState(Member(host, port), 0, on)
+                    for host, port in workers
+                    if (host, port) in self.groups[item]
+                ),
+            )
+            for item in items
+        )
         key, body = self._say(link, MemberStateRequest(rows), ("drain", change))
         if change is not None:
             change.parts[place, key], change.bodies[place, key] = SENT, body
@@ -92,8 +118,12 @@
     def ask(self, change):
         for place, key in change.unknown():
             if place < len(self.doors.addresses) and self.links[place].heard:
-                self.doors.became(place, f"sasp/{self.uid}", key,
-                                  lambda state, place=place, key=key: self._became(change, place, key, state, late=True))
+                self.doors.became(
+                    place,
+                    f"sasp/{self.uid}",
+                    key,
+                    lambda state, place=place, key=key: self._became(change, place, key, state, late=True),
+                )
 
     def _became(self, change, place, key, state, late=False):
         change.became(place, key, state)
@@ -102,7 +132,9 @@
             if late and change.on and change.worker in self.drained:
                 # Slices may have passed on while it was not known whether they should be told.
                 for at, link in enumerate(self.links):
-                    items = [item for item in sorted(self.at) if self.at[item] == at and change.worker in self.groups[item]]
+                    items = [
+                        item for item in sorted(self.at) if self.at[item] == at and change.worker in self.groups[item]
+                    ]
                     if items and link.stream is not None and link.stream.open:
                         self._quiesce(at, link, items, [change.worker], True)
 
@@ -118,7 +150,9 @@
             elif state == DID_NOT:
                 # Its key is closed: the manager would refuse it. Told anew, of the slices that it has by now.
                 del change.parts[place, key], change.bodies[place, key]
-                items = [item for item, at in sorted(self.at.items()) if at == place and change.worker in self.groups[item]]
+                items = [
+                    item for item, at in sorted(self.at.items()) if at == place and change.worker in self.groups[item]
+                ]
                 if items:
                     self._quiesce(place, link, items, [change.worker], change.on, change)
 
@@ -182,15 +216,28 @@
                     self._quiesce(place, link, [item], away, True)
                 self._say(link, GetWeightsRequest((Group(self.uid, f"slice-{item}"),)), ("weights", item))
             elif self.at.get(item) is None:
-                self.loop.after(ASK_AGAIN_US, lambda: self.at.get(item) is None and link.stream is not None
-                                and link.stream.open and self._register(place, link, item))
+                self.loop.after(
+                    ASK_AGAIN_US,
+                    lambda: (
+                        self.at.get(item) is None
+                        and link.stream is not None
+                        and link.stream.open
+                        and self._register(place, link, item)
+                    ),
+                )
 
     def _take(self, place, groups):
         for group in groups:
             item = int(group.name.rpartition("-")[2])
             self.at[item] = place
-            self.changed(item, {(row.member.host, row.member.port): row.weight for row in group.rows
-                                if row.weight > 0 and not row.quiesce})
+            self.changed(
+                item,
+                {
+                    (row.member.host, row.member.port): row.weight
+                    for row in group.rows
+                    if row.weight > 0 and not row.quiesce
+                },
+            )
 
     def close(self):
         self.closed = True
--- a/ospreyrouter/custody/custody.py
+++ b/ospreyrouter/custody/custody.py
@@ -69,8 +69,11 @@
             if owner == self.me and victim != GIVEN:
                 # The victim may itself have taken it, from one that was not known to be gone: then time alone tells,
                 # unless so much has passed since that this one has looked, or stopped.
-                exact = before is not None and before.owners[item] == victim and (
-                    before.past[item] == GIVEN or now - self.known_at[item] >= self.patience_us)
+                exact = (
+                    before is not None
+                    and before.owners[item] == victim
+                    and (before.past[item] == GIVEN or now - self.known_at[item] >= self.patience_us)
+                )
                 self.waits[item] = (victim if exact else None, now)
             self.known_at[item] = now
 
@@ -85,7 +88,12 @@
             # Whether the division was written is known now: it was seen, or it is not there.
             self.doubt_from, self.giving = None, frozenset()
         for item, (victim, known_at) in list(self.waits.items()):
-            if began >= known_at and victim is not None and self.members.dead(victim) or now - known_at >= self.patience_us:
+            if (
+                began >= known_at
+                and victim is not None
+                and self.members.dead(victim)
+                or now - known_at >= self.patience_us
+            ):
                 del self.waits[item]
 
     def orders_seen(self, held_out):
@@ -98,13 +106,25 @@
     def may_publish(self, now):
         """Whether the own lease runs: a process that stood still, or whose store does, must renew and look whose the
         slices are by now before it writes anything."""
-        return (self.renewed_at is not None and self.look_from is None and now - self.renewed_at < self.lease_us
-                and self.looked_at is not None and now - self.looked_at < self.lease_us)
+        return (
+            self.renewed_at is not None
+            and self.look_from is None
+            and now - self.renewed_at < self.lease_us
+            and self.looked_at is not None
+            and now - self.looked_at < self.lease_us
+        )
 
     def mine(self):
         """{slice: fence} of what this manager is in charge of."""
-        return {} if self.epoch is None else {item: self.epoch.fences[item] for item, owner in enumerate(self.epoch.owners)
-                                              if owner == self.me and item not in self.waits}
+        return (
+            {}
+            if self.epoch is None
+            else {
+                item: self.epoch.fences[item]
+                for item, owner in enumerate(self.epoch.owners)
+                if owner == self.me and item not in self.waits
+            }
+        )
 
     def publishes(self, now):
         """Slices of which it may write just now."""
@@ -112,7 +132,9 @@
 
     def owned(self):
         """All that the newest division gives to this manager, also what still waits."""
-        return set() if self.epoch is None else {item for item, owner in enumerate(self.epoch.owners) if owner == self.me}
+        return (
+            set() if self.epoch is None else {item for item, owner in enumerate(self.epoch.owners) if owner == self.me}
+        )
 
     def proposal(self, now):
         """The next epoch as this manager would have it, or None where nothing is its to change. What it gives away is
@@ -121,16 +143,23 @@
             return None  # others may live whose signs were not seen to change yet
         living = [m for m in range(self.managers) if self.alive(m, now)]
         first = living[0] == self.me
-        if self.epoch is not None and not self.fenced_anew and all(
-                fence > self.first_number for fence in self.mine().values()):
+        if (
+            self.epoch is not None
+            and not self.fenced_anew
+            and all(fence > self.first_number for fence in self.mine().values())
+        ):
             self.fenced_anew = True  # all was given since this process started: the one before it never had it
         if self.epoch is None:
             if not first:
                 return None
             may_have = [m for m in living if m not in self.held_out] or living
             self.fenced_anew = True
-            return Epoch(1, tuple(usual(item, self.managers, may_have) for item in range(self.slices)),
-                         (1,) * self.slices, (GIVEN,) * self.slices)
+            return Epoch(
+                1,
+                tuple(usual(item, self.managers, may_have) for item in range(self.slices)),
+                (1,) * self.slices,
+                (GIVEN,) * self.slices,
+            )
         number, fences, past = self.epoch.number + 1, list(self.epoch.fences), list(self.epoch.past)
         orphans = {owner for owner in set(self.epoch.owners) if owner != self.me and self.members.dead(owner)}
         settled = [m for m in living if m != self.me and self.members.settled(m, now)]
@@ -140,8 +169,17 @@
         weighed = (self.epoch.number, living, settled, orphans, self.held_out, step, self.fenced_anew)
         if weighed == self.idle:
             return None  # nothing has changed since there was nothing to do
-        owners = deal(self.epoch, self.me, self.managers, living, lambda m: self.members.settled(m, now),
-                                self.members.dead, self.held_out, first, step)
+        owners = deal(
+            self.epoch,
+            self.me,
+            self.managers,
+            living,
+            lambda m: self.members.settled(m, now),
+            self.members.dead,
+            self.held_out,
+            first,
+            step,
+        )
         # A process that starts fences off the one before it, which may only be paused.
         again = set() if self.fenced_anew else {item for item in self.owned() if owners[item] == self.me}
         moved = {item for item in range(self.slices) if owners[item] != self.epoch.owners[item]}
--- a/ospreyrouter/custody/dealing.py
+++ b/ospreyrouter/custody/dealing.py
@@ -2,8 +2,8 @@
 
     owners = deal(epoch, me, managers, living, settled, dead, held_out, first, step)
 
-A slice changes hands for one of three reasons: its owner gives it (home again, or held out by an operator), its owner is
-proven dead, or nobody ever had it. Slices of the dead spread over all that live; they return in steps.
+A slice changes hands for one of three reasons: its owner gives it (home again, or held out by an operator), its owner
+is proven dead, or nobody ever had it. Slices of the dead spread over all that live; they return in steps.
 """
 
 import hashlib
@@ -15,8 +15,9 @@
 
 @dataclass(frozen=True)
 class Epoch:
-    """One division: `owners[slice]` is a manager's number, `fences[slice]` the epoch that gave it the slice, `past[slice]`
-    the dead manager it was taken from, or GIVEN where its owner gave it, or nobody had it."""
+    """One division: `owners[slice]` is a manager's number, `fences[slice]` the epoch that gave it the slice,
+    `past[slice]` the dead manager it was taken from, or GIVEN where its owner gave it, or nobody had it.
+    """
 
     number: int
     owners: tuple
@@ -39,8 +40,9 @@
 
 
 def deal(epoch, me, managers, living, settled, dead, held_out, first, step):
-    """The owners as `me` would have them: of the living it moves only its own, of those at most `step` home; of the dead
-    all, where it is the first that lives. `settled(m)`, `dead(m)` say so of one."""
+    """The owners as `me` would have them: of the living it moves only its own, of those at most `step` home; of the
+    dead all, where it is the first that lives. `settled(m)`, `dead(m)` say so of one.
+    """
     owners, returned = list(epoch.owners), 0
     may_have = [m for m in living if m not in held_out] or living
     for item, owner in enumerate(owners):
--- a/ospreyrouter/custody/membership.py
+++ b/ospreyrouter/custody/membership.py
@@ -65,11 +65,17 @@
 
     def alive(self, manager, now):
         row = self.rows.get(manager)
-        return row is not None and row.changed_at is not None and not row.lost and now - row.changed_at < self.patience_us
+        return (
+            row is not None and row.changed_at is not None and not row.lost and now - row.changed_at < self.patience_us
+        )
 
     def due(self, now):
         """When a look could next find someone dead, or None: a look at that moment spares waiting for the usual one."""
-        times = [row.changed_at + self.patience_us for row in self.rows.values() if row.changed_at is not None and not row.lost]
+        times = [
+            row.changed_at + self.patience_us
+            for row in self.rows.values()
+            if row.changed_at is not None and not row.lost
+        ]
         return max(now, min(times)) if times else None
 
     def hold_us(self, manager):
--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -87,7 +87,9 @@
     gone_binds: bool = Field(True, description="whether leaving the list binds as draining does")
     cold_share: Part = Field(0.2, description="part of its capacity that a worker has at start, at least")
     cold_s: SecondsOrNone = Field(16.0, description="seconds after which a worker is warm, at most")
-    fall_multiple: float = Field(3.0, gt=0, le=1e3, description="times its present capacity that a cold worker is not sent")
+    fall_multiple: float = Field(
+        3.0, gt=0, le=1e3, description="times its present capacity that a cold worker is not sent"
+    )
     fall_s: Seconds = Field(1.5, description="seconds; for so long")
     full_may_have_run: bool = Field(False, description="whether a refusal for lack of room may follow work begun")
 
@@ -107,22 +109,37 @@
 
 class SitesWatch(Strict):
     window_s: Seconds = Field(2.0, description="seconds within which a site's answers are counted")
-    bound_returns: bool = Field(False, description="whether a site that was lost gets load back by proof: its workers "
-                                                   "count for a part of their size until then")
-
-
-    reserve: Reserve = Field(0.1, description="part of what a site can do that stays free of what spills over from others")
+    bound_returns: bool = Field(
+        False,
+        description="whether a site that was lost gets load back by proof: its workers "
+        "count for a part of their size until then",
+    )
+
+    reserve: Reserve = Field(
+        0.1, description="part of what a site can do that stays free of what spills over from others"
+    )
     reserves: dict[Name, Reserve] = Field(default_factory=dict, description="the same for single sites, by name")
     groups: dict[Name, list[Name]] = Field(default_factory=dict, description="names for several sites, or other groups")
-    spill: dict[Name, list[Name]] = Field(default_factory=dict, description="for a site, the tiers that carry what it "
-                                          "cannot, most preferred first: sites or groups; others carry nothing for it")
-    distance_ms: dict[Name, dict[Name, Distance]] = Field(default_factory=dict, description="milliseconds between sites; "
-                                                          "tiers of sites that spill does not name follow from it")
-    cost: dict[Name, Distance] = Field(default_factory=dict, description="price of carrying at a site, any unit; within a "
-                                       "band of distance the cheaper is the earlier tier; 1 unless given")
+    spill: dict[Name, list[Name]] = Field(
+        default_factory=dict,
+        description="for a site, the tiers that carry what it "
+        "cannot, most preferred first: sites or groups; others carry nothing for it",
+    )
+    distance_ms: dict[Name, dict[Name, Distance]] = Field(
+        default_factory=dict,
+        description="milliseconds between sites; tiers of sites that spill does not name follow from it",
+    )
+    cost: dict[Name, Distance] = Field(
+        default_factory=dict,
+        description="price of carrying at a site, any unit; within a "
+        "band of distance the cheaper is the earlier tier; 1 unless given",
+    )
     band_ms: Seconds = Field(5.0, description="milliseconds; distances within one band count as equal")
-    refuse_ahead: bool = Field(True, description="whether what the sites that are left cannot carry is refused at once, by "
-                                                 "utility, and not only once answers are slow")
+    refuse_ahead: bool = Field(
+        True,
+        description="whether what the sites that are left cannot carry is refused at once, by "
+        "utility, and not only once answers are slow",
+    )
 
     @property
     def shaped(self):
@@ -132,7 +149,9 @@
 
 class Custody(Strict):
     lease_s: Seconds = Field(1.0, description="seconds; a manager that did not renew for so long stops publishing")
-    peers: bool = Field(False, description="whether managers may talk: then they tell each other when to look at the store")
+    peers: bool = Field(
+        False, description="whether managers may talk: then they tell each other when to look at the store"
+    )
     drift: Part = Field(0.05, description="part by which others wait longer, for clocks that run apart")
 
 
@@ -178,9 +197,12 @@
 
     @model_validator(mode="after")
     def names_agree(self):
-        for what, rows in (("zones", self.zones), ("classes", [row.name for row in self.classes]),
-                           ("managers", [row.name for row in self.managers]),
-                           ("proxies", [row.name for row in self.proxies])):
+        for what, rows in (
+            ("zones", self.zones),
+            ("classes", [row.name for row in self.classes]),
+            ("managers", [row.name for row in self.managers]),
+            ("proxies", [row.name for row in self.proxies]),
+        ):
             if len(set(rows)) != len(rows):
                 raise ValueError(f"{what}: a name stands twice")
         for what, rows in (("managers", self.managers), ("proxies", self.proxies)):
@@ -204,8 +226,10 @@
         # Below this the module waits for room that never comes, and nothing is ever published.
         least = 2 * len(self.proxies) * (self.channel.message_head + 2 + len(self.classes))
         if self.channel.queue_lines < least:
-            raise ValueError(f"channel.queue_lines: {self.channel.queue_lines:g} is too short: two messages to each of "
-                             f"{len(self.proxies)} proxies take {least:g} lines")
+            raise ValueError(
+                f"channel.queue_lines: {self.channel.queue_lines:g} is too short: two messages to each of "
+                f"{len(self.proxies)} proxies take {least:g} lines"
+            )
         return self
 
     def tiers(self):
@@ -218,28 +242,65 @@
 
     def interface(self, me):
         """What the module of manager number `me` is given at start."""
-        retry = {"none": interface.Retry.NONE, "proven": interface.Retry.PROVEN, "once": interface.Retry.ONCE,
-                 "twice": interface.Retry.TWICE}[self.retry]
+        retry = {
+            "none": interface.Retry.NONE,
+            "proven": interface.Retry.PROVEN,
+            "once": interface.Retry.ONCE,
+            "twice": interface.Retry.TWICE,
+        }[self.retry]
         channel, rules = self.channel, self.rules
         return interface.Deployment(
-            me=me, managers=len(self.managers), zone=self.zones.index(self.managers[me].zone),
-            zones=tuple(self.zones), slices=self.slices, proxies=len(self.proxies),
-            classes=tuple(interface.TransactionClass(
-                row.name, us(row.quoted_s), us(row.client_timeout_s), row.utility, row.late_utility,
-                interface.Repeat(row.repeat), row.dedup_scope, us(row.dedup_s), row.writes, False)
-                for row in self.classes),
-            single_owner=False, lists_on_request=False, ask_within_us=0, probes_allowed=self.probes,
-            peers_allowed=False, weights_listed=self.weights_listed or self.sites.bound_returns or self.sites.shaped,
+            me=me,
+            managers=len(self.managers),
+            zone=self.zones.index(self.managers[me].zone),
+            zones=tuple(self.zones),
+            slices=self.slices,
+            proxies=len(self.proxies),
+            classes=tuple(
+                interface.TransactionClass(
+                    row.name,
+                    us(row.quoted_s),
+                    us(row.client_timeout_s),
+                    row.utility,
+                    row.late_utility,
+                    interface.Repeat(row.repeat),
+                    row.dedup_scope,
+                    us(row.dedup_s),
+                    row.writes,
+                    False,
+                )
+                for row in self.classes
+            ),
+            single_owner=False,
+            lists_on_request=False,
+            ask_within_us=0,
+            probes_allowed=self.probes,
+            peers_allowed=False,
+            weights_listed=self.weights_listed or self.sites.bound_returns or self.sites.shaped,
             report_period_us=us(self.reports.period_s),
-            reports_per_s=self.reports.lines_per_s, lines_per_s=channel.lines_per_s,
-            message_head=channel.message_head, queue_lines=channel.queue_lines,
-            messages_most=channel.messages_most, messages_over_us=us(channel.messages_over_s),
-            transit_us=us(channel.transit_s), transit_most_us=us(channel.transit_most_s), bare_us=us(rules.bare_s),
-            settle_us=max(us(row.client_timeout_s) for row in self.classes), lease_us=0,
-            level_kind=interface.LevelKind(self.levels), usual_retry=retry, try_factor=1.0,
-            cold_share=rules.cold_share, cold_us=us(rules.cold_s), fall_multiple=rules.fall_multiple,
-            fall_us=us(rules.fall_s), grace_us=us(rules.drain_grace_s), gone_binds=rules.gone_binds,
-            full_may_have_run=rules.full_may_have_run, warm_keys=self.warm_keys)
+            reports_per_s=self.reports.lines_per_s,
+            lines_per_s=channel.lines_per_s,
+            message_head=channel.message_head,
+            queue_lines=channel.queue_lines,
+            messages_most=channel.messages_most,
+            messages_over_us=us(channel.messages_over_s),
+            transit_us=us(channel.transit_s),
+            transit_most_us=us(channel.transit_most_s),
+            bare_us=us(rules.bare_s),
+            settle_us=max(us(row.client_timeout_s) for row in self.classes),
+            lease_us=0,
+            level_kind=interface.LevelKind(self.levels),
+            usual_retry=retry,
+            try_factor=1.0,
+            cold_share=rules.cold_share,
+            cold_us=us(rules.cold_s),
+            fall_multiple=rules.fall_multiple,
+            fall_us=us(rules.fall_s),
+            grace_us=us(rules.drain_grace_s),
+            gone_binds=rules.gone_binds,
+            full_may_have_run=rules.full_may_have_run,
+            warm_keys=self.warm_keys,
+        )
 
 
 def deployment_schema():
--- a/ospreyrouter/digest/__init__.py
+++ b/ospreyrouter/digest/__init__.py
@@ -14,5 +14,15 @@
 from .shares import FairQueue
 from .silence import Silence
 
-__all__ = ["Digest", "Estimate", "FairQueue", "Handover", "OldestFirst", "Pressure", "Report", "Reporters", "Silence",
-           "Step"]
+__all__ = [
+    "Digest",
+    "Estimate",
+    "FairQueue",
+    "Handover",
+    "OldestFirst",
+    "Pressure",
+    "Report",
+    "Reporters",
+    "Silence",
+    "Step",
+]
--- a/ospreyrouter/digest/digest.py
+++ b/ospreyrouter/digest/digest.py
@@ -26,7 +26,13 @@
 
     def __init__(self, reporters, handover, zones, classes, slices, silence=None):
         self.silence = silence
-        self.reporters, self.handover, self.zones, self.classes, self.slices = reporters, handover, zones, classes, slices
+        self.reporters, self.handover, self.zones, self.classes, self.slices = (
+            reporters,
+            handover,
+            zones,
+            classes,
+            slices,
+        )
         self.rows, self.dropped = {}, Counter()
         self.demand_total = self.late_us = 0
         self.detail = True
@@ -102,8 +108,16 @@
             since[1] += lost * weight
             since[2] += delay * weight
             # A load report that is older than one already handed over is no news.
-            handover.met(now, zone, index, tries * weight, lost * weight, delay * weight, begin,
-                         load if load and end >= row.load_at else None)
+            handover.met(
+                now,
+                zone,
+                index,
+                tries * weight,
+                lost * weight,
+                delay * weight,
+                begin,
+                load if load and end >= row.load_at else None,
+            )
         if self.silence is not None:
             self._mind_silence(now, report, zone)
         for item, kind, came, lost in report.demand:
@@ -124,13 +138,16 @@
                 self.asked_since[report.zone, kind][1] += count * weight
 
     def take_met(self):
-        """{worker index: [tries, lost, delay of the good in us]} of all that was reported since the last call, as it came: quicker than the
-        estimates, which wait until a span is wholly reported."""
+        """{worker index: [tries, lost, delay of the good in us]} of all that was reported since the last call, as it
+        came: quicker than the estimates, which wait until a span is wholly reported.
+        """
         met, self.met_since = self.met_since, {}
         return met
 
     def _mind_silence(self, now, report, zone):
-        """Tries that wait at silent workers, told to the module as lost ahead of their end; estimates are of what ended."""
+        """Tries that wait at silent workers, told to the module as lost ahead of their end; estimates are of what
+        ended.
+        """
         answered = {row[0] for row in report.met if row[1] > row[2]} if report.pending else ()
         for worker, count in self.silence.heard(now, report.reporter, report.pending, answered).items():
             index = self.indices.get(worker)
--- a/ospreyrouter/digest/estimates.py
+++ b/ospreyrouter/digest/estimates.py
@@ -39,8 +39,10 @@
     first, last, span = begin // BUCKET_US, (end - 1) // BUCKET_US, end - begin
     if first == last:
         return [(first % BUCKETS, 1.0)] if first > at - BUCKETS else []
-    return [(bucket % BUCKETS, (min(end, (bucket + 1) * BUCKET_US) - max(begin, bucket * BUCKET_US)) / span)
-            for bucket in range(max(first, at - BUCKETS + 1), last + 1)]
+    return [
+        (bucket % BUCKETS, (min(end, (bucket + 1) * BUCKET_US) - max(begin, bucket * BUCKET_US)) / span)
+        for bucket in range(max(first, at - BUCKETS + 1), last + 1)
+    ]
 
 
 class WorkerSums:
@@ -102,8 +104,16 @@
         confidence = max(0.0, 1.0 - quiet / FADE_US) * (1.0 - 1.0 / (1.0 + behind))
         spread = math.sqrt(square) / tries if tries > 0 else 1.0
         lost_part = lost / tries if tries > 0 else 0.0
-        return Estimate(tries / seconds, lost_part, delay / (tries - lost) if tries - lost > 0 else 0.0,
-                        max(age, silence) if quiet else age, tries, spread, confidence, self._contradiction(lost_part, now))
+        return Estimate(
+            tries / seconds,
+            lost_part,
+            delay / (tries - lost) if tries - lost > 0 else 0.0,
+            max(age, silence) if quiet else age,
+            tries,
+            spread,
+            confidence,
+            self._contradiction(lost_part, now),
+        )
 
     def _contradiction(self, lost_part, now):
         """The worker says that it is at ease, proxies met losses: 0 no contradiction, 1 a full one."""
--- a/ospreyrouter/digest/handover.py
+++ b/ospreyrouter/digest/handover.py
@@ -102,9 +102,14 @@
                     break
                 chosen.append(key)
             taken = set(chosen)
-            rest = sorted(((-self._gain(key, row, now), place, key) for place, (key, row) in
-                           enumerate(self.waiting.items()) if key not in taken))
-            chosen += [key for _, _, key in rest[:lines - len(chosen)]]
+            rest = sorted(
+                (
+                    (-self._gain(key, row, now), place, key)
+                    for place, (key, row) in enumerate(self.waiting.items())
+                    if key not in taken
+                )
+            )
+            chosen += [key for _, _, key in rest[: lines - len(chosen)]]
         out = [self._tell(key, now) for key in chosen]
         out = [line for line in out if line is not None]
         self.budget.used(len(out))
@@ -121,7 +126,16 @@
             lost = min(lost, count)
             if key[0] == "met":
                 good = row.count - row.lost
-                line = ("met", row.zone, key[1], count, lost, round(row.delay / good) if good > 0 else 0, span, row.report)
+                line = (
+                    "met",
+                    row.zone,
+                    key[1],
+                    count,
+                    lost,
+                    round(row.delay / good) if good > 0 else 0,
+                    span,
+                    row.report,
+                )
                 row.report = {}
             else:
                 line = ("demanded", key[1], key[2], count, lost, span)
--- a/ospreyrouter/digest/pressure.py
+++ b/ospreyrouter/digest/pressure.py
@@ -1,8 +1,8 @@
 """What gives way when reports outrun the manager. Decisions only.
 
-    pressure = Pressure(interval_us)
-    pressure.weigh(now, delay_us, busy, fill)      # once in a while: what half of the senders wait, part of time, of memory
-    pressure.step, pressure.sample, pressure.interval_us, pressure.offenders(counts)
+    pressure = Pressure(interval_us) pressure.weigh(now, delay_us, busy, fill)      # once in a while: what half of the
+    senders wait, part of time, of memory pressure.step, pressure.sample, pressure.interval_us,
+    pressure.offenders(counts)
 
 Steps, each taken only when the one before has had time to help: details are merged; reports are sampled, each kept
 one weighing more; senders are asked to report less often; the worst offenders are closed. The way back is one step at
--- a/ospreyrouter/digest/reporters.py
+++ b/ospreyrouter/digest/reporters.py
@@ -42,8 +42,20 @@
 class Reporter:
     """What is known of one reporter."""
 
-    __slots__ = ("life", "highest", "seen", "offset", "offset_at", "against", "heard_at", "end", "span", "skew", "stuck",
-                 "last_sum")
+    __slots__ = (
+        "life",
+        "highest",
+        "seen",
+        "offset",
+        "offset_at",
+        "against",
+        "heard_at",
+        "end",
+        "span",
+        "skew",
+        "stuck",
+        "last_sum",
+    )
 
     def __init__(self, life):
         self.life, self.highest, self.seen, self.offset, self.offset_at = life, None, 0, None, 0
--- a/ospreyrouter/digest/shares.py
+++ b/ospreyrouter/digest/shares.py
@@ -21,7 +21,11 @@
         while self.bytes + size > self.bytes_most and self.items:
             # An item larger than all others' room goes itself: nobody else pays for it.
             heaviest = max(self.sizes, key=lambda name: (self.sizes[name], name))
-            if size >= self.bytes_most or heaviest != sender and self.sizes.get(sender, 0) + size > self.sizes[heaviest]:
+            if (
+                size >= self.bytes_most
+                or heaviest != sender
+                and self.sizes.get(sender, 0) + size > self.sizes[heaviest]
+            ):
                 return dropped + [(sender, item)]
             dropped.append((heaviest, self._remove(heaviest, newest=False)[1]))
         if size > self.bytes_most:
--- a/ospreyrouter/digest/silence.py
+++ b/ospreyrouter/digest/silence.py
@@ -1,12 +1,14 @@
-"""Workers that answer nothing while tries wait there, before these tries are given up. No I/O; the clock is an argument.
+"""Workers that answer nothing while tries wait there, before these tries are given up. No I/O; the clock is an
+argument.
 
     silence = Silence(patience_us)
     lost = silence.heard(now, reporter, pending, answered)    # {worker: tries that count as lost from now on}
 
-`pending` are (worker, tries in progress) of one report (LRS's total_requests_in_progress), `answered` the workers that it says
-answered anything. A site that goes dark refuses nothing: its tries end by time-outs only, seconds later. A worker that
-is only crowded answers something meanwhile; one at which a reporter had tries in progress for a patience, report after report, and
-nothing was answered, is silent for that reporter. Its tries count as lost once then, and once more when they end.
+`pending` are (worker, tries in progress) of one report (LRS's total_requests_in_progress), `answered` the workers that
+it says answered anything. A site that goes dark refuses nothing: its tries end by time-outs only, seconds later. A
+worker that is only crowded answers something meanwhile; one at which a reporter had tries in progress for a patience,
+report after report, and nothing was answered, is silent for that reporter. Its tries count as lost once then, and once
+more when they end.
 """
 
 from collections import OrderedDict
--- a/ospreyrouter/door/names.py
+++ b/ospreyrouter/door/names.py
@@ -1,8 +1,8 @@
 """Names to the small indices that the manager knows, and back.
 
-    door = Door(settings)                 # `door.setup` is the Deployment, `door.load_reports` whether workers report
-    door.worker(name), door.known(name), door.name(worker)
-    door.entry(name, zone, kind, cell, state, weight, started_us)
+door = Door(settings)                 # `door.setup` is the Deployment, `door.load_reports` whether workers report
+door.worker(name), door.known(name), door.name(worker)
+door.entry(name, zone, kind, cell, state, weight, started_us)
 """
 
 from ..interface import Entry
@@ -50,5 +50,12 @@
         return self.named(self.classes, name, "class")
 
     def entry(self, name, zone, kind, cell, state, weight, started_us):
-        return Entry(self.worker(name), self.zone(zone), self.kinds.setdefault(kind, len(self.kinds)), cell, state,
-                     float(weight), started_us)
+        return Entry(
+            self.worker(name),
+            self.zone(zone),
+            self.kinds.setdefault(kind, len(self.kinds)),
+            cell,
+            state,
+            float(weight),
+            started_us,
+        )
--- a/ospreyrouter/door/settings.py
+++ b/ospreyrouter/door/settings.py
@@ -75,7 +75,11 @@
     def names(self, key):
         """A list of one name or more, all different."""
         values = self.get(key, list)
-        if not values or not all(isinstance(value, str) and value for value in values) or len(set(values)) < len(values):
+        if (
+            not values
+            or not all(isinstance(value, str) and value for value in values)
+            or len(set(values)) < len(values)
+        ):
             raise Malformed(f"{self.where}.{key} is no list of different names: {values!r:.60}")
         return tuple(values)
 
--- a/ospreyrouter/files/agent.py
+++ b/ospreyrouter/files/agent.py
@@ -17,8 +17,20 @@
 from ..loop import Refused
 from ..web import Client, Server, digest_matches
 from ..web.coding import BadBody, plain
-from ..xds.documents import (CLA, ROUTES, BadDocument, Rendered, dump, load, need, push_of, response, routes_resource,
-                             version_of, whole_table_of)
+from ..xds.documents import (
+    CLA,
+    ROUTES,
+    BadDocument,
+    Rendered,
+    dump,
+    load,
+    need,
+    push_of,
+    response,
+    routes_resource,
+    version_of,
+    whole_table_of,
+)
 from .ledger import Ledger, Rejected
 from .reader import TableReader, fences_text, parse_fences
 
@@ -79,8 +91,7 @@
             return
         orders = {name: (levels, reader.withheld[name]) for name, levels in reader.levels.items()}
         self.ledger.restored([row[0] for row in reader.tables.values()], orders, reader.fences)
-        self.log.info("files_taken_up", proxy=self.place.name, generation=self.number,
-                      tables=len(self.ledger.tables))
+        self.log.info("files_taken_up", proxy=self.place.name, generation=self.number, tables=len(self.ledger.tables))
         self.on_swap()
 
     def _change(self, change):
@@ -185,8 +196,14 @@
             done()
             return
         push = push_of(request.body, manager)
-        self.log.debug("pushed", proxy=self.place.name, manager=manager, tables=len(push.tables),
-                       ordered=request.headers.get("x-ordered-us"), lines=request.headers.get("x-lines"))
+        self.log.debug(
+            "pushed",
+            proxy=self.place.name,
+            manager=manager,
+            tables=len(push.tables),
+            ordered=request.headers.get("x-ordered-us"),
+            lines=request.headers.get("x-lines"),
+        )
         staged = self.ledger.copy()
         changed, reordered, missing = staged.push(push)
         session = joined.session
@@ -228,14 +245,20 @@
             return
         joined.reading, client = True, joined.client
         wait = self.chance.randint(0, FETCH_SPREAD_US)
-        self.loop.after(wait, lambda: joined.client is client and joined.up and self._read(
-            manager, "missing", sorted(joined.missing)))
+        self.loop.after(
+            wait,
+            lambda: joined.client is client and joined.up and self._read(manager, "missing", sorted(joined.missing)),
+        )
 
     def _answer_mark(self, manager, push, refused):
         joined = self.joined[manager]
         if push.mark is not None and joined.up:
-            answer = {"node": {"id": self.place.name}, "versionInfo": f"{push.fence}.{push.number}",
-                      "typeUrl": CLA, "responseNonce": str(push.mark)}
+            answer = {
+                "node": {"id": self.place.name},
+                "versionInfo": f"{push.fence}.{push.number}",
+                "typeUrl": CLA,
+                "responseNonce": str(push.mark),
+            }
             if refused:
                 answer["errorDetail"] = {"code": 3, "message": refused}
             joined.client.ask("POST", "/v3/discovery:endpoints", JSON, dump(answer), lambda _: None, ANSWER_US)
@@ -268,8 +291,9 @@
         joined = self.joined[manager]
         joined.session, joined.tag, joined.up = "", 0, False
         joined.missing, joined.reading, joined.marks_held = set(), False, []
-        client = joined.client = Client(self.loop, self.addresses[manager],
-                                        on_closed=lambda reason: self._left(manager, client, reason))
+        client = joined.client = Client(
+            self.loop, self.addresses[manager], on_closed=lambda reason: self._left(manager, client, reason)
+        )
         self._read(manager, "", None)
 
     def _left(self, manager, client, reason):
@@ -286,16 +310,33 @@
     def _read(self, manager, nonce, items):
         """Join, or read slices given anew: say what is held, be given what is newer."""
         joined = self.joined[manager]
-        data = {"node": {"id": self.place.name, "locality": {"zone": self.place.zone}, "metadata": {
-                    "host": self.address[0], "port": self.address[1], "usual_per_s": self.place.usual_per_s,
+        data = {
+            "node": {
+                "id": self.place.name,
+                "locality": {"zone": self.place.zone},
+                "metadata": {
+                    "host": self.address[0],
+                    "port": self.address[1],
+                    "usual_per_s": self.place.usual_per_s,
                     "fresh": manager not in self.ledger.orders,
-                    "levels": {kind: level for kind, (level, _) in self.ledger.ordered(manager).levels.items()}}},
-                "typeUrl": CLA, "initialResourceVersions": self.ledger.versions(), "responseNonce": nonce}
+                    "levels": {kind: level for kind, (level, _) in self.ledger.ordered(manager).levels.items()},
+                },
+            },
+            "typeUrl": CLA,
+            "initialResourceVersions": self.ledger.versions(),
+            "responseNonce": nonce,
+        }
         if items is not None:
             data["resourceNamesSubscribe"] = [f"slice-{item}" for item in items]
         client = joined.client
-        client.ask("POST", "/v3/delta_discovery:endpoints", JSON, dump(data),
-                   lambda answer: self._was_read(manager, client, answer, nonce, items), ANSWER_US)
+        client.ask(
+            "POST",
+            "/v3/delta_discovery:endpoints",
+            JSON,
+            dump(data),
+            lambda answer: self._was_read(manager, client, answer, nonce, items),
+            ANSWER_US,
+        )
 
     def _was_read(self, manager, client, answer, nonce, items):
         joined = self.joined[manager]
@@ -304,8 +345,10 @@
         if answer.status == 503 and joined.up:
             # Joined already: the manager only has no room for so large an answer now.
             self.counts["reads put off"] += 1
-            self.loop.after(self.chance.randint(*REDIAL_US), lambda: joined.client is client and joined.up and
-                            self._read(manager, nonce, items))
+            self.loop.after(
+                self.chance.randint(*REDIAL_US),
+                lambda: joined.client is client and joined.up and self._read(manager, nonce, items),
+            )
             return
         if answer.status != 200:
             if answer.status:
@@ -324,8 +367,10 @@
             if need(data, "typeUrl", str, "answer") != CLA:
                 raise BadDocument("answer.typeUrl: is not that of tables")
             fence, _ = version_of(need(data, "systemVersionInfo", str, "answer"), "answer.systemVersionInfo")
-            tables = [whole_table_of(need(row, "resource", dict, "answer"), "answer")[0]
-                      for row in need(data, "resources", list, "answer")]
+            tables = [
+                whole_table_of(need(row, "resource", dict, "answer"), "answer")[0]
+                for row in need(data, "resources", list, "answer")
+            ]
             given = parse_fences(need(need(data, "controlPlane", dict, "answer"), "identifier", str, "answer"))
             nonce = need(data, "nonce", str, "answer")
         except BadDocument as problem:
--- a/ospreyrouter/files/disk.py
+++ b/ospreyrouter/files/disk.py
@@ -16,7 +16,7 @@
     def append(self, handle, body):
         view = memoryview(body)
         while view:
-            view = view[os.write(handle, view):]
+            view = view[os.write(handle, view) :]
         if self.flush:
             self.flush_file(handle)
 
@@ -29,7 +29,7 @@
         try:
             view = memoryview(body)
             while view:
-                view = view[os.write(handle, view):]
+                view = view[os.write(handle, view) :]
             if self.flush and flush:
                 self.flush_file(handle)
         finally:
--- a/ospreyrouter/files/ledger.py
+++ b/ospreyrouter/files/ledger.py
@@ -46,8 +46,11 @@
             self.fences[item], self.owners[item] = fence, manager
 
     def _unfenced(self, manager, fence, items):
-        late = [item for item in items if fence < self.fence(item)
-                or fence == self.fence(item) and self.owners.get(item, manager) != manager]
+        late = [
+            item
+            for item in items
+            if fence < self.fence(item) or fence == self.fence(item) and self.owners.get(item, manager) != manager
+        ]
         if late:
             raise Rejected("fenced", f"{manager} has fence {fence}, slice {late[0]} has {self.fence(late[0])}")
 
@@ -84,13 +87,24 @@
             self.fences[table.slice], self.owners[table.slice] = push.fence, push.manager
         orders = self.orders.setdefault(push.manager, Orders())
         levels = orders.levels | push.levels
-        withheld = frozenset((orders.withheld | {name for name, out in push.withheld.items() if out})
-                             - {name for name, out in push.withheld.items() if not out})
+        withheld = frozenset(
+            (orders.withheld | {name for name, out in push.withheld.items() if out})
+            - {name for name, out in push.withheld.items() if not out}
+        )
         reordered = levels != orders.levels or withheld != orders.withheld
-        touched = {item for item, table in self.tables.items() if self.owner(item) == push.manager
-                   and (levels != orders.levels
-                        or any((line.worker in withheld) != (line.worker in orders.withheld)
-                               for line in table.lines))} if reordered else set()
+        touched = (
+            {
+                item
+                for item, table in self.tables.items()
+                if self.owner(item) == push.manager
+                and (
+                    levels != orders.levels
+                    or any((line.worker in withheld) != (line.worker in orders.withheld) for line in table.lines)
+                )
+            }
+            if reordered
+            else set()
+        )
         orders.levels, orders.withheld = levels, withheld
         return changed | touched, reordered, missing
 
--- a/ospreyrouter/helper/calls.py
+++ b/ospreyrouter/helper/calls.py
@@ -12,8 +12,9 @@
 
 
 class InlineCalls:
-    """Does each call at once; its result comes after `delay_us`, as from a slow disk. `hung` calls never end; `held` ones are
-    done when `release` is called, as on a disk that hangs for a while; of `deaf` ones the answer is lost."""
+    """Does each call at once; its result comes after `delay_us`, as from a slow disk. `hung` calls never end; `held`
+    ones are done when `release` is called, as on a disk that hangs for a while; of `deaf` ones the answer is lost.
+    """
 
     def __init__(self, loop, disk, delay_us=0):
         self.loop, self.work, self.delay_us, self.hung = loop, Work(disk, lock=False), delay_us, False
@@ -55,8 +56,9 @@
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
         command = [sys.executable, "-m", "ospreyrouter.helper.child", str(theirs.fileno())]
-        self.process = subprocess.Popen(command, pass_fds=[theirs.fileno()], stdin=subprocess.DEVNULL,
-                                        stdout=subprocess.DEVNULL)
+        self.process = subprocess.Popen(
+            command, pass_fds=[theirs.fileno()], stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL
+        )
         theirs.close()
         self.stream = SocketStream(loop, ours, "helper")
         self.stream.write_most = 1 << 30  # our own child: a slow disk must not lose what was asked
@@ -83,7 +85,7 @@
             size = struct.unpack("!I", self.data[:4])[0]
             if len(self.data) < 4 + size:
                 return
-            body, self.data = self.data[4:4 + size], self.data[4 + size:]
+            body, self.data = self.data[4 : 4 + size], self.data[4 + size :]
             number, result, problem = pickle.loads(body)
             on_done = self.waiting.pop(number, None)
             if on_done is not None:
--- a/ospreyrouter/intake/bodies.py
+++ b/ospreyrouter/intake/bodies.py
@@ -84,14 +84,31 @@
                             delay = value
                         elif label.startswith(DELAY_BUCKET):
                             buckets = buckets or []
-                            buckets.append((float(label[len(DELAY_BUCKET):]),
-                                            count_of(metric["numRequestsFinishedWithMetric"], label)))
+                            buckets.append(
+                                (
+                                    float(label[len(DELAY_BUCKET) :]),
+                                    count_of(metric["numRequestsFinishedWithMetric"], label),
+                                )
+                            )
                         else:
                             load[label] = value
                     if "totalRequestsInProgress" in end:
-                        pending.append((end["metadata"]["worker"], count_of(end["totalRequestsInProgress"], "totalRequestsInProgress")))
-                    met.append((end["metadata"]["worker"], count_of(end["totalIssuedRequests"], "totalIssuedRequests"),
-                                count_of(end.get("totalErrorRequests", 0), "totalErrorRequests"), delay, load, buckets))
+                        pending.append(
+                            (
+                                end["metadata"]["worker"],
+                                count_of(end["totalRequestsInProgress"], "totalRequestsInProgress"),
+                            )
+                        )
+                    met.append(
+                        (
+                            end["metadata"]["worker"],
+                            count_of(end["totalIssuedRequests"], "totalIssuedRequests"),
+                            count_of(end.get("totalErrorRequests", 0), "totalErrorRequests"),
+                            delay,
+                            load,
+                            buckets,
+                        )
+                    )
             else:
                 item = slice_number(name)
                 for metric in place.get("loadMetricStats", ()):
@@ -104,8 +121,10 @@
                     demand.append((item, metric["metricName"], came, lost))
         if cluster.get("droppedRequests"):
             item = slice_number(name)
-            refused += [(item, dropped["category"], count_of(dropped["droppedCount"], "droppedCount"))
-                        for dropped in cluster["droppedRequests"]]
+            refused += [
+                (item, dropped["category"], count_of(dropped["droppedCount"], "droppedCount"))
+                for dropped in cluster["droppedRequests"]
+            ]
     return finished(node["id"], zone, about, span, met, demand, pending, refused)
 
 
@@ -125,8 +144,18 @@
     life, sequence, sent = about["life"], about["sequence"], about["sent_us"]
     if type(life) is not str or not (0 <= sequence < 1 << 53 and 0 <= sent < 1 << 53):
         raise BadBody("malformed", "node.metadata: life, sequence or sent_us")
-    return Report(name, zone, life, int(sequence), int(sent), span if span is not None else 0, met, demand,
-                  pending=pending, refused=refused)
+    return Report(
+        name,
+        zone,
+        life,
+        int(sequence),
+        int(sent),
+        span if span is not None else 0,
+        met,
+        demand,
+        pending=pending,
+        refused=refused,
+    )
 
 
 def varint(data, place):
@@ -143,6 +172,7 @@
 def from_protobuf(data):
     from envoy.service.load_stats.v3 import lrs_pb2  # some hundred modules: only where a sender needs them
     from google.protobuf.message import DecodeError
+
     reports, place, view = [], 0, memoryview(data)
     while place < len(data):
         size, place = varint(data, place)
@@ -151,7 +181,7 @@
         if len(reports) >= REPORTS_MOST:
             raise BadBody("too many reports")
         try:
-            message = lrs_pb2.LoadStatsRequest.FromString(bytes(view[place:place + size]))
+            message = lrs_pb2.LoadStatsRequest.FromString(bytes(view[place : place + size]))
         except DecodeError as problem:
             raise BadBody("malformed", str(problem)) from None
         reports.append(protobuf_report(message))
@@ -161,8 +191,11 @@
 
 def protobuf_report(message):
     node = message.node
-    about = {name: getattr(value, value.WhichOneof("kind")) for name, value in node.metadata.fields.items()
-             if value.WhichOneof("kind")}
+    about = {
+        name: getattr(value, value.WhichOneof("kind"))
+        for name, value in node.metadata.fields.items()
+        if value.WhichOneof("kind")
+    }
     met, demand, pending, refused, span = [], [], [], [], None
     for cluster in message.cluster_stats:
         name = cluster.cluster_name
@@ -181,15 +214,25 @@
                         elif label.startswith(DELAY_BUCKET):
                             buckets = buckets or []
                             try:
-                                buckets.append((float(label[len(DELAY_BUCKET):]), metric.num_requests_finished_with_metric))
+                                buckets.append(
+                                    (float(label[len(DELAY_BUCKET) :]), metric.num_requests_finished_with_metric)
+                                )
                             except ValueError:
                                 raise BadBody("malformed", f"{label:.40}") from None
                         else:
                             load[label] = value
                     if end.total_requests_in_progress:
                         pending.append((end.metadata.fields["worker"].string_value, end.total_requests_in_progress))
-                    met.append((end.metadata.fields["worker"].string_value, end.total_issued_requests,
-                                end.total_error_requests, delay, load, buckets))
+                    met.append(
+                        (
+                            end.metadata.fields["worker"].string_value,
+                            end.total_issued_requests,
+                            end.total_error_requests,
+                            delay,
+                            load,
+                            buckets,
+                        )
+                    )
             else:
                 item = slice_of(name)
                 for metric in place.load_metric_stats:
--- a/ospreyrouter/intake/service.py
+++ b/ospreyrouter/intake/service.py
@@ -108,8 +108,13 @@
             if len(self.offences) >= SENDERS_MOST:
                 self.offences.pop(next(iter(self.offences)))
             row = self.offences[sender] = [now, 0]
-            self.log.warning("reports_refused", manager=self.name, reason=problem.reason, detail=str(problem)[:200],
-                             sender=str(getattr(request.connection.stream, "peer", "")))
+            self.log.warning(
+                "reports_refused",
+                manager=self.name,
+                reason=problem.reason,
+                detail=str(problem)[:200],
+                sender=str(getattr(request.connection.stream, "peer", "")),
+            )
         row[1] += 1
         request.answer(400, [("content-type", "text/plain")], str(problem)[:200].encode())
         if row[1] >= OFFENCES_MOST or problem.reason == "bomb":
@@ -134,9 +139,16 @@
         if self.pressure.weigh(now, delay, busy, self.queue.bytes / self.queue.bytes_most):
             self.digest.detail = self.pressure.step < Step.MERGE
             self._make_answer()
-            self.log.info("intake_pressure", manager=self.name, step=self.pressure.step.name.lower(),
-                          sample=self.pressure.sample, interval_us=self.pressure.interval_us, delay_us=delay,
-                          waiting=self.queue.bytes, harder=self.pressure.step > step)
+            self.log.info(
+                "intake_pressure",
+                manager=self.name,
+                step=self.pressure.step.name.lower(),
+                sample=self.pressure.sample,
+                interval_us=self.pressure.interval_us,
+                delay_us=delay,
+                waiting=self.queue.bytes,
+                harder=self.pressure.step > step,
+            )
         if self.pressure.step is Step.CLOSE:
             self._close_offenders()
         self.bytes_in = Counter({sender: size // 2 for sender, size in self.bytes_in.items() if size > 1})
@@ -154,13 +166,23 @@
                 request.connection.close()
 
     def _make_answer(self):
-        self.answer = dump({"sendAllClusters": True, "loadReportingInterval": interval(self.pressure.interval_us),
-                            "reportEndpointGranularity": True})
+        self.answer = dump(
+            {
+                "sendAllClusters": True,
+                "loadReportingInterval": interval(self.pressure.interval_us),
+                "reportEndpointGranularity": True,
+            }
+        )
 
     def figures(self):
-        return {**self.counts, **{f"dropped: {name}": count for name, count in self.digest.dropped.items()},
-                "reporters": len(self.digest.reporters.rows), "reporters forgotten": self.digest.reporters.forgotten,
-                "longest slice us": self.longest_slice_us, "pressure changes": self.pressure.changes}
+        return {
+            **self.counts,
+            **{f"dropped: {name}": count for name, count in self.digest.dropped.items()},
+            "reporters": len(self.digest.reporters.rows),
+            "reporters forgotten": self.digest.reporters.forgotten,
+            "longest slice us": self.longest_slice_us,
+            "pressure changes": self.pressure.changes,
+        }
 
     def close(self):
         """What has been read and waits for its turn is refused: nobody will take it in."""
--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -22,7 +22,9 @@
 
 
 # A dial that ends so never left this machine: it says nothing of the peer. EHOSTUNREACH is the network's answer.
-LOCAL_ERRORS = frozenset(map(reason_of, SHORTAGE | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.EAGAIN}))
+LOCAL_ERRORS = frozenset(
+    map(reason_of, SHORTAGE | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.EAGAIN})
+)
 
 
 class SocketStream(Stream):
@@ -266,8 +268,9 @@
                 self._ready(selectors.EVENT_READ)
 
     def _pause(self):
-        """Out of descriptors, or of memory: spinning on accept would starve everything else, and a caller waits for each
-        moment that is lost. So it is tried again soon, and less and less often."""
+        """Out of descriptors, or of memory: spinning on accept would starve everything else, and a caller waits for
+        each moment that is lost. So it is tried again soon, and less and less often.
+        """
         self.paused = True
         self.loop.selector.unregister(self.sock)
         self.loop.after(self.retry_us, self._resume)
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -169,6 +169,7 @@
                 self.parked.append(run)
             else:
                 callback()
+
         return run
 
     def at(self, when_us, callback):
--- a/ospreyrouter/manager/background.py
+++ b/ospreyrouter/manager/background.py
@@ -16,11 +16,29 @@
         self.service, self.schedule = service, Schedule(BUDGETS)
         self.audits, self.claims, self.differences, self.place = 0, 0, 0, 0
         add = self.schedule.add
-        add(Job("audit", 2, AUDIT_EVERY_US, 20_000_000, {"cpu_us": 5_000, "lines": 50}, self._audit,
-                lambda: bool(service.sessions)))
+        add(
+            Job(
+                "audit",
+                2,
+                AUDIT_EVERY_US,
+                20_000_000,
+                {"cpu_us": 5_000, "lines": 50},
+                self._audit,
+                lambda: bool(service.sessions),
+            )
+        )
         add(Job("retention", 1, RETAIN_EVERY_US, 300_000_000, {"cpu_us": 20_000}, self._retain))
-        add(Job("compaction", 1, COMPACT_EVERY_US, 600_000_000, {"cpu_us": 40_000, "disk_bytes": 8_000_000}, self._compact,
-                lambda: service.tables.wants_compaction()))
+        add(
+            Job(
+                "compaction",
+                1,
+                COMPACT_EVERY_US,
+                600_000_000,
+                {"cpu_us": 40_000, "disk_bytes": 8_000_000},
+                self._compact,
+                lambda: service.tables.wants_compaction(),
+            )
+        )
         service.loop.after(LOOK_US, self._look)
 
     def _look(self):
@@ -29,13 +47,18 @@
             return
         service.loop.after(LOOK_US, self._look)
         # Withdrawals wait in the channel like everything else: while much waits, nothing is added.
-        busy = service.channel.waiting > service.channel.limit / 4 or service.unsaved or not service.custody.may_publish(
-            service.loop.now())
+        busy = (
+            service.channel.waiting > service.channel.limit / 4
+            or service.unsaved
+            or not service.custody.may_publish(service.loop.now())
+        )
         job = self.schedule.next(service.loop.now(), bool(busy))
         if job is not None:
             began = service.loop.now()
             spent = job.run()
-            self.schedule.done(service.loop.now(), job, job.cost | {"cpu_us": service.loop.now() - began} | (spent or {}))
+            self.schedule.done(
+                service.loop.now(), job, job.cost | {"cpu_us": service.loop.now() - began} | (spent or {})
+            )
 
     def _audit(self):
         """The next proxy is asked to say what it holds, and is given what differs."""
@@ -60,7 +83,9 @@
         history = self.service.tables.history
         gone = self.service.tables.prune()
         if gone:
-            self.service.log.info("versions_pruned", manager=self.service.name, versions=gone, kept=len(history.by_digest))
+            self.service.log.info(
+                "versions_pruned", manager=self.service.name, versions=gone, kept=len(history.by_digest)
+            )
         return None
 
     def _compact(self):
@@ -68,7 +93,12 @@
         return {"disk_bytes": self.service.tables.size}
 
     def figures(self):
-        return {"audits": self.audits, "claims": self.claims, "differences": self.differences,
-                "gave way": self.schedule.gave_way, "starved": self.schedule.starved,
-                "clock_steps": self.service.tables.time_of_day.steps,
-                "runs": {job.name: job.runs for job in self.schedule.jobs}}
+        return {
+            "audits": self.audits,
+            "claims": self.claims,
+            "differences": self.differences,
+            "gave way": self.schedule.gave_way,
+            "starved": self.schedule.starved,
+            "clock_steps": self.service.tables.time_of_day.steps,
+            "runs": {job.name: job.runs for job in self.schedule.jobs},
+        }
--- a/ospreyrouter/manager/callers.py
+++ b/ospreyrouter/manager/callers.py
@@ -1,7 +1,7 @@
 """What callers tell a manager over HTTP: drains of their own, and what became of a change. Sockets only.
 
-`POST /v3/drains` with `{"caller", "worker": [host, port], "on", "at", "key"}`; `GET /v3/drains?caller=` lists the last word
-on each worker with its `at`, which rises with each change of a caller: one may have told several managers in turn.
+`POST /v3/drains` with `{"caller", "worker": [host, port], "on", "at", "key"}`; `GET /v3/drains?caller=` lists the last
+word on each worker with its `at`, which rises with each change of a caller: one may have told several managers in turn.
 `GET /v3/changes?caller=&key=` says "took effect" or "did not" of any caller's change, a balancer's too (caller
 `sasp/UID`, key the message's number); of one that is being stored it answers when that has ended. To be told "did not"
 closes the key: the change is refused should it still come, and is asked for again by another key.
@@ -61,6 +61,7 @@
                 self._answer(request, 503, {"state": DID_NOT, "detail": "the store refused"})
             else:
                 self._answer(request, 200, {"state": TOOK_EFFECT, "key": key, "drained": self.drains.of(caller)})
+
         try:
             if book.repeated(caller, key, digest, then):
                 return
@@ -70,15 +71,24 @@
         except TooMany as problem:
             self._answer(request, 429, {"state": DID_NOT, "detail": str(problem)})
         else:
-            self.service.changes.ask_for(Change(caller, key, digest, frozenset([f"{host}:{port}"]),
-                                                ["drain", host, port, on, at], None, undo), then)
+            self.service.changes.ask_for(
+                Change(caller, key, digest, frozenset([f"{host}:{port}"]), ["drain", host, port, on, at], None, undo),
+                then,
+            )
 
     def _ask(self, request, caller, key):
         book = self.service.changes.book
 
         def then(change):
-            self._answer(request, 200, {"state": DID_NOT if change is None else TOOK_EFFECT,
-                                        "answer": None if change is None else change.answer})
+            self._answer(
+                request,
+                200,
+                {
+                    "state": DID_NOT if change is None else TOOK_EFFECT,
+                    "answer": None if change is None else change.answer,
+                },
+            )
+
         book.ask(caller, key, then)
 
     def _redo(self, caller, effect):
@@ -86,8 +96,11 @@
         self.drains.set(caller, (host, port), on, at)
 
     def _standing(self):
-        return [(caller, ["drain", host, port, on, at]) for caller in sorted(self.drains.rows)
-                for host, port, on, at in self.drains.of(caller)]
+        return [
+            (caller, ["drain", host, port, on, at])
+            for caller in sorted(self.drains.rows)
+            for host, port, on, at in self.drains.of(caller)
+        ]
 
     @staticmethod
     def _answer(request, status, data, headers=()):
--- a/ospreyrouter/manager/changes.py
+++ b/ospreyrouter/manager/changes.py
@@ -37,6 +37,7 @@
             self.ready = True
             for call in self.on_open:
                 call()
+
         self.file.open(opened)
 
     def _again(self, row):
@@ -94,13 +95,25 @@
             self.rewriting = False
             if problem is not None:
                 self.log.error("changes_not_compacted", manager=self.name, reason=problem.strerror)
+
         self.file.rewrite(rows, done)
 
     def figures(self):
-        return {"changes_stored_in": self.writes, "changes_repeated": self.book.repeats, "changes_undone": self.book.undone}
+        return {
+            "changes_stored_in": self.writes,
+            "changes_repeated": self.book.repeats,
+            "changes_undone": self.book.undone,
+        }
 
 
 def row_of(change, kind):
     # What was done is not done a second time from a log written anew: there the state says it.
-    return [kind, change.caller, change.key, change.digest, sorted(change.subjects),
-            change.effect if kind == "change" else None, change.answer]
+    return [
+        kind,
+        change.caller,
+        change.key,
+        change.digest,
+        sorted(change.subjects),
+        change.effect if kind == "change" else None,
+        change.answer,
+    ]
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -50,8 +50,14 @@
         self.written = {}  # {slice: Table} as last published or read from the store
         self.epoch, self.number = 0, 0
         self.levels, self.withheld, self.joined_now = {}, set(), set()
-        self.digest = Digest(Reporters(setup.reports.reporters_most), handover(setup.reports.lines_per_s), self.zones,
-                             self.classes, setup.slices, Silence(max(row.quoted_us for row in self.facts.classes)))
+        self.digest = Digest(
+            Reporters(setup.reports.reporters_most),
+            handover(setup.reports.lines_per_s),
+            self.zones,
+            self.classes,
+            setup.slices,
+            Silence(max(row.quoted_us for row in self.facts.classes)),
+        )
         self.intake, self.effects = [], []
         self.marks = {}
         self.changed, self.withhold_lines, self.mark_asked = set(), {}, None
@@ -63,7 +69,9 @@
         self.states, self.held = None, {}  # by worker, as the newest list has it
         self.sites, self.entries = Sites(setup.zones, round(setup.sites.window_s * 1e6)), []
         kinds = {row.name: (row.utility, row.quoted_us) for row in self.facts.classes}
-        self.spill = SpillControl(setup.zones, kinds, setup.tiers(), setup.reserve(), self.facts.cold_share, self.facts.cold_us)
+        self.spill = SpillControl(
+            setup.zones, kinds, setup.tiers(), setup.reserve(), self.facts.cold_share, self.facts.cold_us
+        )
 
     # What happened.
 
@@ -88,8 +96,17 @@
                 row.incarnation, row.started_us = incarnation, None if age is None else now - age
             row.host, row.port, row.zone = host, port, zone
             self.digest.worker_started(name, place, row.started_us)
-            out.append(Entry(place, self.zones[zone], self.kinds.setdefault(kind, len(self.kinds)), cell,
-                             STATES[state], weight, row.started_us))
+            out.append(
+                Entry(
+                    place,
+                    self.zones[zone],
+                    self.kinds.setdefault(kind, len(self.kinds)),
+                    cell,
+                    STATES[state],
+                    weight,
+                    row.started_us,
+                )
+            )
         self.entries = out
         for row in self.rows:
             state = self.states.get(row.name)
@@ -105,18 +122,26 @@
             self.effects.append(("read", sorted(stale)))
 
     def unkept(self, now, after_us):
-        """Whether the tables in charge still name a worker that drains or is gone, as was heard so long ago, and nobody withholds it."""
-        late = {self.workers[name] for name, since in self.unready_since.items() if now - since >= after_us} - self.withheld
+        """Whether the tables in charge still name a worker that drains or is gone, as was heard so long ago, and nobody
+        withholds it.
+        """
+        late = {
+            self.workers[name] for name, since in self.unready_since.items() if now - since >= after_us
+        } - self.withheld
         return bool(late) and any(late & lines.keys() for lines in self.tables.values())
 
     def _tell_list(self, now):
         """The list as the module is told it: where returns are bound, workers of a returning site count for a part of
-        their size; where tiers say who carries for a lost site, those of the others for as much as is planned; those of a
-        site that an operator holds out drain, those of a lost one are gone, whatever the list says."""
+        their size; where tiers say who carries for a lost site, those of the others for as much as is planned; those of
+        a site that an operator holds out drain, those of a lost one are gone, whatever the list says.
+        """
         sites, shaped = self.setup.sites, self.setup.sites.shaped
         sizes = [entry.weight if self.setup.weights_listed else 1.0 for entry in self.entries]
-        parts = [(self.sites.usable(self.setup.zones[entry.zone]) if sites.bound_returns else 1.0) *
-                 (self.spill.parts[self.setup.zones[entry.zone]] if shaped else 1.0) for entry in self.entries]
+        parts = [
+            (self.sites.usable(self.setup.zones[entry.zone]) if sites.bound_returns else 1.0)
+            * (self.spill.parts[self.setup.zones[entry.zone]] if shaped else 1.0)
+            for entry in self.entries
+        ]
         # What makes others smaller must not make a cold one's part of the whole larger.
         whole = sum(size * part for size, part in zip(sizes, parts)) / max(1e-9, sum(sizes)) if shaped else 1.0
         out = []
@@ -126,8 +151,9 @@
             cold = entry.started_us is not None and now - entry.started_us < self.facts.cold_us
             out.append(replace(entry, state=state, weight=size * (min(part, whole) if cold else part)))
         self.intake.append(("listed", True, out))
-        within = frozenset(entry.worker for entry in self.entries
-                           if shaped and self.spill.parts[self.setup.zones[entry.zone]] < 1.0)
+        within = frozenset(
+            entry.worker for entry in self.entries if shaped and self.spill.parts[self.setup.zones[entry.zone]] < 1.0
+        )
         if within != self.within:
             self.within = within
             self.intake.append(("confined", within))
@@ -143,7 +169,9 @@
                 self.spill.tried(now, row.name, row.zone, tries - lost, lost, delay)
                 load = self.digest.load_of(row.name)
                 if load:
-                    self.spill.reported(now, row.name, row.zone, load, None if row.started_us is None else now - row.started_us)
+                    self.spill.reported(
+                        now, row.name, row.zone, load, None if row.started_us is None else now - row.started_us
+                    )
         for (site, kind), (came, refused) in self.digest.take_asked().items():
             if kind in self.classes:
                 self.spill.asked(now, site, kind, came, refused)
@@ -152,7 +180,9 @@
             self.sites.hold_out(name, name in held_out)
         if self.states is None:
             return []  # no list has come: of no site it is known what it has. An empty one is another matter
-        changes = self.sites.turn(now, lambda site: total * ready[site] / max(1, ready.total()), lambda site: ready[site])
+        changes = self.sites.turn(
+            now, lambda site: total * ready[site] / max(1, ready.total()), lambda site: ready[site]
+        )
         shifted = self._see_spill(now)
         if shifted or told != self._told_of_sites():
             self._tell_list(now)
@@ -171,8 +201,11 @@
         if now - self.probed_lost_at < PROBE_LOST_US:
             return
         self.probed_lost_at = now
-        self.effects += [("probe", self.rows[entry.worker].name, self.rows[entry.worker].host, self.rows[entry.worker].port)
-                         for entry in self.entries if entry.state == State.READY and self._out(self.setup.zones[entry.zone])]
+        self.effects += [
+            ("probe", self.rows[entry.worker].name, self.rows[entry.worker].host, self.rows[entry.worker].port)
+            for entry in self.entries
+            if entry.state == State.READY and self._out(self.setup.zones[entry.zone])
+        ]
 
     def _see_spill(self, now):
         """Plan what the sites carry and tell the module its bounds. Whether sizes have changed by it."""
@@ -181,11 +214,24 @@
             if row.zone:
                 # As the module has it: one that left the list without draining may stay while it answers.
                 state = self.states.get(row.name)
-                may = state == "ready" or state is None and not self.facts.gone_binds and self.spill.answering(now, row.name)
-                workers.append((row.name, row.zone, may and place not in self.withheld,
-                                None if row.started_us is None else now - row.started_us))
+                may = (
+                    state == "ready"
+                    or state is None
+                    and not self.facts.gone_binds
+                    and self.spill.answering(now, row.name)
+                )
+                workers.append(
+                    (
+                        row.name,
+                        row.zone,
+                        may and place not in self.withheld,
+                        None if row.started_us is None else now - row.started_us,
+                    )
+                )
         down = {name for name, row in self.sites.rows.items() if row.state == "returning" or self.sites.gone(name)}
-        proven = lambda site: 0.0 if self.sites.gone(site) else self.sites.usable(site) if self.setup.sites.bound_returns else 1.0  # noqa: E731
+        proven = lambda site: (
+            0.0 if self.sites.gone(site) else self.sites.usable(site) if self.setup.sites.bound_returns else 1.0
+        )  # noqa: E731
         levels = {name: self.levels.get(name, (1.0, ""))[0] for name in self.classes}
         self.spill.turn(now, workers, down, proven, levels, len(self.tables) / self.setup.slices)
         if self.spill.most != most and self.setup.sites.refuse_ahead:
@@ -196,11 +242,17 @@
         self.intake.append(("bounded", [self.spill.most.get(row.name, 1.0) for row in self.setup.classes]))
 
     def joined(self, now, proxy, fresh, levels=None):
-        """`levels` by class are those that stand at the proxy from this manager's life before: what was bound by sites that
-        are lost stays bound until it is known anew what sites can carry."""
+        """`levels` by class are those that stand at the proxy from this manager's life before: what was bound by sites
+        that are lost stays bound until it is known anew what sites can carry.
+        """
         self.started_at = now if self.started_at is None else self.started_at
-        if now - self.started_at < RECOVER_US and self.setup.sites.refuse_ahead and self.spill.restore(
-                now, {kind: level for kind, level in (levels or {}).items() if kind in self.classes and level < 1.0}):
+        if (
+            now - self.started_at < RECOVER_US
+            and self.setup.sites.refuse_ahead
+            and self.spill.restore(
+                now, {kind: level for kind, level in (levels or {}).items() if kind in self.classes and level < 1.0}
+            )
+        ):
             self._tell_bounds()
         place, row = self.proxies[proxy], self.setup.proxies[self.proxies[proxy]]
         self.joined_now.add(place)
@@ -277,8 +329,11 @@
         """Whether a worker may be in a table that is brought back: listed as ready, and warm by the stated time."""
         place = self.workers.get(worker)
         row = self.rows[place] if place is not None else None
-        return row is not None and (self.states or {}).get(worker) == "ready" and (
-            row.started_us is None or now - row.started_us >= self.facts.cold_us)
+        return (
+            row is not None
+            and (self.states or {}).get(worker) == "ready"
+            and (row.started_us is None or now - row.started_us >= self.facts.cold_us)
+        )
 
     def roll_back(self, now, returning, hold_until):
         """{slice: lines} come into force as new versions; the module is handed these slices anew with their lines.
@@ -327,8 +382,9 @@
                 continue
             held = self.written.get(item)
             rows = [self.rows[place] for place in sorted(self.tables[item])]
-            lines = tuple(Line(row.name, row.host, row.port, row.zone, self.tables[item][self.workers[row.name]])
-                          for row in rows)
+            lines = tuple(
+                Line(row.name, row.host, row.port, row.zone, self.tables[item][self.workers[row.name]]) for row in rows
+            )
             table = self.written[item] = successor(held, item, self.name, self.epoch, lines)
             tables.append(table)
             delta = between(held, table) if held is not None and self.deltas else None
@@ -337,8 +393,9 @@
             self.effects.append(("store", tables))
         if self.mark_asked is not None:
             self.number += 1
-            push = Push(self.name, self.epoch, self.number, self.mark_asked, sent, dict(self.withhold_lines),
-                        dict(self.levels))
+            push = Push(
+                self.name, self.epoch, self.number, self.mark_asked, sent, dict(self.withhold_lines), dict(self.levels)
+            )
             # Levels for all tables ride along with every message; the mark is a line of its own.
             lines = self.lines + len(self.levels) + 1
             self.marks[self.mark_asked] = now
--- a/ospreyrouter/manager/hints.py
+++ b/ospreyrouter/manager/hints.py
@@ -1,9 +1,9 @@
-"""Hints between managers that may talk (`custody.peers`): whoever has written a division tells the others, who look at the
-store at once instead of at their next turn. `POST /v3/hints` with `{"manager", "epoch"}`.
+"""Hints between managers that may talk (`custody.peers`): whoever has written a division tells the others, who look at
+the store at once instead of at their next turn. `POST /v3/hints` with `{"manager", "epoch"}`.
 
-A hint decides nothing: it says that a look is worth while, and the store says what is so. One that is lost, late, repeated or
-made up costs a look at most, and of these no more than one each LOOK_US. Where managers may not talk, none is sent and
-each that comes is refused.
+A hint decides nothing: it says that a look is worth while, and the store says what is so. One that is lost, late,
+repeated or made up costs a look at most, and of these no more than one each LOOK_US. Where managers may not talk, none
+is sent and each that comes is refused.
 """
 
 import orjson
@@ -31,7 +31,9 @@
             if client is None or client.closed:
                 client = self.clients[row.name] = Client(self.service.loop, row.listen.pair, ASK_US)
             if client.outstanding < 2:  # one that does not answer is told no more, and loses nothing by it
-                client.ask("POST", "/v3/hints", [("content-type", "application/json")], body, lambda answer: None, ASK_US)
+                client.ask(
+                    "POST", "/v3/hints", [("content-type", "application/json")], body, lambda answer: None, ASK_US
+                )
 
     def heard(self, request):
         service = self.service
@@ -50,7 +52,9 @@
             return
         request.answer(204)
         now, held = service.loop.now(), service.custody.epoch
-        if (held is None or data["epoch"] > held.number) and (self.looked_at is None or now - self.looked_at >= LOOK_US):
+        if (held is None or data["epoch"] > held.number) and (
+            self.looked_at is None or now - self.looked_at >= LOOK_US
+        ):
             self.looked_at = now
             service.counts["hints followed"] += 1
             service._look()
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -38,7 +38,7 @@
         answers, book = {}, self.service.changes.book
         for row in sorted(self.service.tables.history.by_digest.values(), key=lambda row: row.at_us):
             if row.cause.startswith(CAUSE):
-                key = row.cause[len(CAUSE):]
+                key = row.cause[len(CAUSE) :]
                 answers.setdefault(key, {"key": key, "slices": {}})["slices"][str(row.slice)] = made(row)
         for key, answer in answers.items():
             if book.find(CALLER + key, key, "") is None:
@@ -56,17 +56,26 @@
             self.under_way[key].append(request)
             return
         if service.changes.ready and service.changes.book.repeated(
-                CALLER + key, key, "", lambda change: self._answer(request, 200, change.answer | {"repeated": True})):
+            CALLER + key, key, "", lambda change: self._answer(request, 200, change.answer | {"repeated": True})
+        ):
             return
         if not service.changes.ready or not service.custody.may_publish(service.loop.now()):
             self._answer(request, 503, {"error": "no lease", "detail": "this manager may not publish now"})
             return
         strange = [item for item in items or () if item not in service.core.tables]
         if strange:
-            self._answer(request, 409, {"error": "not in charge", "detail": f"slice {strange[0]} is not this manager's"})
+            self._answer(
+                request, 409, {"error": "not in charge", "detail": f"slice {strange[0]} is not this manager's"}
+            )
             return
-        self._carry_out(request, to, sorted(items if items is not None else service.core.tables), hold_s, key,
-                        given=items is not None)
+        self._carry_out(
+            request,
+            to,
+            sorted(items if items is not None else service.core.tables),
+            hold_s,
+            key,
+            given=items is not None,
+        )
 
     def _order(self, data):
         to, items, hold_s, key = data["to"], data.get("slices"), data.get("hold_s", 0), data["key"]
@@ -95,10 +104,14 @@
         returning = {}
         for item, row in found.items():
             present = core.written.get(item)
-            lines, left_out = lines_to_return(row.table, lambda name: core.usable(name, now), present.lines if present else ())
+            lines, left_out = lines_to_return(
+                row.table, lambda name: core.usable(name, now), present.lines if present else ()
+            )
             if not lines:
                 answer["slices"][str(item)] = {"left": "none of its workers may be used now"}
-            elif present is not None and {(l.worker, l.weight) for l in lines} == {(l.worker, l.weight) for l in present.lines}:
+            elif present is not None and {(l.worker, l.weight) for l in lines} == {
+                (l.worker, l.weight) for l in present.lines
+            }:
                 answer["slices"][str(item)] = {"left": "it is in force"}
             else:
                 returning[item] = lines
@@ -117,7 +130,9 @@
         back = {item: lines for item, lines in portion if may and item in core.tables and item not in core.giving}
         for item, _ in portion:
             if item not in back:
-                rows.answer["slices"][str(item)] = {"left": "it was given away meanwhile" if may else "the lease ran out"}
+                rows.answer["slices"][str(item)] = {
+                    "left": "it was given away meanwhile" if may else "the lease ran out"
+                }
         if back:
             tables = core.roll_back(now, back, now + round(rows.hold_s * 1e6))
             for table in tables:
@@ -125,10 +140,12 @@
             rows.open += 1
 
             def saved(stored):
-                # The answer waits for the store, or says that it refused: after a kill, the key finds what was answered.
+                # The answer waits for the store, or says that it refused: after a kill, the key finds what was
+                # answered.
                 rows.open, rows.stored = rows.open - 1, rows.stored and stored
                 if not rows.open and not rows.left:
                     self._remember(rows.request, rows.key, rows.answer, rows.stored)
+
             service._save(tables, CAUSE + rows.key, saved)
             service.log.info("rolled_back", manager=service.name, key=rows.key, slices=len(tables), hold_s=rows.hold_s)
             service._soon()
@@ -142,6 +159,7 @@
 
     def _remember(self, request, key, answer, stored):
         """A command's answer by its key, for repeats after a restart."""
+
         def done(change):
             said = answer if stored and change is not None else answer | {"stored": False}
             if change is None:
@@ -149,6 +167,7 @@
             self._answer(request, 200, said)
             for repeat in self.under_way.pop(key, ()):
                 self._answer(repeat, 200, said | {"repeated": True})
+
         self.under_way.setdefault(key, [])
         self.service.changes.ask_for(command(key, answer), done)
 
