--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -65,8 +65,13 @@
         self.me, self.counts = names.index(name), Counter()
         self.core = ManagerCore(setup, self.me, seed, module)
         channel = setup.channel
-        self.channel = PacedChannel(channel.lines_per_s, channel.message_head, channel.queue_lines,
-                                    channel.messages_most, round(channel.messages_over_s * 1e6))
+        self.channel = PacedChannel(
+            channel.lines_per_s,
+            channel.message_head,
+            channel.queue_lines,
+            channel.messages_most,
+            round(channel.messages_over_s * 1e6),
+        )
         self.reads = ReadBudget(channel.read_lines_per_s)
         self.lease_us = round(setup.custody.lease_s * 1e6)
         self.custody = Custody(self.me, len(names), setup.slices, self.lease_us, setup.custody.drift)
@@ -76,16 +81,23 @@
         self.look_due, self.bounds_said = None, {}
         self.beating = self.looking = self.proposing = self.held_by_another = False
         kept = setup.history
-        self.tables = TableStore(folder, name, calls, self._log_opened,
-                                 history=History(kept.keep_count, round(kept.keep_s * 1e6)), wall=wall,
-                                 steady=loop.now)
+        self.tables = TableStore(
+            folder,
+            name,
+            calls,
+            self._log_opened,
+            history=History(kept.keep_count, round(kept.keep_s * 1e6)),
+            wall=wall,
+            steady=loop.now,
+        )
         for problem in self.tables.damaged:
             self.log.error("store_damaged", manager=name, detail=problem)
         self.rendered, self.compressor = Rendered(), zstandard.ZstdCompressor(level=3)
         self.unsaved, self.saving, self.behind, self.causes, self.savers = {}, False, False, {}, []
         reports = setup.reports
-        self.intake = Intake(loop, self.core.digest, log, name, round(reports.interval_s * 1e6),
-                             round(reports.waiting_mb * 1e6))
+        self.intake = Intake(
+            loop, self.core.digest, log, name, round(reports.interval_s * 1e6), round(reports.waiting_mb * 1e6)
+        )
         self.intake.on_fed = self._soon
         self.changes = Changes(loop, folder, name, calls, log)
         self.operators, self.callers, self.background = Operators(self), Callers(self), Background(self)
@@ -96,8 +108,16 @@
         self.front = None
         sasp = setup.managers[self.me].sasp
         if sasp is not None:
-            self.front = SaspFront(loop, sasp.pair, setup.slices, log, name, self.changes,
-                                   round(setup.rules.drain_grace_s * 1e6), lambda: self.custody.may_publish(loop.now()))
+            self.front = SaspFront(
+                loop,
+                sasp.pair,
+                setup.slices,
+                log,
+                name,
+                self.changes,
+                round(setup.rules.drain_grace_s * 1e6),
+                lambda: self.custody.may_publish(loop.now()),
+            )
         self.changes.open(lambda: self.stopped)
         cached = read_list(folder, name)
         if cached is not None:
@@ -232,8 +252,11 @@
         except OSError as problem:
             self.log.error("store_unreadable", manager=self.name, reason=problem.strerror)
         before = len(self.core.tables)
-        self.core.custody(epoch.number, mine, self.tables.newest | {
-            item: table for item, table in self.unsaved.items() if item in mine})
+        self.core.custody(
+            epoch.number,
+            mine,
+            self.tables.newest | {item: table for item, table in self.unsaved.items() if item in mine},
+        )
         self.core.giving = self.custody.giving
         self.log.info("custody", manager=self.name, epoch=epoch.number, slices=len(mine), before=before)
         self._soon()
@@ -275,7 +298,8 @@
             if not self.custody.may_publish(self.loop.now()):
                 self.loop.after(self.lease_us // 8, self._soon)
                 if self._cannot_keep_drains():
-                    # It may write nothing, also no withdrawal: proxies are told that they have no manager, and keep what they hold.
+                    # It may write nothing, also no withdrawal: proxies are told that they have no manager, and keep
+                    # what they hold.
                     for proxy in list(self.sessions):
                         self._drop(proxy, "no lease, and a drain cannot be kept")
                 return
@@ -361,10 +385,14 @@
             self.settled_epoch = core.epoch
             self.front.settled(core.tables.keys())
         if changed:
-            items |= {item for item, table in core.written.items() if any(line.worker in changed for line in table.lines)}
+            items |= {
+                item for item, table in core.written.items() if any(line.worker in changed for line in table.lines)
+            }
         withheld = {(core.rows[place].host, core.rows[place].port) for place in core.withheld}
         for item in sorted(items & core.written.keys() & core.tables.keys()):
-            self.front.publish(item, {(line.host, line.port): line.weight for line in core.written[item].lines}, withheld)
+            self.front.publish(
+                item, {(line.host, line.port): line.weight for line in core.written[item].lines}, withheld
+            )
 
     # The channel to proxies.
 
@@ -396,10 +424,15 @@
         row = session.outbox.popleft()
         push, body, headers = row.content
         session.busy = True
-        headers = [*headers, ("if-match", f'"{session.nonce}.{session.tag}"'),
-                   ("x-ordered-us", str(row.ordered_us)), ("x-lines", str(row.lines))]
-        session.client.ask("PUT", f"/v3/tables/{self.name}", headers, body,
-                           lambda answer: self._pushed(session, push, answer), PUT_US)
+        headers = [
+            *headers,
+            ("if-match", f'"{session.nonce}.{session.tag}"'),
+            ("x-ordered-us", str(row.ordered_us)),
+            ("x-lines", str(row.lines)),
+        ]
+        session.client.ask(
+            "PUT", f"/v3/tables/{self.name}", headers, body, lambda answer: self._pushed(session, push, answer), PUT_US
+        )
         self.channel.taken(session.proxy, row)
         self.counts["pushes"] += 1
         self.counts["bytes pushed"] += len(body)
@@ -414,8 +447,13 @@
             return
         if answer.status == 409:
             self._look()  # another has its slices: the store says who
-        self.log.warning("push_not_taken", manager=self.name, proxy=session.proxy, status=answer.status,
-                         reason=answer.reason or answer.body[:100].decode("latin-1"))
+        self.log.warning(
+            "push_not_taken",
+            manager=self.name,
+            proxy=session.proxy,
+            status=answer.status,
+            reason=answer.reason or answer.body[:100].decode("latin-1"),
+        )
         self._drop(session.proxy, f"answered {answer.status}")
 
     def _tell_to_read(self, items, only=None):
@@ -489,16 +527,24 @@
             self._drop(proxy, "joined anew")
             session = None
         names = data.get("resourceNamesSubscribe")
-        items = sorted(self.core.tables if names is None else
-                       {item for item in self.core.tables if f"slice-{item}" in set(names)})
-        tables = [self.core.written[item] for item in items if item in self.core.written and
-                  held.get(f"slice-{item}") != claim_text(self.core.written[item])]
+        items = sorted(
+            self.core.tables if names is None else {item for item in self.core.tables if f"slice-{item}" in set(names)}
+        )
+        tables = [
+            self.core.written[item]
+            for item in items
+            if item in self.core.written and held.get(f"slice-{item}") != claim_text(self.core.written[item])
+        ]
         lines = 1 + sum(len(table.lines) for table in tables)
         now = self.loop.now()
         if session is not None and session.audited:
             session.audited = False
             self.background.claimed(proxy, len(items), len(tables))
-        if session is None and (self.custody.epoch is None or self._cannot_keep_drains()) or not self.reads.admit(now, lines):
+        if (
+            session is None
+            and (self.custody.epoch is None or self._cannot_keep_drains())
+            or not self.reads.admit(now, lines)
+        ):
             self.counts["joins put off"] += 1
             wait = self.reads.wait_us(lines) / 1e6
             close = [] if session is not None else [("connection", "close")]
@@ -506,10 +552,16 @@
             return
         nonce = session.nonce if session is not None else f"{self.life}.{self.joins}"
         fences = {item: (self.core.epoch, self.name) for item in items}
-        answer = {"systemVersionInfo": f"{self.core.epoch}.{self.core.number}", "typeUrl": CLA, "nonce": nonce,
-                  "resources": [{"name": f"slice-{table.slice}", "version": claim_text(table),
-                                 "resource": self.rendered.table(table)} for table in tables],
-                  "controlPlane": {"identifier": fences_text(fences)}}
+        answer = {
+            "systemVersionInfo": f"{self.core.epoch}.{self.core.number}",
+            "typeUrl": CLA,
+            "nonce": nonce,
+            "resources": [
+                {"name": f"slice-{table.slice}", "version": claim_text(table), "resource": self.rendered.table(table)}
+                for table in tables
+            ],
+            "controlPlane": {"identifier": fences_text(fences)},
+        }
         if session is None:
             self._join(request, proxy, data, nonce)
         request.answer(200, [JSON], dump(answer))
@@ -518,7 +570,9 @@
         about = need(data["node"], "metadata", dict, "request.node")
         address = (need(about, "host", str, "request.node"), need(about, "port", int, "request.node"))
         levels = about.get("levels", {})
-        if not isinstance(levels, dict) or not all(type(level) in (int, float) and 0 <= level <= 1 for level in levels.values()):
+        if not isinstance(levels, dict) or not all(
+            type(level) in (int, float) and 0 <= level <= 1 for level in levels.values()
+        ):
             raise BadDocument("request.node.metadata.levels: is no part by class")
         self.joins += 1
         session = self.sessions[proxy] = Session(proxy, request.connection, nonce, address)
@@ -540,12 +594,12 @@
             return
         if "errorDetail" in data:
             self.counts["sets a proxy refused"] += 1
-            self.log.error("proxy_refused_set", manager=self.name, proxy=proxy,
-                           problem=str(data["errorDetail"])[:200])
+            self.log.error("proxy_refused_set", manager=self.name, proxy=proxy, problem=str(data["errorDetail"])[:200])
         if nonce == session.nonce and not session.ready:
             session.ready = True
-            session.client = Client(self.loop, session.address,
-                                    on_closed=lambda reason: self._stream_broke(session, f"push: {reason}"))
+            session.client = Client(
+                self.loop, session.address, on_closed=lambda reason: self._stream_broke(session, f"push: {reason}")
+            )
             self._write(session)
         elif nonce.isdigit() and "errorDetail" not in data:
             self.core.answered(self.loop.now(), proxy, int(nonce))
@@ -554,17 +608,44 @@
     def _tell_estimates(self, request):
         """For people and tools: by worker tries a second, part lost, delay, age, tries behind, spread, confidence."""
         now, digest = self.loop.now(), self.core.digest
-        workers = {name: {"rate": one.rate, "lost": one.lost, "delay_us": one.delay_us, "age_us": one.age_us,
-                          "tries": one.tries, "spread": one.spread, "confidence": one.confidence,
-                          "contradiction": one.contradiction, "delay_p99_us": digest.delay_quantile(name, 0.99)}
-                   for name, one in digest.estimates(now).items()}
+        workers = {
+            name: {
+                "rate": one.rate,
+                "lost": one.lost,
+                "delay_us": one.delay_us,
+                "age_us": one.age_us,
+                "tries": one.tries,
+                "spread": one.spread,
+                "confidence": one.confidence,
+                "contradiction": one.contradiction,
+                "delay_p99_us": digest.delay_quantile(name, 0.99),
+            }
+            for name, one in digest.estimates(now).items()
+        }
         pressure, reporters = self.intake.pressure, digest.reporters
-        request.answer(200, [JSON], dump({
-            "now_us": now, "settled_us": digest.settled_us(), "workers": workers, "intake": self.intake.figures(),
-            "pressure": {"step": pressure.step.name.lower(), "sample": pressure.sample, "interval_us": pressure.interval_us,
-                         "waiting_bytes": self.intake.queue.bytes},
-            "reporters": {"known": len(reporters.rows), "silent": reporters.silent(now, 4 * pressure.interval_us),
-                          "stuck": reporters.stuck()}}))
+        request.answer(
+            200,
+            [JSON],
+            dump(
+                {
+                    "now_us": now,
+                    "settled_us": digest.settled_us(),
+                    "workers": workers,
+                    "intake": self.intake.figures(),
+                    "pressure": {
+                        "step": pressure.step.name.lower(),
+                        "sample": pressure.sample,
+                        "interval_us": pressure.interval_us,
+                        "waiting_bytes": self.intake.queue.bytes,
+                    },
+                    "reporters": {
+                        "known": len(reporters.rows),
+                        "silent": reporters.silent(now, 4 * pressure.interval_us),
+                        "stuck": reporters.stuck(),
+                    },
+                }
+            ),
+        )
 
     # The worker list, and probes.
 
@@ -574,7 +655,12 @@
         if self.list_client is None or self.list_client.closed:
             self.list_client = Client(self.loop, self.setup.worker_list.listen.pair)
         wait = round(self.setup.worker_list.wait_s * 1e6)
-        question = {"node": {"id": self.name}, "versionInfo": self.list_version, "typeUrl": CLA, "resourceNames": [NAME]}
+        question = {
+            "node": {"id": self.name},
+            "versionInfo": self.list_version,
+            "typeUrl": CLA,
+            "resourceNames": [NAME],
+        }
         self.list_client.ask("POST", "/v3/discovery:endpoints", [JSON], dump(question), self._list_answer, 2 * wait)
 
     def _list_answer(self, answer):
@@ -596,8 +682,14 @@
         if not cached:
             self.list_version = version
             self.calls.ask("write_file", (list_path(self.folder, self.name), body), self._list_kept)
-        self.log.info("list", manager=self.name, version=version, workers=len(rows), cached=cached,
-                      draining=sum(row[6] == "draining" for row in rows))
+        self.log.info(
+            "list",
+            manager=self.name,
+            version=version,
+            workers=len(rows),
+            cached=cached,
+            draining=sum(row[6] == "draining" for row in rows),
+        )
         self.core.listed(self.loop.now(), rows)
         if self.front is not None:
             trust = self.core.digest.estimates(self.loop.now())
@@ -622,17 +714,30 @@
             if not answer.sent and answer.reason in LOCAL_ERRORS:  # it never left this machine
                 self.counts["probes not sent"] += 1
                 return
-            self.core.probed(self.loop.now(), worker, outcome_of(answer), self.loop.now() - began,
-                             orca_report(answer.headers.get(ORCA_HEADER)))
+            self.core.probed(
+                self.loop.now(),
+                worker,
+                outcome_of(answer),
+                self.loop.now() - began,
+                orca_report(answer.headers.get(ORCA_HEADER)),
+            )
             self._soon()
 
         client.ask("GET", "/probe", [], b"", answered, round(self.setup.probe_timeout_s * 1e6))
 
     def figures(self):
         """What the manager counts, for its last log line and for measurements."""
-        return {"lines_sent": self.channel.lines_sent, "lines_longest": self.channel.longest,
-                "refused": self.channel.refused, "joins": self.joins, "reads_put_off": self.reads.put_off,
-                **self.counts, **self.changes.figures(), "reports": self.intake.figures(), "background": self.background.figures()}
+        return {
+            "lines_sent": self.channel.lines_sent,
+            "lines_longest": self.channel.longest,
+            "refused": self.channel.refused,
+            "joins": self.joins,
+            "reads_put_off": self.reads.put_off,
+            **self.counts,
+            **self.changes.figures(),
+            "reports": self.intake.figures(),
+            "background": self.background.figures(),
+        }
 
     def drain(self, on_done):
         """Stop, but answer callers first, also those who wait for a change to be stored; then `on_done()`."""
@@ -645,6 +750,7 @@
                 self.front.close()
             self.calls.close()
             on_done()
+
         self.server.drain(answered)
 
     def close(self):
--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -59,8 +59,15 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
     setup = door.setup
-    log("started", slices=setup.slices, proxies=setup.proxies, queue=setup.queue_lines, per_s=setup.lines_per_s,
-        grace_ms=setup.grace_us // 1000, transit_most_ms=setup.transit_most_us // 1000)
+    log(
+        "started",
+        slices=setup.slices,
+        proxies=setup.proxies,
+        queue=setup.queue_lines,
+        per_s=setup.lines_per_s,
+        grace_ms=setup.grace_us // 1000,
+        transit_most_ms=setup.transit_most_us // 1000,
+    )
     loop.run()
     loop.ignore_signals()
     return 0
--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -112,7 +112,7 @@
         """So many orders were taken: the one after them is dropped and the rest goes on. None: cannot be."""
         if taken > len(self.in_flight):
             return None
-        done, refused, rest = self.in_flight[:taken], self.in_flight[taken:taken + 1], self.in_flight[taken + 1:]
+        done, refused, rest = self.in_flight[:taken], self.in_flight[taken : taken + 1], self.in_flight[taken + 1 :]
         self.in_flight, self.most = [], None
         self._again(rest, done)
         self.taken = next((mark_in(text) for key, text in done if key == ("mark",)), self.taken)
@@ -146,7 +146,9 @@
         self.doubted, self.doubted_mark, self.taken = set(), None, number
 
     def channel_us(self, proxies):
-        """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its limit."""
+        """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its
+        limit.
+        """
         setup = self.door.setup
         lines = min(setup.queue_lines, (setup.message_head + len(self.in_flight)) * proxies)
         return int(lines / setup.lines_per_s * 1_000_000)
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -102,7 +102,7 @@
                 self._show_out(caller, "no collector")
                 return
             self._join(caller, zone)
-            self._messages(caller, messages[place + 1:])
+            self._messages(caller, messages[place + 1 :])
             return
 
     def _answer_ping(self, caller):
@@ -168,6 +168,7 @@
                 return
             self.close()
             on_done()
+
         weigh()
 
     def close(self):
--- a/ospreyrouter/node/drain_progress.py
+++ b/ospreyrouter/node/drain_progress.py
@@ -68,12 +68,18 @@
         place = next((place for place, call in enumerate(self.calls) if call.mark == mark), None)
         if place is None:
             return
-        for call in self.calls[:place + 1]:
+        for call in self.calls[: place + 1]:
             call.awaited.discard(proxy)
-        for call in [call for call in self.calls[:place + 1] if not call.awaited]:
+        for call in [call for call in self.calls[: place + 1] if not call.awaited]:
             self.calls.remove(call)
             self._end(now, call)
 
     def _end(self, now, call):
-        self.log("withdrawn", mark=call.mark, workers=call.workers, sent_ms=(call.sent_at - call.told_at) // 1000,
-                 ms=(now - call.told_at) // 1000, silent=sorted(call.awaited)[:PROXIES_LOGGED])
+        self.log(
+            "withdrawn",
+            mark=call.mark,
+            workers=call.workers,
+            sent_ms=(call.sent_at - call.told_at) // 1000,
+            ms=(now - call.told_at) // 1000,
+            silent=sorted(call.awaited)[:PROXIES_LOGGED],
+        )
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -1,7 +1,7 @@
 """Messages of collectors and strangers: four bytes of length, then so many bytes of one JSON object. No I/O.
 
-    for message in FrameReader().feed(data, most): ...     # raises Unreadable
-    usage(message, door)                                   # a tuple for the manager; raises Malformed
+for message in FrameReader().feed(data, most): ...     # raises Unreadable
+usage(message, door)                                   # a tuple for the manager; raises Malformed
 """
 
 import math
@@ -37,13 +37,13 @@
         """Frames of up to `most` bytes; behind one that `opens` the stream, of any length that is allowed."""
         data, at, found = self.held + data if self.held else data, 0, []
         while len(data) - at >= 4:
-            size = int.from_bytes(data[at:at + 4], "big")
+            size = int.from_bytes(data[at : at + 4], "big")
             if not 1 <= size <= most:
                 raise Unreadable("length", found)
             if len(data) - at - 4 < size:
                 break
             try:
-                found.append(orjson.loads(data[at + 4:at + 4 + size]))
+                found.append(orjson.loads(data[at + 4 : at + 4 + size]))
             except orjson.JSONDecodeError:
                 raise Unreadable("not JSON", found) from None
             at += 4 + size
--- a/ospreyrouter/node/link.py
+++ b/ospreyrouter/node/link.py
@@ -44,8 +44,10 @@
             self.drop(reason)
             return
         self.stream = stream
-        stream.start(lambda data: self.stream is stream and self.on_data(data),
-                     lambda reason: self.stream is stream and self.drop(reason))
+        stream.start(
+            lambda data: self.stream is stream and self.on_data(data),
+            lambda reason: self.stream is stream and self.drop(reason),
+        )
         self.on_up()
 
     def bound(self, us, reason):
--- a/ospreyrouter/node/listing.py
+++ b/ospreyrouter/node/listing.py
@@ -41,8 +41,14 @@
     if not isinstance(data, dict):
         raise Unreadable("no object")
     seq, whole, rows = data.get("seq"), data.get("whole"), data.get("hosts")
-    if not isinstance(seq, int) or isinstance(seq, bool) or seq < 0 or not isinstance(whole, bool) \
-            or not isinstance(rows, list) or len(rows) > ROWS_MOST:
+    if (
+        not isinstance(seq, int)
+        or isinstance(seq, bool)
+        or seq < 0
+        or not isinstance(whole, bool)
+        or not isinstance(rows, list)
+        or len(rows) > ROWS_MOST
+    ):
         raise Unreadable("seq, whole or hosts")
     return seq, whole, rows
 
--- a/ospreyrouter/node/news.py
+++ b/ospreyrouter/node/news.py
@@ -101,5 +101,7 @@
 
     def _as_ordered(self, table, rows):
         ordered = self.tables[table]
-        return all(abs(rows.get(worker, 0.0) - ordered.get(worker, 0.0)) < 1e-4 or self.calls.pending(table, worker)
-                   for worker in rows.keys() | ordered.keys())
+        return all(
+            abs(rows.get(worker, 0.0) - ordered.get(worker, 0.0)) < 1e-4 or self.calls.pending(table, worker)
+            for worker in rows.keys() | ordered.keys()
+        )
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -50,8 +50,13 @@
     # News.
 
     def _news_link(self):
-        link = Link(self.loop, self.chance, lambda: self._news_up(link), lambda data: self._news(link, data),
-                    lambda reason: self._news_down(link, reason))
+        link = Link(
+            self.loop,
+            self.chance,
+            lambda: self._news_up(link),
+            lambda data: self._news(link, data),
+            lambda reason: self._news_down(link, reason),
+        )
         link.lines, link.phase = None, Phase.DOWN
         return link
 
@@ -118,13 +123,16 @@
         if self.quiet_timer is not None:
             self.quiet_timer.cancel()
         self.quiet_timer = self.loop.after(
-            QUIET_US, lambda: self._quiet(link) if self.partial else self._snapshot_ended(link))
+            QUIET_US, lambda: self._quiet(link) if self.partial else self._snapshot_ended(link)
+        )
 
     def _snapshot_ended(self, link):
         if self.news.in_snapshot and link is self.news_link:
             self.heard([], flush=True)
             found = self.news.snapshot_ended()
-            self.log("snapshot read", proxies=len(self.news.joined), slices=len(self.news.granted), differences=len(found))
+            self.log(
+                "snapshot read", proxies=len(self.news.joined), slices=len(self.news.granted), differences=len(found)
+            )
             self._flush(found)
             self.orders()
 
@@ -185,9 +193,17 @@
             return
         for line in lines:
             before, said = self.calls.taken, relay_lines.answer(line)
-            settled = said and self.calls.in_flight and (
-                said[0] == "taken" and self.calls.answered(said[1])
-                or said[0] == "refused" and said[1] in ("throttled", "invalid") and self._refused(said[1]))
+            settled = (
+                said
+                and self.calls.in_flight
+                and (
+                    said[0] == "taken"
+                    and self.calls.answered(said[1])
+                    or said[0] == "refused"
+                    and said[1] in ("throttled", "invalid")
+                    and self._refused(said[1])
+                )
+            )
             if not settled:
                 self.call_link.drop("unreadable answer")
                 return
@@ -218,8 +234,8 @@
     def _call_down(self, reason):
         if self.calls.in_flight:
             self.counts[f"call in doubt: {reason}"] += 1
-            # If it was carried out, its lines wait in the channel: repeated at once, it would fill that twice over. So it
-            # is not before they would have left, unless an answer to its mark tells that it need not be.
+            # If it was carried out, its lines wait in the channel: repeated at once, it would fill that twice over. So
+            # it is not before they would have left, unless an answer to its mark tells that it need not be.
             channel_us = self.calls.channel_us(len(self.news.joined))
             in_doubt = self.calls.unsettled()
             self.log("call in doubt", reason=reason, proven=not in_doubt, hold_ms=channel_us // 1000 if in_doubt else 0)
--- a/ospreyrouter/node/relay_lines.py
+++ b/ospreyrouter/node/relay_lines.py
@@ -1,9 +1,9 @@
 """The relay's lines of text: orders in calls, answers, and news. No I/O.
 
-    text = share(4, "s-5be2a07c", 1.5)
-    call([text, ...])                     # the bytes of one call
-    answer(b"OK 2")                       # ("taken", 2), ("refused", "throttled") or None if it cannot be read
-    news(b"* CLOSED 17")                  # ("CLOSED", 17), () for a sign of life; raises Unreadable
+text = share(4, "s-5be2a07c", 1.5)
+call([text, ...])                     # the bytes of one call
+answer(b"OK 2")                       # ("taken", 2), ("refused", "throttled") or None if it cannot be read
+news(b"* CLOSED 17")                  # ("CLOSED", 17), () for a sign of life; raises Unreadable
 """
 
 import math
@@ -109,8 +109,13 @@
         raise Unreadable("no text") from None
 
 
-SHAPES = {b"SUBSCRIBE": (_whole, _text, _number, _flag), b"CLOSED": (_whole,), b"ACK": (_whole, _whole, _number),
-          b"GRANT": (_whole, _flag), b"ROW": (_whole, _text, _number)}
+SHAPES = {
+    b"SUBSCRIBE": (_whole, _text, _number, _flag),
+    b"CLOSED": (_whole,),
+    b"ACK": (_whole, _whole, _number),
+    b"GRANT": (_whole, _flag),
+    b"ROW": (_whole, _text, _number),
+}
 
 
 def news(line):
--- a/ospreyrouter/node/reports.py
+++ b/ospreyrouter/node/reports.py
@@ -3,8 +3,14 @@
 from ..door import Malformed
 
 # The platform's words for what the settings name otherwise.
-NAMES = {"inflight": "outstanding", "queue": "backlog", "util": "utilization", "latency_ms": "recent_ms",
-         "qps": "throughput", "eps": "errors_per_s"}
+NAMES = {
+    "inflight": "outstanding",
+    "queue": "backlog",
+    "util": "utilization",
+    "latency_ms": "recent_ms",
+    "qps": "throughput",
+    "eps": "errors_per_s",
+}
 MOST = {"utilization": 10.0}  # a share of all cores, with noise
 VALUE_MOST = 10_000_000.0
 
@@ -20,8 +26,11 @@
         name = NAMES.get(word)
         if name is None:
             continue
-        if isinstance(value, bool) or not isinstance(value, (int, float)) \
-                or not 0.0 <= value <= MOST.get(name, VALUE_MOST):
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, (int, float))
+            or not 0.0 <= value <= MOST.get(name, VALUE_MOST)
+        ):
             raise Malformed(f"report.{word}")
         report[name] = float(value)
     return report
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -1,9 +1,9 @@
 """The program: gathers a turn's news into one round of the manager and passes its orders on. Decides nothing.
 
-    service = Service(loop, station, door, log)      # listens, dials, runs by itself
-    service.move(discovery, relay)                   # other addresses, state kept
-    service.drain(on_done)                           # at the end: answers callers first
-    service.close()
+service = Service(loop, station, door, log)      # listens, dials, runs by itself
+service.move(discovery, relay)                   # other addresses, state kept
+service.drain(on_done)                           # at the end: answers callers first
+service.close()
 """
 
 import traceback
@@ -97,7 +97,9 @@
         heard = Counter(f"{name}_{values[1]}" if name == "charged" else name for name, *values in intake)
         changes = {text: heard[name] for name, text in MEMBERSHIP.items() if heard[name]}
         if changes:
-            back = sum(name == "joined" and not values[3] for name, *values in intake)  # streams that broke, not restarts
+            back = sum(
+                name == "joined" and not values[3] for name, *values in intake
+            )  # streams that broke, not restarts
             self.log("round", **changes, **{"back": back} if back else {}, ms=took_us // 1000)
 
     def _follow_drains(self, now, intake):
@@ -151,11 +153,16 @@
         named = {worker for table in self.relay.news.granted for worker in tables[table]}
         left, left_us = self.drains.left_in(now, named)
         ready = {worker for worker, (entry, _) in self.watch.known.items() if entry.state is State.READY}
-        return {"left_in_tables": left, "left_in_tables_ms": left_us // 1000,
-                "ready_withdrawn": len(ready & self.manager.withdrawals.barred)}
+        return {
+            "left_in_tables": left,
+            "left_in_tables_ms": left_us // 1000,
+            "ready_withdrawn": len(ready & self.manager.withdrawals.barred),
+        }
 
     def _forget(self):
-        """Names that neither the manager nor the list holds any more; right after a round, when no news waits for one."""
+        """Names that neither the manager nor the list holds any more; right after a round, when no news waits for
+        one.
+        """
         if not self.relay.news.in_snapshot:  # whose rows may name them yet
             for worker in list(self.door.names):
                 if worker not in self.manager.workers and worker not in self.watch.addresses:
@@ -170,14 +177,24 @@
 
     def _tell(self):
         self.loop.after(TELL_US, self._tell)
-        self.log("counts", rounds=self.rounds, busy_ms=self.busy_us // 1000, longest_round_ms=self.longest_us // 1000,
-                 late_ms=self.late_us // 1000, longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
-                 proxies=len(self.relay.news.joined), slices=len(self.relay.news.granted),
-                 workers=len(self.door.workers), orders_waiting=len(self.waiting),
-                 strangers=len(self.collectors.strangers), collectors=len(self.collectors.collectors),
-                 **self._tables_behind(),
-                 dials=self.relay.news_link.dials + self.relay.call_link.dials, watches=self.watch.dials,
-                 **dict(sorted({**self.counts, **self.loop.counts}.items())))
+        self.log(
+            "counts",
+            rounds=self.rounds,
+            busy_ms=self.busy_us // 1000,
+            longest_round_ms=self.longest_us // 1000,
+            late_ms=self.late_us // 1000,
+            longest_turn_ms=getattr(self.loop, "longest_turn_us", 0) // 1000,
+            proxies=len(self.relay.news.joined),
+            slices=len(self.relay.news.granted),
+            workers=len(self.door.workers),
+            orders_waiting=len(self.waiting),
+            strangers=len(self.collectors.strangers),
+            collectors=len(self.collectors.collectors),
+            **self._tables_behind(),
+            dials=self.relay.news_link.dials + self.relay.call_link.dials,
+            watches=self.watch.dials,
+            **dict(sorted({**self.counts, **self.loop.counts}.items())),
+        )
 
     def move(self, discovery, relay):
         if self.closing:
@@ -189,8 +206,13 @@
         """The end: the links go at once, so that others take over; callers are answered first. Then `on_done()`."""
         self.closing = True
         self._tell()
-        self.log("closing", callers=len(self.collectors.strangers) + len(self.collectors.collectors),
-                 unsent=self.collectors.unsent, orders_waiting=len(self.waiting), in_flight=len(self.in_flight))
+        self.log(
+            "closing",
+            callers=len(self.collectors.strangers) + len(self.collectors.collectors),
+            unsent=self.collectors.unsent,
+            orders_waiting=len(self.waiting),
+            in_flight=len(self.in_flight),
+        )
         self.watch.close()
         self.relay.close()
         self.probes.close()
--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -81,8 +81,9 @@
         seed = int(seed, 16)
     except ValueError:
         raise BadStart(f"{path}: seed: not a hexadecimal number: {seed!r:.40}") from None
-    return Station(environment["LB_NAME"], listen, discovery, relay, seed,
-                   sockets, known, _part(data, "settings", dict, path))
+    return Station(
+        environment["LB_NAME"], listen, discovery, relay, seed, sockets, known, _part(data, "settings", dict, path)
+    )
 
 
 def addresses(data, path, fallback=None):
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -67,8 +67,16 @@
                 self.counts["list unreadable"] += 1
                 client.abort("unreadable")
 
-        client.ask("GET", f"/v1/endpoints?follow=1&since={self.seq}", [], b"",
-                   lambda answer: answer.status and client.abort(f"answered {answer.status}"), ANSWER_US, part, SILENT_US)
+        client.ask(
+            "GET",
+            f"/v1/endpoints?follow=1&since={self.seq}",
+            [],
+            b"",
+            lambda answer: answer.status and client.abort(f"answered {answer.status}"),
+            ANSWER_US,
+            part,
+            SILENT_US,
+        )
         return client
 
     def _well(self, client):
--- a/ospreyrouter/packing.py
+++ b/ospreyrouter/packing.py
@@ -84,4 +84,5 @@
         whole = begun.copy()
         whole.update(str(server).encode())
         return whole.digest()
+
     return min(servers, key=rank)
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -121,7 +121,9 @@
         return int(min((full - unproven) / count, self.longest()) - head)
 
     def longest(self):
-        """Lines of a message, head included, that the channel holds though it is repeated when all proxies have come."""
+        """Lines of a message, head included, that the channel holds though it is repeated when all proxies have
+        come.
+        """
         every = max(1, len(self.proxies), self.setup.proxies if self.setup.slices else 1)
         # A short message goes all the same, or where proxies are many nothing ever would.
         return max(self.setup.queue_lines * URGENT_FILL / every, self.channel()[3] + FEW)
@@ -239,7 +241,8 @@
             self.vouch(worker)
             self.reported(worker, report)
         elif outcome is not Outcome.FULL and (
-                outcome is not Outcome.TIMED_OUT or self.now - row.vouched_at > SILENT_US):
+            outcome is not Outcome.TIMED_OUT or self.now - row.vouched_at > SILENT_US
+        ):
             row.misses += 1  # a probe may wait in the same queue as all else: no sign while answers come
             row.probe_at = self.now
 
@@ -296,8 +299,14 @@
         """
         rows = sorted(self.workers.items())
         listed = [w for w, row in rows if row.state is State.READY]
-        stays = [w for w, row in rows if row.state is State.GONE and not row.drained
-                 and not self.setup.gone_binds and self.now - row.vouched_at < VOUCHED_US]
+        stays = [
+            w
+            for w, row in rows
+            if row.state is State.GONE
+            and not row.drained
+            and not self.setup.gone_binds
+            and self.now - row.vouched_at < VOUCHED_US
+        ]
         proved = [w for w in listed if self.workers[w].proved or not self.setup.probes_allowed]
         return sorted(proved + stays) or listed
 
@@ -310,7 +319,7 @@
         ready = self.ready()
         losses, answers, asked, good, waited = {}, {}, 1.0, 1.0, 0.0
         self.asked.turn(self.now)
-        let_in = [sum(column) + 1e-9 for column in zip(*self.asked.rows)][len(self.setup.classes):]
+        let_in = [sum(column) + 1e-9 for column in zip(*self.asked.rows)][len(self.setup.classes) :]
         # Over the classes as they are let in: where only slow ones are, slow is well.
         quoted = sum(n * kind.quoted_us for n, kind in zip(let_in, self.setup.classes)) / sum(let_in)
         for w in ready:
@@ -325,10 +334,10 @@
         self.answered, self.good, self.pace = good / asked, good * quoted, waited / good / quoted
         # Where a refused client's repeats are refused again, less comes through than the level says.
         # At ease that is learned at once: levels learned in a jam would refuse the repeats long after it.
-        self.at_ease = (self.pace < EASE * STRAIN
-                        and sum(self.workers[w].strained for w in ready) < EASY * len(ready))
+        self.at_ease = self.pace < EASE * STRAIN and sum(self.workers[w].strained for w in ready) < EASY * len(ready)
         self.taken += (TAKEN_AT_EASE if self.at_ease else TAKEN) * (
-            min(1.0, max(LEAST_TAKEN, asked / sum(let_in))) - self.taken)
+            min(1.0, max(LEAST_TAKEN, asked / sum(let_in))) - self.taken
+        )
         self.calm = min(self.calm, self.pace) if good > CALM_COUNT else self.calm
         silent = sum(self.workers[w].misses > 1 for w in ready)
         span, self.judged_at = self.now - (self.judged_at or self.now), self.now
@@ -364,8 +373,10 @@
             if w in raw:
                 like.setdefault(row.kind * self.setup.weights_listed, []).append(raw[w])
         mean = {kind: sum(values) / len(values) for kind, values in like.items()}
-        return {w: min(2.0, max(0.5, raw[w] / mean[self.workers[w].kind * self.setup.weights_listed]))
-                if w in raw else 1.0 for w in ready}
+        return {
+            w: min(2.0, max(0.5, raw[w] / mean[self.workers[w].kind * self.setup.weights_listed])) if w in raw else 1.0
+            for w in ready
+        }
 
     def capacities(self):
         """Listed weight x learned speed x cold ramp x health, by ready worker."""
@@ -382,8 +393,8 @@
             until = max(self.heard_at.get(item, 0), self.now - UNHEARD_US)
             for back in range(WINDOWS + 1):
                 low = (ring.at - back) * WINDOW_US
-                total += ring.row(back)[0] * 0.5 ** back
-                time += max(0, min(until, low + WINDOW_US) - max(since, low)) * 0.5 ** back
+                total += ring.row(back)[0] * 0.5**back
+                time += max(0, min(until, low + WINDOW_US) - max(since, low)) * 0.5**back
             if until - since >= WINDOW_US and total:
                 heard[item] = total / time * WINDOW_US
             else:
@@ -404,8 +415,9 @@
         self.level_at = self.now + LEVEL_US
         rows = [self.workers[w] for w in ready]
         full = sum(row.weight for row in rows if row.strained) / sum(row.weight for row in rows)
-        work = [sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9
-                for k, kind in enumerate(self.setup.classes)]
+        work = [
+            sum(row[k] for row in self.asked.rows) * kind.quoted_us + 1e-9 for k, kind in enumerate(self.setup.classes)
+        ]
         hurt = sum(row.weight for row in rows if row.strained or row.losing) / sum(row.weight for row in rows)
         # Who only loses is not seen slow; but where few do, the others are to have their work, not refusals.
         if full > CROWDED or self.pace > STRAIN and self.answered < LOSING and hurt > HURT:
@@ -510,8 +522,10 @@
             for w, part in (line for parts in placed.values() for line in parts.items()):
                 sums[w] += part
             return sums
-        # What was just inherited stays for a window: its former owner had reasons that are not known here. But those were
-        # not of a server that has started anew since, and it cannot carry what it had; else the margin decides that.
+
+        # What was just inherited stays for a window: its former owner had reasons that are not known here. But those
+        # were not of a server that has started anew since, and it cannot carry what it had; else the margin decides
+        # that.
         settled = all(self.now - self.since.get(item, 0) >= WINDOW_US for item in self.own)
         stays = None if settled else {w: bins[w] if w in most else float("inf") for w in bins}
         standing, limits = pack(popularity, bins, held, stays, most), dict(bins)
@@ -595,8 +609,10 @@
             left, cold = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
             # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first. But while
             # a withdrawal is said again and again, taking the worker out of its tables is what ends that.
-            change = sum(abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes or w in repeated else LINGER)
-                         for w in sorted(table.keys() | lines.keys()))
+            change = sum(
+                abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes or w in repeated else LINGER)
+                for w in sorted(table.keys() | lines.keys())
+            )
             if change > 1e-6:
                 load, kept = self.asked_for.get(item, 1.0), left >= 0.5 * sum(table.values())
                 # Left mostly to cold servers, whose small part is now the whole, it is as urgent as none.
@@ -610,7 +626,8 @@
         at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us(), head, idle)
         out = at_once + again_out
         due_back = self.withdrawals.due_back(self.now, usable) if self.own else set()  # no table, nobody to reach
-        # Whom tables name and some proxy holds out is missing where its slices are: it does not wait for ordinary sends.
+        # Whom tables name and some proxy holds out is missing where its slices are: it does not wait for ordinary
+        # sends.
         again = sorted(sizes.keys() & (self.withdrawals.barred | due_back & named))
         urgent, self.held_back = out or again or changes and not changes[0][0], len(out)
         # A repeat that is to come soon takes all that is not urgent with it: heads of messages would fill the channel.
@@ -629,7 +646,7 @@
         room = self.room()
         # What the list causes goes as far as there is room, what is said again once enough of it fits.
         due = len(out)
-        out = (out if room >= self.worth_sending(due) else at_once)[:max(0, room)]
+        out = (out if room >= self.worth_sending(due) else at_once)[: max(0, room)]
         self.held_back = due - len(out)
         # Room for what will be said again, as soon as it is ripe, is not given away before that; but while proxies
         # come and go without an end, the lost are still to be tidied out of the tables.
@@ -637,7 +654,7 @@
             kept_free = (head + later_out) * count
             full, usual = full - kept_free, max(usual / 2, usual - kept_free, few if waiting < 0.1 * few else 0.0)
         # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
-        back = sorted(due_back - named)[:max(0, int((usual - waiting) / count - head - len(out)))]
+        back = sorted(due_back - named)[: max(0, int((usual - waiting) / count - head - len(out)))]
         each, spare, longest = len(out) + len(back), head + len(again), self.longest()
         # A repeat that goes anyway takes as many lines of tables with it: were they to wait for a channel that repeats
         # keep busy, they would wait as long as proxies come and go.
@@ -649,8 +666,9 @@
             if not (later and kept) and usable and not self.setup.single_owner:
                 # Little is left to pick: one line now, for as many such slices as can be; the rest follows.
                 some = {w: lines[w] for w in lines if w in usable} or {hashed(item, warm): 1.0}
-                best = max(some, key=lambda w: (
-                    some[w] > table.get(w, 0.0), w in warm and some[w] > LINGER, some[w], -w))
+                best = max(
+                    some, key=lambda w: (some[w] > table.get(w, 0.0), w in warm and some[w] > LINGER, some[w], -w)
+                )
                 lines = table | {best: some[best]}
             new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
             old = [w for w in sorted(table) if w not in lines]
@@ -669,8 +687,10 @@
                     self.orders.line(item, w, 0)
             tables[item] = lines
         # Let in again only once no table holds more of it than it is to have: it may have come back cold.
-        heavy = {w for item, due in wanted.items() for w, weight in tables[item].items() if weight > due.get(w, 0.0) + 1e-6}
-        again = [w for w in again[:max(0, int((full - unproven) / count - head) - each)] if w not in heavy]
+        heavy = {
+            w for item, due in wanted.items() for w, weight in tables[item].items() if weight > due.get(w, 0.0) + 1e-6
+        }
+        again = [w for w in again[: max(0, int((full - unproven) / count - head) - each)] if w not in heavy]
         back, each = back + again, each + len(again)
         for w in back:
             self.orders.withhold(w, False)
--- a/ospreyrouter/rehearse/audit.py
+++ b/ospreyrouter/rehearse/audit.py
@@ -68,14 +68,23 @@
     account = Account(day, rows)
     files = account.by["files"][-1] if account.by["files"] else {"swaps": 0, "torn": 0}
     service, classes = served(account)
-    rules = {"no proxy without a worker": never_bare(account), "no effect twice": no_effect_twice(account),
-             "drains kept": drains_kept(account), "no cold worker pushed over": none_pushed_over(account),
-             "short queue": short_queue(account)}
-    return {"service": round(service, 4), "transactions": len(account.by["transaction"]), "classes": classes,
-            "swaps": files["swaps"], "torn_reads": files["torn"],
-            "rules": {name: {"checked": checked, "broken": len(broken)} for name, (checked, broken) in rules.items()},
-            "broken": {name: broken[:5] for name, (_, broken) in rules.items() if broken},
-            "fell_over": len(account.by["fell over"])}
+    rules = {
+        "no proxy without a worker": never_bare(account),
+        "no effect twice": no_effect_twice(account),
+        "drains kept": drains_kept(account),
+        "no cold worker pushed over": none_pushed_over(account),
+        "short queue": short_queue(account),
+    }
+    return {
+        "service": round(service, 4),
+        "transactions": len(account.by["transaction"]),
+        "classes": classes,
+        "swaps": files["swaps"],
+        "torn_reads": files["torn"],
+        "rules": {name: {"checked": checked, "broken": len(broken)} for name, (checked, broken) in rules.items()},
+        "broken": {name: broken[:5] for name, (_, broken) in rules.items() if broken},
+        "fell_over": len(account.by["fell over"]),
+    }
 
 
 def served(account):
@@ -98,12 +107,14 @@
     bare_us, cold_us = account.day.rules.bare_s * 1e6, account.day.rules.cold_s * 1e6
     warm = defaultdict(Steps)
     for row in account.by["told"]:
-        warm[row["manager"]].add(row["t"], any(state == "ready" and (age is None or age >= cold_us)
-                                               for _, state, age in row["rows"]))
+        warm[row["manager"]].add(
+            row["t"], any(state == "ready" and (age is None or age >= cold_us) for _, state, age in row["rows"])
+        )
     checked, broken, since = 0, [], defaultdict(dict)
     last = {}
-    for row in account.by["bare"] + [{"t": account.end, "proxy": name, "slices": []}
-                                     for name in {row["proxy"] for row in account.by["bare"]}]:
+    for row in account.by["bare"] + [
+        {"t": account.end, "proxy": name, "slices": []} for name in {row["proxy"] for row in account.by["bare"]}
+    ]:
         proxy = row["proxy"]
         checked += row.get("of", 0)
         for item, start in list(since[proxy].items()):
@@ -142,8 +153,11 @@
         for name in held.keys() | now.keys():
             state = now.get(name, "gone")
             # One that drained and then left the list has drained; one that only left it may not bind.
-            bound = state == "draining" or state == "gone" and (
-                account.day.rules.gone_binds or told[row["manager"], name].at(row["t"], False))
+            bound = (
+                state == "draining"
+                or state == "gone"
+                and (account.day.rules.gone_binds or told[row["manager"], name].at(row["t"], False))
+            )
             if bound != told[row["manager"], name].at(row["t"], False):
                 told[row["manager"], name].add(row["t"], bound)
         states[row["manager"]] = {name: now.get(name, "gone") for name in held.keys() | now.keys()}
@@ -186,15 +200,20 @@
                 checked += 1
                 manager = account.custody[row["slice"]].at(row["sent"])
                 # Sent knowing of the start, if the manager in charge was told of it before.
-                known = any(t + min(grace, 0) <= row["sent"] and started >= life["t"] - SLACK_US
-                            for t, started in knew[name, manager])
+                known = any(
+                    t + min(grace, 0) <= row["sent"] and started >= life["t"] - SLACK_US
+                    for t, started in knew[name, manager]
+                )
                 sent.append((row["t"], row["work"], known))
                 sent = [one for one in sent if one[0] > row["t"] - window]
                 ramp = min(1.0, (row["t"] - life["t"]) / life["cold_us"])
                 able = life["capacity"] * (life["cold_share"] + (1 - life["cold_share"]) * ramp) * window
                 total = sum(one[1] for one in sent)
-                if total > rules.fall_multiple * able and sum(one[1] for one in sent if one[2]) * 3 >= 2 * total \
-                        and row["t"] > over_at:
+                if (
+                    total > rules.fall_multiple * able
+                    and sum(one[1] for one in sent if one[2]) * 3 >= 2 * total
+                    and row["t"] > over_at
+                ):
                     over_at = row["t"] + window
                     broken.append(f"{name}: {total / able:.1f} times what it can do")
     return checked, broken
--- a/ospreyrouter/rehearse/bench_day.py
+++ b/ospreyrouter/rehearse/bench_day.py
@@ -43,10 +43,20 @@
     fam, tier, traffic = data["fam"], data["tiers"][0], data["traffic"]
     kind, zones = tier["kinds"][0], data["zones"]
     running = sum(bool(row["up"]) for row in data["servers"])
-    classes = [{"name": row["name"], "quoted_s": seconds(row["aim"]), "client_timeout_s": seconds(row["deadline"]),
-                "utility": row["worth"], "late_utility": row["late_worth"], "repeat": EFFECTS[row["effect"]],
-                "dedup_scope": row["group"], "dedup_s": seconds(row["window"]), "writes": row["write"]}
-               for row in data["classes"]]
+    classes = [
+        {
+            "name": row["name"],
+            "quoted_s": seconds(row["aim"]),
+            "client_timeout_s": seconds(row["deadline"]),
+            "utility": row["worth"],
+            "late_utility": row["late_worth"],
+            "repeat": EFFECTS[row["effect"]],
+            "dedup_scope": row["group"],
+            "dedup_s": seconds(row["window"]),
+            "writes": row["write"],
+        }
+        for row in data["classes"]
+    ]
     shares = {row["name"]: row["share"] for row in data["classes"]}
     work = {row["name"]: row["work"] / 1000 for row in data["classes"]}
     # The bench states load as a part of what the fleet can do with keys warm; a met key costs the less for it.
@@ -55,25 +65,56 @@
     rate = max(fam["rate"], 8000.0)
     proxies = len(data["balancers"])
     return {
-        "name": f"bench {data['kind']}", "seconds": seconds(data["length"]), "seed": 1, "slices": fam["slices"],
-        "classes": classes, "warm_keys": fam["affinity_gain"] > 0,
-        "fleet": {"zones": zones, "managers": len(fam["controllers"]), "proxies": proxies, "workers": len(data["servers"]),
-                  "spare": len(data["servers"]) - running, "cells": 1 + max(row["cell"] for row in data["servers"]),
-                  "cores": kind["cores"], "speeds": [row["speed"] for row in data["servers"]], "queue": kind["queue"],
-                  "cold_share": kind["cold_from"], "cold_s": seconds(kind["cold"]),
-                  "connection_us": round(tier["handshake_work"]), "probe_us": round(tier["probe_work"]),
-                  "list_notice_s": seconds(data["discovery"]["notice"])},
-        "traffic": {"per_s": traffic["load"] * able * 1000 / mean_ms, "shares": shares, "work_ms": work,
-                    "keys": max(1, traffic["keys"]), "zipf": traffic["key_zipf"], "retries": data["clients"]["retries"],
-                    "try_share": min(1.0, data["clients"]["try_share"]),
-                    "backoff_ms": max(1.0, data["clients"]["backoff_us"] / 1000),
-                    "front_s": seconds(data.get("front_notice", 1_500_000))},
-        "rules": {"bare_s": seconds(fam["bare"]), "drain_grace_s": seconds(data["drain_grace"]),
-                  "gone_binds": not data.get("only_draining_binds", False), "cold_share": tier["stated_cold_from"],
-                  "cold_s": seconds(tier["stated_cold"]), "fall_multiple": data["fall_multiple"],
-                  "fall_s": seconds(data["fall_for"]), "full_may_have_run": data.get("full_may_have_run", False)},
-        "channel": {"lines_per_s": rate, "message_head": fam["head"], "transit_s": 0.05, "transit_most_s": 0.6,
-                    "queue_lines": max(fam["backlog"], rate, 2.0 * proxies * (fam["head"] + 2 + len(classes)))},
+        "name": f"bench {data['kind']}",
+        "seconds": seconds(data["length"]),
+        "seed": 1,
+        "slices": fam["slices"],
+        "classes": classes,
+        "warm_keys": fam["affinity_gain"] > 0,
+        "fleet": {
+            "zones": zones,
+            "managers": len(fam["controllers"]),
+            "proxies": proxies,
+            "workers": len(data["servers"]),
+            "spare": len(data["servers"]) - running,
+            "cells": 1 + max(row["cell"] for row in data["servers"]),
+            "cores": kind["cores"],
+            "speeds": [row["speed"] for row in data["servers"]],
+            "queue": kind["queue"],
+            "cold_share": kind["cold_from"],
+            "cold_s": seconds(kind["cold"]),
+            "connection_us": round(tier["handshake_work"]),
+            "probe_us": round(tier["probe_work"]),
+            "list_notice_s": seconds(data["discovery"]["notice"]),
+        },
+        "traffic": {
+            "per_s": traffic["load"] * able * 1000 / mean_ms,
+            "shares": shares,
+            "work_ms": work,
+            "keys": max(1, traffic["keys"]),
+            "zipf": traffic["key_zipf"],
+            "retries": data["clients"]["retries"],
+            "try_share": min(1.0, data["clients"]["try_share"]),
+            "backoff_ms": max(1.0, data["clients"]["backoff_us"] / 1000),
+            "front_s": seconds(data.get("front_notice", 1_500_000)),
+        },
+        "rules": {
+            "bare_s": seconds(fam["bare"]),
+            "drain_grace_s": seconds(data["drain_grace"]),
+            "gone_binds": not data.get("only_draining_binds", False),
+            "cold_share": tier["stated_cold_from"],
+            "cold_s": seconds(tier["stated_cold"]),
+            "fall_multiple": data["fall_multiple"],
+            "fall_s": seconds(data["fall_for"]),
+            "full_may_have_run": data.get("full_may_have_run", False),
+        },
+        "channel": {
+            "lines_per_s": rate,
+            "message_head": fam["head"],
+            "transit_s": 0.05,
+            "transit_most_s": 0.6,
+            "queue_lines": max(fam["backlog"], rate, 2.0 * proxies * (fam["head"] + 2 + len(classes))),
+        },
         "reports": {"period_s": seconds(fam["period"]), "lines_per_s": fam["intake"]},
         "custody": {"lease_s": max(0.5, seconds(fam["takeover"]) / 2)},
     }
@@ -106,8 +147,10 @@
         return self._workers("worker_vanish", row, when)
 
     def _zone_loss(self, row, when):
-        self.unplayed.append(f"zone_loss at {row['at'] / 1e6:.1f} s: only of workers; whether proxies and managers go with "
-                             "them the day does not say")
+        self.unplayed.append(
+            f"zone_loss at {row['at'] / 1e6:.1f} s: only of workers; whether proxies and managers go with "
+            "them the day does not say"
+        )
         return self._workers("worker_crash", row, when)
 
     def _hang(self, row, when):
@@ -148,19 +191,29 @@
 
     def _counter_down(self, row, when):
         count = max(1, math.ceil(row["size"] * self.proxies))
-        return [{"what": "lose_manager", "proxy": proxy, "manager": manager, **when}
-                for proxy in range(count) for manager in range(self.managers)]
+        return [
+            {"what": "lose_manager", "proxy": proxy, "manager": manager, **when}
+            for proxy in range(count)
+            for manager in range(self.managers)
+        ]
 
     def _balancers(self, places, when):
-        return [{"what": "proxy_kill", "proxy": place, **when} if place < self.proxies
-                else {"what": "manager_kill", "manager": place - self.proxies, **when} for place in places]
+        return [
+            {"what": "proxy_kill", "proxy": place, **when}
+            if place < self.proxies
+            else {"what": "manager_kill", "manager": place - self.proxies, **when}
+            for place in places
+        ]
 
     def _balancer_crash(self, row, when):
         return self._balancers(row["on"], when)
 
     def _balancer_roll(self, row, when):
-        return [one for step in row["steps"]
-                for one in self._balancers(step["stop"], {"at_s": seconds(step["at"]), "for_s": row["extra"]})]
+        return [
+            one
+            for step in row["steps"]
+            for one in self._balancers(step["stop"], {"at_s": seconds(step["at"]), "for_s": row["extra"]})
+        ]
 
     def _balancer_stall(self, row, when):
         managers = [place - self.proxies for place in row["on"] if place >= self.proxies]
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -36,8 +36,12 @@
     retries: int = Field(2, ge=0, le=10, description="times a client tries again")
     try_share: Part = Field(0.6, description="part of the client timeout after which a try is given up")
     backoff_ms: float = Field(150.0, gt=0)
-    elsewhere: bool = Field(False, description="whether a client that could not connect to a proxy tries next at another site")
-    front_s: float = Field(1.5, ge=0, le=60, description="seconds for which the front layer goes on sending to a dead proxy")
+    elsewhere: bool = Field(
+        False, description="whether a client that could not connect to a proxy tries next at another site"
+    )
+    front_s: float = Field(
+        1.5, ge=0, le=60, description="seconds for which the front layer goes on sending to a dead proxy"
+    )
 
     seconds: float = Field(0.0, exclude=True)
 
@@ -79,7 +83,9 @@
 class SiteLoss(Trouble):
     what: Literal["site_loss"]
     site: str = Field(description="one of the fleet's zones")
-    parts: list[Literal["workers", "managers", "proxies"]] = Field(default=["workers", "managers", "proxies"], min_length=1)
+    parts: list[Literal["workers", "managers", "proxies"]] = Field(
+        default=["workers", "managers", "proxies"], min_length=1
+    )
 
 
 class Unreached(Trouble):
@@ -90,8 +96,11 @@
 
 class StoreTrouble(Trouble):
     what: Literal["store_hang", "store_answers_lost"]
-    managers: list[int] = Field(min_length=1, description="managers whose calls to the store hang, or whose answers are lost "
-                                                          "though the store did what was asked")
+    managers: list[int] = Field(
+        min_length=1,
+        description="managers whose calls to the store hang, or whose answers are lost "
+        "though the store did what was asked",
+    )
 
 
 class ClockStep(Trouble):
@@ -138,9 +147,26 @@
     share: Part
 
 
-AnyTrouble = Annotated[Union[WorkersTrouble, SharedTrouble, ManagerTrouble, ProxyTrouble, LoseManager, SlowChannel,
-                             Ghosts, HotKey, ReportFlood, RollBack, BalancerDeaf, SiteLoss, Unreached, StoreTrouble,
-                             ClockStep], Field(discriminator="what")]
+AnyTrouble = Annotated[
+    Union[
+        WorkersTrouble,
+        SharedTrouble,
+        ManagerTrouble,
+        ProxyTrouble,
+        LoseManager,
+        SlowChannel,
+        Ghosts,
+        HotKey,
+        ReportFlood,
+        RollBack,
+        BalancerDeaf,
+        SiteLoss,
+        Unreached,
+        StoreTrouble,
+        ClockStep,
+    ],
+    Field(discriminator="what"),
+]
 
 
 class Day(Strict):
@@ -169,8 +195,13 @@
         for place, row in enumerate(self.troubles):
             if isinstance(row, SiteLoss) and row.site not in self.fleet.zones:
                 raise ValueError(f"troubles.{place}.site: {row.site!r} is not among fleet.zones")
-            for field, most in (("workers", self.fleet.workers), ("manager", self.fleet.managers), ("managers", self.fleet.managers),
-                                ("proxy", self.fleet.proxies), ("balancer", self.fleet.balancers)):
+            for field, most in (
+                ("workers", self.fleet.workers),
+                ("manager", self.fleet.managers),
+                ("managers", self.fleet.managers),
+                ("proxy", self.fleet.proxies),
+                ("balancer", self.fleet.balancers),
+            ):
                 value = getattr(row, field, None)
                 if value is not None and max(value if isinstance(value, list) else [value]) >= most:
                     raise ValueError(f"troubles.{place}.{field}: there are only {most}")
@@ -203,9 +234,23 @@
 
 def worker_specs(day, ports):
     fleet = day.fleet
-    return [WorkerSpec(f"worker-{k}", "127.0.0.1", ports[k], fleet.zones[k % len(fleet.zones)], k % fleet.cells,
-                       fleet.cores, fleet.speeds[k % len(fleet.speeds)], fleet.queue, fleet.cold_share,
-                       round(fleet.cold_s * 1e6), fleet.connection_us, fleet.probe_us) for k in range(fleet.workers)]
+    return [
+        WorkerSpec(
+            f"worker-{k}",
+            "127.0.0.1",
+            ports[k],
+            fleet.zones[k % len(fleet.zones)],
+            k % fleet.cells,
+            fleet.cores,
+            fleet.speeds[k % len(fleet.speeds)],
+            fleet.queue,
+            fleet.cold_share,
+            round(fleet.cold_s * 1e6),
+            fleet.connection_us,
+            fleet.probe_us,
+        )
+        for k in range(fleet.workers)
+    ]
 
 
 def deployment(day, ports):
@@ -213,13 +258,36 @@
     fleet = day.fleet
     zone = lambda k: fleet.zones[k % len(fleet.zones)]  # noqa: E731
     return DeploymentFile(
-        zones=fleet.zones, slices=day.slices, classes=day.classes,
-        managers=[{"name": f"manager-{k}", "zone": zone(k), "listen": {"port": ports["managers"][k]},
-                   "sasp": {"port": ports["sasp"][k]} if "sasp" in ports else None}
-                  for k in range(fleet.managers)],
-        proxies=[{"name": f"proxy-{k}", "zone": zone(k), "agent": {"port": ports["agents"][k]},
-                  "folder": f"proxy-{k}", "usual_per_s": day.traffic.per_s / fleet.proxies}
-                 for k in range(fleet.proxies)],
-        worker_list={"listen": {"port": ports["list"][0]}, "wait_s": 2.0}, store="store", channel=day.channel,
-        rules=day.rules, reports=day.reports, custody=day.custody, warm_keys=day.warm_keys, flush=day.flush, deltas=day.deltas,
-        sites=day.sites)
+        zones=fleet.zones,
+        slices=day.slices,
+        classes=day.classes,
+        managers=[
+            {
+                "name": f"manager-{k}",
+                "zone": zone(k),
+                "listen": {"port": ports["managers"][k]},
+                "sasp": {"port": ports["sasp"][k]} if "sasp" in ports else None,
+            }
+            for k in range(fleet.managers)
+        ],
+        proxies=[
+            {
+                "name": f"proxy-{k}",
+                "zone": zone(k),
+                "agent": {"port": ports["agents"][k]},
+                "folder": f"proxy-{k}",
+                "usual_per_s": day.traffic.per_s / fleet.proxies,
+            }
+            for k in range(fleet.proxies)
+        ],
+        worker_list={"listen": {"port": ports["list"][0]}, "wait_s": 2.0},
+        store="store",
+        channel=day.channel,
+        rules=day.rules,
+        reports=day.reports,
+        custody=day.custody,
+        warm_keys=day.warm_keys,
+        flush=day.flush,
+        deltas=day.deltas,
+        sites=day.sites,
+    )
--- a/ospreyrouter/rehearse/play.py
+++ b/ospreyrouter/rehearse/play.py
@@ -90,9 +90,13 @@
         names = self._names(row)
         if on:
             self.stage.control("list", "state", workers=names, state="draining", now=True)
-            self.loop.after(round(row.for_s * 5e5), lambda: (
-                self.stage.control("workers", "stop", workers=names),
-                self.stage.control("list", "state", workers=names, state="gone")))
+            self.loop.after(
+                round(row.for_s * 5e5),
+                lambda: (
+                    self.stage.control("workers", "stop", workers=names),
+                    self.stage.control("list", "state", workers=names, state="gone"),
+                ),
+            )
         else:
             self.stage.control("workers", "start", workers=names)
             self.stage.control("list", "state", workers=names, state="ready", fresh=True)
@@ -180,8 +184,16 @@
         order = {"to": self.stage.wall() - round(row.back_s * 1e6), "key": f"rehearsal-{row.at_s}", "hold_s": row.for_s}
         for place in self.stage.setup.managers:
             client = Client(self.loop, place.listen.pair)
-            client.ask("POST", "/v3/rollback", [("content-type", "application/json")], dump(order), lambda answer: self.journal.write(
-                "rollback", status=answer.status, text=answer.body[:300].decode("latin-1")), 5_000_000)
+            client.ask(
+                "POST",
+                "/v3/rollback",
+                [("content-type", "application/json")],
+                dump(order),
+                lambda answer: self.journal.write(
+                    "rollback", status=answer.status, text=answer.body[:300].decode("latin-1")
+                ),
+                5_000_000,
+            )
 
     def _report_flood(self, row, on):
         self.stage.control("clients", "report_flood", on=on, streams=row.streams, reports=row.reports)
@@ -202,11 +214,15 @@
         self.day, self.folder, self.module, self.log = day, folder, module, log
         self.network, self.tampered = VirtualNetwork(day.seed), Counter()
         fleet = day.fleet
-        self.ports = {"managers": range(11_000, 11_000 + fleet.managers), "agents": range(12_000, 12_000 + fleet.proxies),
-                      "proxies": range(14_000, 14_000 + fleet.proxies), "list": [10_000],
-                      "sasp": range(13_000, 13_000 + fleet.managers),
-                      "balancers": range(15_000, 15_000 + fleet.balancers),
-                      "workers": range(16_000, 16_000 + fleet.workers)}
+        self.ports = {
+            "managers": range(11_000, 11_000 + fleet.managers),
+            "agents": range(12_000, 12_000 + fleet.proxies),
+            "proxies": range(14_000, 14_000 + fleet.proxies),
+            "list": [10_000],
+            "sasp": range(13_000, 13_000 + fleet.managers),
+            "balancers": range(15_000, 15_000 + fleet.balancers),
+            "workers": range(16_000, 16_000 + fleet.workers),
+        }
         self.setup, self.rows = deployment(day, self.ports), []
         self.host = self.network.host("rehearsal")
         self.journal, self.hosts, self.parts, self.lives = Journal(self.host), {}, {}, 0
@@ -214,14 +230,18 @@
         self.journal.rows = self.rows
         specs = worker_specs(day, self.ports["workers"])
         self.parts["workers"] = Workers(self.host, self.setup, specs, self.journal, day.seed, fleet.spare)
-        self.parts["list"] = WorkerListService(self.network.host("list"), self.setup, specs, self.journal,
-                                               round(fleet.list_notice_s * 1e6), fleet.spare)
+        self.parts["list"] = WorkerListService(
+            self.network.host("list"), self.setup, specs, self.journal, round(fleet.list_notice_s * 1e6), fleet.spare
+        )
         for row in [*self.setup.managers, *self.setup.proxies]:
             self.start(row.name)
-        proxies = [(row.name, row.zone, ("127.0.0.1", self.ports["proxies"][k]))
-                   for k, row in enumerate(self.setup.proxies)]
+        proxies = [
+            (row.name, row.zone, ("127.0.0.1", self.ports["proxies"][k])) for k, row in enumerate(self.setup.proxies)
+        ]
         places = [("127.0.0.1", port) for port in self.ports["balancers"]]
-        self.parts["balancers"] = Balancers(self.network.host("balancers"), self.setup, specs, places, self.journal, day.seed)
+        self.parts["balancers"] = Balancers(
+            self.network.host("balancers"), self.setup, specs, places, self.journal, day.seed
+        )
         proxies += balancer_rows(places)
         folders = {row.name: os.path.join(folder, row.folder) for row in self.setup.proxies}
         self.watch = Watch(self.host, folders, os.path.join(folder, "store"), self.journal)
@@ -244,13 +264,30 @@
         calls = self.calls[name] = InlineCalls(host, Disk(flush=False))
         log = TeeLog(self.journal, self.log)
         if name.startswith("manager"):
-            self.parts[name] = ManagerService(host, self.setup, name, os.path.join(self.folder, "store"), calls, log,
-                                              self.day.seed * 1000 + self.lives, self.module, lambda: host.now() + self.steps[name])
+            self.parts[name] = ManagerService(
+                host,
+                self.setup,
+                name,
+                os.path.join(self.folder, "store"),
+                calls,
+                log,
+                self.day.seed * 1000 + self.lives,
+                self.module,
+                lambda: host.now() + self.steps[name],
+            )
         else:
             place = int(name.rpartition("-")[2])
-            self.parts[name] = Proxy(host, self.setup, name, os.path.join(self.folder, f"proxy-{place}"),
-                                     ("127.0.0.1", self.ports["proxies"][place]), self.journal, log,
-                                     f"{self.day.seed}/{self.lives}", calls)
+            self.parts[name] = Proxy(
+                host,
+                self.setup,
+                name,
+                os.path.join(self.folder, f"proxy-{place}"),
+                ("127.0.0.1", self.ports["proxies"][place]),
+                self.journal,
+                log,
+                f"{self.day.seed}/{self.lives}",
+                calls,
+            )
             if self.day.tampered:
                 self._tamper(host, name, place)
         self.hosts[name] = host
@@ -258,7 +295,9 @@
     def _tamper(self, host, name, place):
         """Pushes reach this proxy's agent through a relay that is not to be trusted."""
         agent, listen = self.parts[name].agent, ("127.0.0.1", 18_000 + place)
-        relay = TamperingRelay(host, listen, agent.address, self.day.tampered, f"{self.day.seed}/{self.lives}", self.tampered)
+        relay = TamperingRelay(
+            host, listen, agent.address, self.day.tampered, f"{self.day.seed}/{self.lives}", self.tampered
+        )
         agent.address = relay.server.address
 
     def kill(self, name):
--- a/ospreyrouter/rehearse/processes.py
+++ b/ospreyrouter/rehearse/processes.py
@@ -62,9 +62,15 @@
     def __init__(self, day, folder, loop):
         self.day, self.folder, self.loop = day, Path(folder).absolute(), loop
         fleet = day.fleet
-        sizes = {"managers": fleet.managers, "agents": fleet.proxies, "proxies": fleet.proxies, "list": 1,
-                 "workers": fleet.workers, "control": fleet.proxies + 4,
-                 "balancers": fleet.balancers} | ({"sasp": fleet.managers} if fleet.balancers else {})
+        sizes = {
+            "managers": fleet.managers,
+            "agents": fleet.proxies,
+            "proxies": fleet.proxies,
+            "list": 1,
+            "workers": fleet.workers,
+            "control": fleet.proxies + 4,
+            "balancers": fleet.balancers,
+        } | ({"sasp": fleet.managers} if fleet.balancers else {})
         found = iter(free_ports(sum(sizes.values())))
         self.ports = {name: [next(found) for _ in range(size)] for name, size in sizes.items()}
         self.setup = deployment(day, self.ports)
@@ -74,28 +80,60 @@
         self.journal = Journal(loop, self.folder / "rehearsal.journal", at_once=True)
         self.processes, self.lives, self.clients, self.ended = {}, {}, {}, []
         self.held = {}  # helpers that stand still, by whose they are
-        self.controls = {"workers": self.ports["control"][0], "list": self.ports["control"][1],
-                         "clients": self.ports["control"][2], "balancers": self.ports["control"][-1]}
+        self.controls = {
+            "workers": self.ports["control"][0],
+            "list": self.ports["control"][1],
+            "clients": self.ports["control"][2],
+            "balancers": self.ports["control"][-1],
+        }
         self.controls |= {f"proxy-{k}": self.ports["control"][3 + k] for k in range(fleet.proxies)}
 
     def command(self, name):
         common = [sys.executable, "-m", "ospreyrouter"]
         journal = str(self.folder / f"{name}.journal")
         if name.startswith("manager"):
-            return [*common, "manager", str(self.folder / "deployment.json"), "--name", name,
-                    "--seed", str(self.day.seed * 1000 + self.lives[name])]
+            return [
+                *common,
+                "manager",
+                str(self.folder / "deployment.json"),
+                "--name",
+                name,
+                "--seed",
+                str(self.day.seed * 1000 + self.lives[name]),
+            ]
         if name.startswith("proxy"):
-            return [*common, "proxy", str(self.folder / "deployment.json"), "--name", name, "--journal", journal,
-                    "--port", str(self.ports["proxies"][int(name[6:])]), "--control", str(self.controls[name]),
-                    "--seed", f"{self.day.seed}/{self.lives[name]}"]
-        return [*common, "standin", name, str(self.folder / "stage.json"), "--journal", journal,
-                "--control", str(self.controls[name])]
+            return [
+                *common,
+                "proxy",
+                str(self.folder / "deployment.json"),
+                "--name",
+                name,
+                "--journal",
+                journal,
+                "--port",
+                str(self.ports["proxies"][int(name[6:])]),
+                "--control",
+                str(self.controls[name]),
+                "--seed",
+                f"{self.day.seed}/{self.lives[name]}",
+            ]
+        return [
+            *common,
+            "standin",
+            name,
+            str(self.folder / "stage.json"),
+            "--journal",
+            journal,
+            "--control",
+            str(self.controls[name]),
+        ]
 
     def start(self, name, *more):
         self.lives[name] = self.lives.get(name, 0) + 1
         with open(self.folder / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen([*self.command(name), *more], stdout=subprocess.PIPE, stderr=log,
-                                                    stdin=subprocess.DEVNULL)
+            self.processes[name] = subprocess.Popen(
+                [*self.command(name), *more], stdout=subprocess.PIPE, stderr=log, stdin=subprocess.DEVNULL
+            )
 
     def wait_ready(self, names):
         """Each prints a line once it listens. Raises RuntimeError with the end of its log."""
@@ -115,9 +153,19 @@
         client = self.clients.get(part)
         if client is None or client.closed:
             client = self.clients[part] = Client(self.loop, ("127.0.0.1", self.controls[part]))
-        client.ask("POST", "/control", [], orjson.dumps({"name": name, **more}),
-                   lambda answer: answer.status == 204 or self.journal.write(
-                       "control failed", part=part, name=name, reason=answer.reason or str(answer.status)), 3_000_000)
+        client.ask(
+            "POST",
+            "/control",
+            [],
+            orjson.dumps({"name": name, **more}),
+            lambda answer: (
+                answer.status == 204
+                or self.journal.write(
+                    "control failed", part=part, name=name, reason=answer.reason or str(answer.status)
+                )
+            ),
+            3_000_000,
+        )
 
     def wall(self):
         return wall_us()
--- a/ospreyrouter/rehearse/watch.py
+++ b/ospreyrouter/rehearse/watch.py
@@ -24,8 +24,11 @@
         self.loop.after(EVERY_US, self.look)
         for name, reader in self.readers.items():
             if reader.poll():
-                bare = sorted(item for item, (table, withheld, _) in reader.tables.items()
-                              if all(line.worker in withheld for line in table.lines))
+                bare = sorted(
+                    item
+                    for item, (table, withheld, _) in reader.tables.items()
+                    if all(line.worker in withheld for line in table.lines)
+                )
                 if bare != self.usable[name]:
                     self.usable[name] = bare
                     self.journal.write("bare", proxy=name, slices=bare, of=len(reader.tables))
@@ -44,4 +47,6 @@
         self.stopped = True
         swaps = sum(int(os.path.basename(reader.seen)) for reader in self.readers.values() if reader.seen)
         torn = sum(reader.counts["bad sets"] for reader in self.readers.values())
-        self.journal.write("files", swaps=swaps, torn=torn, read=sum(r.counts["reloads"] for r in self.readers.values()))
+        self.journal.write(
+            "files", swaps=swaps, torn=torn, read=sum(r.counts["reloads"] for r in self.readers.values())
+        )
--- a/ospreyrouter/sasp/__init__.py
+++ b/ospreyrouter/sasp/__init__.py
@@ -5,10 +5,39 @@
 """
 
 from .framing import Framer
-from .messages import (BadMessage, DeregistrationRequest, GetWeightsReply, GetWeightsRequest, Group, LbStateRequest,
-                       Member, MemberState, MemberStateRequest, RegistrationRequest, Reply, SendWeights, WeightEntry,
-                       decode, encode)
+from .messages import (
+    BadMessage,
+    DeregistrationRequest,
+    GetWeightsReply,
+    GetWeightsRequest,
+    Group,
+    LbStateRequest,
+    Member,
+    MemberState,
+    MemberStateRequest,
+    RegistrationRequest,
+    Reply,
+    SendWeights,
+    WeightEntry,
+    decode,
+    encode,
+)
 
-__all__ = ["BadMessage", "DeregistrationRequest", "Framer", "GetWeightsReply", "GetWeightsRequest", "Group",
-           "LbStateRequest", "Member", "MemberState", "MemberStateRequest", "RegistrationRequest", "Reply",
-           "SendWeights", "WeightEntry", "decode", "encode"]
+__all__ = [
+    "BadMessage",
+    "DeregistrationRequest",
+    "Framer",
+    "GetWeightsReply",
+    "GetWeightsRequest",
+    "Group",
+    "LbStateRequest",
+    "Member",
+    "MemberState",
+    "MemberStateRequest",
+    "RegistrationRequest",
+    "Reply",
+    "SendWeights",
+    "WeightEntry",
+    "decode",
+    "encode",
+]
--- a/ospreyrouter/sasp/framing.py
+++ b/ospreyrouter/sasp/framing.py
@@ -21,7 +21,7 @@
                 raise BadMessage("the header is none", framed=False)
             if len(self.data) - place < total:
                 break
-            out.append(bytes(self.data[place:place + total]))
+            out.append(bytes(self.data[place : place + total]))
             place += total
         del self.data[:place]
         return out
--- a/ospreyrouter/sasp/messages.py
+++ b/ospreyrouter/sasp/messages.py
@@ -134,7 +134,9 @@
     except ValueError:
         raise BadMessage(f"{member.host!r:.60} is no address") from None
     packed = address.packed if address.version == 6 else b"\0" * 10 + b"\xff\xff" + address.packed
-    return component(n.MEMBER_DATA, struct.pack("!BH", member.protocol, member.port) + packed + text(member.label, n.NOT_UNDERSTOOD))
+    return component(
+        n.MEMBER_DATA, struct.pack("!BH", member.protocol, member.port) + packed + text(member.label, n.NOT_UNDERSTOOD)
+    )
 
 
 def group_bytes(group, kind=None):
@@ -163,22 +165,28 @@
 
 def body_of(message):
     if isinstance(message, RegistrationRequest):
-        return n.REGISTRATION_REQUEST, bytes([n.FROM_LB * message.from_lb]) + groups_bytes(message.groups, n.GROUP_OF_MEMBERS)
+        return n.REGISTRATION_REQUEST, bytes([n.FROM_LB * message.from_lb]) + groups_bytes(
+            message.groups, n.GROUP_OF_MEMBERS
+        )
     if isinstance(message, DeregistrationRequest):
         return n.DEREGISTRATION_REQUEST, bytes([n.FROM_LB * message.from_lb, message.reason]) + groups_bytes(
-            message.groups, n.GROUP_OF_MEMBERS)
+            message.groups, n.GROUP_OF_MEMBERS
+        )
     if isinstance(message, GetWeightsRequest):
         return n.GET_WEIGHTS_REQUEST, groups_bytes(message.groups, None)
     if isinstance(message, GetWeightsReply):
         return n.GET_WEIGHTS_REPLY, struct.pack("!BH", message.code, message.interval_s) + groups_bytes(
-            message.groups, n.GROUP_OF_WEIGHTS)
+            message.groups, n.GROUP_OF_WEIGHTS
+        )
     if isinstance(message, SendWeights):
         return n.SEND_WEIGHTS, groups_bytes(message.groups, n.GROUP_OF_WEIGHTS)
     if isinstance(message, LbStateRequest):
         flags = n.PUSH * message.push | n.TRUST * message.trust | n.NO_CHANGE_NO_SEND * message.only_changes
         return n.LB_STATE_REQUEST, text(message.lb_uid, n.BAD_LB_UID_SIZE) + bytes([message.health, flags])
     if isinstance(message, MemberStateRequest):
-        return n.MEMBER_STATE_REQUEST, bytes([n.FROM_LB * message.from_lb]) + groups_bytes(message.groups, n.GROUP_OF_STATES)
+        return n.MEMBER_STATE_REQUEST, bytes([n.FROM_LB * message.from_lb]) + groups_bytes(
+            message.groups, n.GROUP_OF_STATES
+        )
     return message.kind, bytes([message.code])
 
 
@@ -212,13 +220,13 @@
         if place + size > self.end:
             raise BadMessage("a component ends before its content")
         self.place = place + size
-        return self.data[place:place + size]
+        return self.data[place : place + size]
 
     def numbers(self, form):
         return struct.unpack(form, self.take(struct.calcsize(form)))
 
     def text(self, code):
-        size, = self.take(1)
+        (size,) = self.take(1)
         try:
             return self.take(size).decode()
         except UnicodeDecodeError:
@@ -272,7 +280,7 @@
     count = 0
     if kind is not None:
         reader = reader.inner(kind)
-        count, = reader.numbers("!H")
+        (count,) = reader.numbers("!H")
     data = reader.inner(n.GROUP_DATA)
     lb_uid, name = data.text(n.BAD_LB_UID_SIZE), data.text(n.BAD_GROUP_NAME_SIZE)
     data.done()
@@ -285,7 +293,7 @@
 
 
 def groups_from(reader, kind):
-    count, = reader.numbers("!H")
+    (count,) = reader.numbers("!H")
     groups = tuple(group_from(reader, kind) for _ in range(count))
     reader.done()
     return groups
@@ -312,7 +320,7 @@
 
 def message_from(kind, reader):
     if kind == n.REGISTRATION_REQUEST:
-        flags, = reader.take(1)
+        (flags,) = reader.take(1)
         return RegistrationRequest(groups_from(reader, n.GROUP_OF_MEMBERS), bool(flags & n.FROM_LB))
     if kind == n.DEREGISTRATION_REQUEST:
         flags, reason = reader.take(2)
@@ -328,12 +336,14 @@
         uid = reader.text(n.BAD_LB_UID_SIZE)
         health, flags = reader.take(2)
         reader.done()
-        return LbStateRequest(uid, health, bool(flags & n.PUSH), bool(flags & n.TRUST), bool(flags & n.NO_CHANGE_NO_SEND))
+        return LbStateRequest(
+            uid, health, bool(flags & n.PUSH), bool(flags & n.TRUST), bool(flags & n.NO_CHANGE_NO_SEND)
+        )
     if kind == n.MEMBER_STATE_REQUEST:
-        flags, = reader.take(1)
+        (flags,) = reader.take(1)
         return MemberStateRequest(groups_from(reader, n.GROUP_OF_STATES), bool(flags & n.FROM_LB))
     if kind in (n.REGISTRATION_REPLY, n.DEREGISTRATION_REPLY, n.LB_STATE_REPLY, n.MEMBER_STATE_REPLY):
-        code, = reader.take(1)
+        (code,) = reader.take(1)
         reader.done()
         return Reply(kind, code)
     raise BadMessage(f"a message of type {kind:#06x} is not known here")
--- a/ospreyrouter/sites/__init__.py
+++ b/ospreyrouter/sites/__init__.py
@@ -2,8 +2,8 @@
 clock is an argument.
 
 `evidence` counts what was seen, by kind; `states` turns it into up, doubtful, lost and returning, with hysteresis.
-`capacity` learns what workers can do; `tiers` says who carries for whom; `spill` plans what each site carries and what is
-refused; `control` does so over time.
+`capacity` learns what workers can do; `tiers` says who carries for whom; `spill` plans what each site carries and what
+is refused; `control` does so over time.
 """
 
 from .control import SpillControl
--- a/ospreyrouter/sites/control.py
+++ b/ospreyrouter/sites/control.py
@@ -1,4 +1,5 @@
-"""What the sites that are left are told to carry, and what is refused ahead, over time. No I/O; the clock is an argument.
+"""What the sites that are left are told to carry, and what is refused ahead, over time. No I/O; the clock is an
+argument.
 
     control = SpillControl(sites, classes, tiers, reserve, cold_share, cold_us)
     control.asked(now, site, kind, came, refused)      # at proxies there, of this manager's slices
@@ -14,8 +15,8 @@
 part of all slices. Managers do not talk: each works out what all sites can do and lets in its own part of it.
 
 It acts only while a site lacks much of what it usually can do: jams of a whole fleet are the module's. What it then
-knows and the module cannot is that the capacity is gone before answers get slow. Ways out of it are slow and ways in are
-quick: levels fall as soon as they must, and rise after HOLD_US at the earliest.
+knows and the module cannot is that the capacity is gone before answers get slow. Ways out of it are slow and ways in
+are quick: levels fall as soon as they must, and rise after HOLD_US at the earliest.
 """
 
 from dataclasses import dataclass, field
@@ -176,7 +177,9 @@
         for site, amount in self.plan.refused.items():
             self.totals.short[site] = self.totals.short.get(site, 0.0) + amount * part * span / 1e6
         aimed = {site: 1 - (1 - reserve) * AIM for site, reserve in self.reserve.items()}
-        return self._bound(now, need, part) | self._share(now, plan_spill(need, self.usual, able, self.tiers, aimed), able)
+        return self._bound(now, need, part) | self._share(
+            now, plan_spill(need, self.usual, able, self.tiers, aimed), able
+        )
 
     def answering(self, now, worker):
         """Whether it answered tries within the span of rates."""
@@ -202,8 +205,9 @@
         return counting
 
     def _demand(self, now):
-        """Each transaction counts once: which are let in is settled by their names, so what comes again after a refusal is
-        refused again, and what was let in is as large a part of all as the level said when it was."""
+        """Each transaction counts once: which are let in is settled by their names, so what comes again after a refusal
+        is refused again, and what was let in is as large a part of all as the level said when it was.
+        """
         for kind, row in self.demand.items():
             came, refused = row.fresh
             row.fresh = (0.0, 0.0)
@@ -233,12 +237,15 @@
             self.skew += SKEW * (min(SKEW_MOST, max(1 / SKEW_MOST, good / done / own)) - self.skew)
 
     def _mind_queues(self, now, counting, seconds):
-        """What came before the loss was seen waits in queues, and slices never lie quite evenly: first less is let in than
-        could be carried, then more as long as few of those left are slow."""
+        """What came before the loss was seen waits in queues, and slices never lie quite evenly: first less is let in
+        than could be carried, then more as long as few of those left are slow.
+        """
         total = sum(row.first for row in self.demand.values())
         quoted = sum(self.demand[kind].first * self.classes[kind][1] for kind in self.demand) / total if total else 0.0
         good = {name: self.rates.per_s(now, ("good", name)) for name in counting}
-        slow = sum(self.rates.per_s(now, ("delay", name)) > SLOW * quoted * count for name, count in good.items() if count)
+        slow = sum(
+            self.rates.per_s(now, ("delay", name)) > SLOW * quoted * count for name, count in good.items() if count
+        )
         if slow > CROWDED * len(counting):
             self.ease = max(EASE_LEAST, self.ease - EASE_FALLS * seconds)
         elif slow < EASY * len(counting):
@@ -249,7 +256,8 @@
         total = sum(first.values())
         room = self.plan.carried
         if room <= LITTLE and now - self.good_at >= SECOND_US:
-            # Nothing answers. What comes back is cold, and all that waited would be there before this manager knows of it.
+            # Nothing answers. What comes back is cold, and all that waited would be there before this manager knows of
+            # it.
             room = sum(self.usual.values()) * self.capacities.cold_share
         if not total or room <= LITTLE:
             return False
@@ -279,8 +287,11 @@
         """Nothing is lost: levels return to the module step by step, sizes at once."""
         changed = any(part < 1.0 for part in self.parts.values())
         self.parts = dict.fromkeys(self.sites, 1.0)
-        if self.most and now - self.levels_at >= SECOND_US and (
-                self.restored_at is None or now - self.restored_at >= LEARN_US):
+        if (
+            self.most
+            and now - self.levels_at >= SECOND_US
+            and (self.restored_at is None or now - self.restored_at >= LEARN_US)
+        ):
             self.most = {kind: min(1.0, level + EASING) for kind, level in self.most.items()}
             self.levels_at, changed = now, True
             if all(level >= 1.0 for level in self.most.values()):
--- a/ospreyrouter/sites/evidence.py
+++ b/ospreyrouter/sites/evidence.py
@@ -1,8 +1,8 @@
 """What was seen of a site lately, by kind. No I/O.
 
-    evidence = Evidence(window_us)
-    evidence.heard(now, kind, good, bad)
-    evidence.part(now, kind, least)     # good / all within the window, or None where fewer than `least` were seen
+evidence = Evidence(window_us)
+evidence.heard(now, kind, good, bad)
+evidence.part(now, kind, least)     # good / all within the window, or None where fewer than `least` were seen
 """
 
 from .rates import Rates
--- a/ospreyrouter/sites/rates.py
+++ b/ospreyrouter/sites/rates.py
@@ -1,13 +1,15 @@
 """Counts by key over the last seconds: rings of fixed buckets. No I/O.
 
-    rates = Rates(span_us, buckets); rates.add(now, key, count); rates.total(now, key); rates.per_s(now, key)
+rates = Rates(span_us, buckets); rates.add(now, key, count); rates.total(now, key); rates.per_s(now, key)
 """
 
 BUCKETS = 16
 
 
 class Rates:
-    """What is added now was counted over a while before: a rate is over whole spans, and at first over what there is."""
+    """What is added now was counted over a while before: a rate is over whole spans, and at first over what there
+    is.
+    """
 
     def __init__(self, span_us, buckets=BUCKETS):
         self.step, self.buckets, self.rows, self.since = max(1, span_us // buckets), buckets, {}, None
--- a/ospreyrouter/sites/spill.py
+++ b/ospreyrouter/sites/spill.py
@@ -5,10 +5,10 @@
     plan.spilled      # {(from, to): tries a second}
     plan.refused      # {from: tries a second}
 
-`need` is what is asked in all; a site's own part of it is by what it can usually do, as the module lays it. Own load may
-use all of a site, what spills only up to a reserve: `reserve[site]` of what it can do now stays free of it. All sites that
-lack room ask their first tier, then their second, and so on; a tier is filled in proportion to what is free there, and
-where several ask the same site they share it in proportion to what they ask.
+`need` is what is asked in all; a site's own part of it is by what it can usually do, as the module lays it. Own load
+may use all of a site, what spills only up to a reserve: `reserve[site]` of what it can do now stays free of it. All
+sites that lack room ask their first tier, then their second, and so on; a tier is filled in proportion to what is free
+there, and where several ask the same site they share it in proportion to what they ask.
 """
 
 from dataclasses import dataclass, field
@@ -37,15 +37,23 @@
     left = {site: own[site] - plan.load[site] for site in usual}
     for place in range(max((len(rows) for rows in tiers.values()), default=0)):
         for _ in range(PASSES):
-            if not one_pass(plan, left, able, {site: rows[place] if place < len(rows) else [] for site, rows in tiers.items()},
-                            reserve, needed=LITTLE * max(1.0, need)):
+            if not one_pass(
+                plan,
+                left,
+                able,
+                {site: rows[place] if place < len(rows) else [] for site, rows in tiers.items()},
+                reserve,
+                needed=LITTLE * max(1.0, need),
+            ):
                 break
     plan.refused = {site: amount for site, amount in left.items() if amount > LITTLE}
     return plan
 
 
 def one_pass(plan, left, able, tier, reserve, needed):
-    """All that lack room ask their tier once: who shares a site with others may find more at another of the same tier."""
+    """All that lack room ask their tier once: who shares a site with others may find more at another of the same
+    tier.
+    """
     free = {site: max(0.0, able[site] * (1 - reserve[site]) - plan.load[site]) for site in able}
     asked, moved = {}, 0.0  # (from, to)
     for site in able:
@@ -67,14 +75,18 @@
 
 
 def shares(plan, able):
-    """{site: part of its size for which its workers are to count}: the sizes are relative, so the fullest counts in full."""
+    """{site: part of its size for which its workers are to count}: the sizes are relative, so the fullest counts in
+    full.
+    """
     full = {site: plan.load[site] / able[site] for site in able if able[site] > LITTLE}
     most = max(full.values(), default=0.0)
     return {site: full[site] / most if most > LITTLE and site in full else 1.0 for site in able}
 
 
 def levels(came, weight, value, room):
-    """{class: part let in}, least value refused first: `came` tries a second, `weight` the work of one, `room` the work."""
+    """{class: part let in}, least value refused first: `came` tries a second, `weight` the work of one, `room` the
+    work.
+    """
     out = {}
     for kind in sorted(came, key=lambda kind: (-value[kind], kind)):
         work = came[kind] * weight[kind]
--- a/ospreyrouter/sites/states.py
+++ b/ospreyrouter/sites/states.py
@@ -10,9 +10,9 @@
 
 Proxies are those who must reach a site: what they met outweighs what this manager sees by itself. So loss of sight
 (probes fail, tries are answered) is no loss of the site. A worker list that says all is well is no evidence: nothing
-may answer. One that has none of a site's workers counts as nothing answered where proxies met nothing else. A returning site gets more by proof: a window in which what it carried, at least half of
-what it was allowed, was answered; not by time. Each loss within CALM windows doubles the time it must answer before it
-counts as returning.
+may answer. One that has none of a site's workers counts as nothing answered where proxies met nothing else. A returning
+site gets more by proof: a window in which what it carried, at least half of what it was allowed, was answered; not by
+time. Each loss within CALM windows doubles the time it must answer before it counts as returning.
 """
 
 from dataclasses import dataclass
@@ -24,7 +24,10 @@
 FIRST_LIMIT, GROWTH = 0.15, 1.6  # what a returning site may carry at first, and by how much a proof raises it
 USED = 0.5  # of what it was allowed: less proves nothing
 FLAPS_MOST, CALM = 5, 60
-DARK_TRIES, DARK_US = 6, 200_000  # lost in a row, over so long, while probes fail too: what was answered before is no comfort
+DARK_TRIES, DARK_US = (
+    6,
+    200_000,
+)  # lost in a row, over so long, while probes fail too: what was answered before is no comfort
 
 
 @dataclass
@@ -76,7 +79,9 @@
 
     def out(self, site):
         """Lost, while another site is not: its workers are to be used no more until it returns."""
-        return self.rows[site].state == "lost" and any(row.state in ("up", "doubtful") and not row.held_out for row in self.rows.values())
+        return self.rows[site].state == "lost" and any(
+            row.state in ("up", "doubtful") and not row.held_out for row in self.rows.values()
+        )
 
     def blind(self, site):
         return self.rows[site].blind
@@ -103,8 +108,13 @@
         seen = row.evidence.part(now, "probes", LEAST["probes"])
         row.part = met if met is not None else 0.0 if unlisted else seen
         row.blind = met is not None and seen is not None and met >= DOUBT_BELOW and seen < LOST_BELOW
-        if row.state in ("up", "doubtful") and row.run >= DARK_TRIES and now - row.run_since >= DARK_US \
-                and seen is not None and seen < DOUBT_BELOW:
+        if (
+            row.state in ("up", "doubtful")
+            and row.run >= DARK_TRIES
+            and now - row.run_since >= DARK_US
+            and seen is not None
+            and seen < DOUBT_BELOW
+        ):
             self._lose(now, row)
             return f"{row.run:.0f} tries in a row lost, and probes fail"
         if row.part is None:
--- a/ospreyrouter/sites/tiers.py
+++ b/ospreyrouter/sites/tiers.py
@@ -15,7 +15,7 @@
 def members(name, sites, groups, field, above=()):
     """The sites that a name stands for."""
     if name in above:
-        raise BadTiers(f"{field}: the groups {' -> '.join([*above[above.index(name):], name])} form a cycle")
+        raise BadTiers(f"{field}: the groups {' -> '.join([*above[above.index(name) :], name])} form a cycle")
     if name in groups:
         return [site for one in groups[name] for site in members(one, sites, groups, f"groups.{name}", (*above, name))]
     if name not in sites:
@@ -42,8 +42,12 @@
         for other, far in row.items():
             if distance_ms.get(other, {}).get(site, far) != far:
                 raise BadTiers(f"distance_ms.{site}.{other}: differs from distance_ms.{other}.{site}")
-    return {site: by_hand(site, spill[site], sites, groups) if site in spill else
-            by_distance(site, sites, distance_ms, cost, band_ms) for site in sites}
+    return {
+        site: by_hand(site, spill[site], sites, groups)
+        if site in spill
+        else by_distance(site, sites, distance_ms, cost, band_ms)
+        for site in sites
+    }
 
 
 def by_hand(site, names, sites, groups):
--- a/ospreyrouter/standins/balancer.py
+++ b/ospreyrouter/standins/balancer.py
@@ -1,5 +1,5 @@
-"""Stand-ins for load balancers that read no files: each registers the whole fleet for every slice by SASP and sends real
-traffic by the weights it is told. They refuse nothing early and try again only where a try never ran.
+"""Stand-ins for load balancers that read no files: each registers the whole fleet for every slice by SASP and sends
+real traffic by the weights it is told. They refuse nothing early and try again only where a try never ran.
 """
 
 from collections import namedtuple
@@ -16,9 +16,15 @@
     def __init__(self, loop, setup, name, address, specs, journal, seed):
         super().__init__(loop, setup, name, address, seed)
         self.journal, self.standing, self.empty = journal, set(), None
-        self.follower = Following(self, loop, [row.sasp.pair for row in setup.managers], name,
-                                  {item: [(spec.host, spec.port) for spec in specs] for item in range(setup.slices)}, seed,
-                                  [row.listen.pair for row in setup.managers])
+        self.follower = Following(
+            self,
+            loop,
+            [row.sasp.pair for row in setup.managers],
+            name,
+            {item: [(spec.host, spec.port) for spec in specs] for item in range(setup.slices)},
+            seed,
+            [row.listen.pair for row in setup.managers],
+        )
         self.follower.subscribe(self._changed)
 
     def _changed(self, item, weights):
@@ -31,11 +37,15 @@
     def bound(self, place, on):
         if on != (place in self.standing):
             (self.standing.add if on else self.standing.discard)(place)
-            self.journal.write("joined_manager" if on else "left_manager", proxy=self.name,
-                               manager=self.setup.managers[place].name)
+            self.journal.write(
+                "joined_manager" if on else "left_manager", proxy=self.name, manager=self.setup.managers[place].name
+            )
 
     def lines(self, item):
-        return [Target(f"{host}:{port}", host, port, weight) for (host, port), weight in sorted(self.follower.weights(item).items())]
+        return [
+            Target(f"{host}:{port}", host, port, weight)
+            for (host, port), weight in sorted(self.follower.weights(item).items())
+        ]
 
     def level(self, item, kind):
         return 1.0
@@ -80,7 +90,9 @@
     """All balancers of a day in one process."""
 
     def __init__(self, loop, setup, specs, addresses, journal, seed):
-        self.rows = [Balancer(loop, setup, f"balancer-{k}", address, specs, journal, seed) for k, address in enumerate(addresses)]
+        self.rows = [
+            Balancer(loop, setup, f"balancer-{k}", address, specs, journal, seed) for k, address in enumerate(addresses)
+        ]
 
     def control(self, name, **more):
         if name != "deaf":
--- a/ospreyrouter/standins/clients.py
+++ b/ospreyrouter/standins/clients.py
@@ -30,8 +30,10 @@
         elif name == "report_flood":
             # Not a client's doing, but of a box beside them: as many streams to each manager.
             if more["on"]:
-                self.floods = [Flood(self.loop, row.listen.pair, more["reports"], more["streams"], 1)
-                               for row in self.setup.managers]
+                self.floods = [
+                    Flood(self.loop, row.listen.pair, more["reports"], more["streams"], 1)
+                    for row in self.setup.managers
+                ]
             for flood in self.floods:
                 flood.control("flood", more["on"])
         else:
@@ -54,8 +56,17 @@
         work = max(1000, round(self.chance.lognormvariate(0, 0.6) / 1.197 * self.traffic.work_us[kind.name]))
         self.open += 1
         # As many clients at a site as it has proxies.
-        self._try({"number": self.number, "kind": kind, "key": key, "work": work, "asked": now, "tries": 0,
-                   "site": self.chance.choice(self.sites)})
+        self._try(
+            {
+                "number": self.number,
+                "kind": kind,
+                "key": key,
+                "work": work,
+                "asked": now,
+                "tries": 0,
+                "site": self.chance.choice(self.sites),
+            }
+        )
 
     def _try(self, row):
         now, kind = self.loop.now(), row["kind"]
@@ -72,8 +83,14 @@
         client = client or Client(self.loop, address, 300_000)
         limit = min(left, round(kind.client_timeout_s * 1e6 * self.traffic.try_share))
         transaction = f"t{row['number']}"
-        headers = [("x-class", kind.name), ("x-key", row["key"]), ("x-work-us", str(row["work"])),
-                   ("x-transaction", transaction), ("x-try", f"{transaction}.{row['tries']}"), ("x-timeout-us", str(limit))]
+        headers = [
+            ("x-class", kind.name),
+            ("x-key", row["key"]),
+            ("x-work-us", str(row["work"])),
+            ("x-transaction", transaction),
+            ("x-try", f"{transaction}.{row['tries']}"),
+            ("x-timeout-us", str(limit)),
+        ]
         client.ask("POST", "/t", headers, b"", lambda answer: self._answered(row, name, at, client, answer), limit)
 
     def _answered(self, row, proxy, at, client, answer):
@@ -89,8 +106,11 @@
         refused = answer.status in (429, 503) or answer.status == 0 and not answer.sent
         # What must not run twice is repeated by clients only where it was refused, or while every worker drops repeats.
         kind, age = row["kind"], self.loop.now() - row["asked"]
-        again = kind.repeat == "safe" or refused or (
-            kind.repeat == "keyed" and kind.dedup_scope == "all" and age < kind.dedup_s * 1e6)
+        again = (
+            kind.repeat == "safe"
+            or refused
+            or (kind.repeat == "keyed" and kind.dedup_scope == "all" and age < kind.dedup_s * 1e6)
+        )
         if row["tries"] <= self.traffic.retries and again:
             wait = self.traffic.backoff_us * (1 << min(4, row["tries"] - 1)) * self.chance.uniform(0.5, 1.5)
             self.loop.after(round(wait), lambda: self._try(row))
@@ -100,5 +120,13 @@
     def _end(self, row, how):
         self.open -= 1
         now = self.loop.now()
-        self.journal.write("transaction", number=row["number"], cls=row["kind"].name, asked=row["asked"],
-                           took=now - row["asked"], how=how, tries=row["tries"], site=row["site"])
+        self.journal.write(
+            "transaction",
+            number=row["number"],
+            cls=row["kind"].name,
+            asked=row["asked"],
+            took=now - row["asked"],
+            how=how,
+            tries=row["tries"],
+            site=row["site"],
+        )
--- a/ospreyrouter/standins/failing_disk.py
+++ b/ospreyrouter/standins/failing_disk.py
@@ -1,4 +1,6 @@
-"""A disk that fails or kills at a chosen call, each flush among them: for tests and measurements of what a store survives."""
+"""A disk that fails or kills at a chosen call, each flush among them: for tests and measurements of what a store
+survives.
+"""
 
 import errno
 
@@ -28,11 +30,12 @@
     def call(self, *values, **more):
         if self._count():
             if self.how == "half" and name in ("write_new", "append"):
-                getattr(Disk, name)(self, values[0], values[1][:len(values[1]) // 2])
+                getattr(Disk, name)(self, values[0], values[1][: len(values[1]) // 2])
             if self.how == "after":
                 getattr(Disk, name)(self, *values, **more)
             self._fail()
         return getattr(Disk, name)(self, *values, **more)
+
     return call
 
 
--- a/ospreyrouter/standins/forwarder.py
+++ b/ospreyrouter/standins/forwarder.py
@@ -77,8 +77,9 @@
                 passing.request.answer(503)
             elif passing not in self.held:
                 self.held.append(passing)
-                self.loop.after(HOLD_US, lambda: passing in self.held and (self.held.remove(passing),
-                                                                           passing.request.answer(503)))
+                self.loop.after(
+                    HOLD_US, lambda: passing in self.held and (self.held.remove(passing), passing.request.answer(503))
+                )
             return
         passing.attempt += 1
         passing.tried.add(line.worker)
@@ -99,8 +100,14 @@
         else:
             passing_until = passing.deadline
         self.began_one(passing.item, line.worker)
-        client.ask("POST", "/t", headers, b"", lambda answer: self._answered(passing, line, client, began, answer),
-                   max(1000, passing_until - began))
+        client.ask(
+            "POST",
+            "/t",
+            headers,
+            b"",
+            lambda answer: self._answered(passing, line, client, began, answer),
+            max(1000, passing_until - began),
+        )
         # A try that the client gave up is cancelled: nothing is sent on for one who no longer waits.
         passing.client = client
         passing.request.connection.on_closed = lambda _: passing.client.closed or passing.client.abort("cancelled")
@@ -108,7 +115,9 @@
     def _answered(self, passing, line, client, began, answer):
         passing.request.connection.on_closed = None
         good = answer.status == 200
-        self.met_one(passing.item, line.worker, good, self.loop.now() - began, orca_report(answer.headers.get(ORCA_HEADER)))
+        self.met_one(
+            passing.item, line.worker, good, self.loop.now() - began, orca_report(answer.headers.get(ORCA_HEADER))
+        )
         if good:
             self.failed[line.worker] = 0
         else:
@@ -130,6 +139,7 @@
         way = self.way(passing.item, passing.head["x-class"])
         if self.loop.now() >= passing.deadline or passing.attempt > AGAIN[way]:
             return False
-        never_ran = answer.status == 0 and not answer.sent \
-            or answer.status == 503 and not self.setup.rules.full_may_have_run
+        never_ran = (
+            answer.status == 0 and not answer.sent or answer.status == 503 and not self.setup.rules.full_may_have_run
+        )
         return never_ran if way in ("none", "proven") else True
--- a/ospreyrouter/standins/front.py
+++ b/ospreyrouter/standins/front.py
@@ -26,7 +26,9 @@
     def told(self, name, reached):
         if reached:
             self.failing.pop(name, None)
-        elif name not in self.down and self.loop.now() - self.failing.setdefault(name, self.loop.now()) >= self.notice_us:
+        elif (
+            name not in self.down and self.loop.now() - self.failing.setdefault(name, self.loop.now()) >= self.notice_us
+        ):
             self.down.add(name)
             self._check(name)
 
@@ -41,4 +43,5 @@
             stream.close()
             self.down.discard(name)
             self.failing.pop(name, None)
+
         self.loop.connect(address, CHECK_MOST_US, done)
--- a/ospreyrouter/standins/proxy.py
+++ b/ospreyrouter/standins/proxy.py
@@ -85,7 +85,9 @@
         for (item, worker), count in self.pending.items():
             if self.agent.owner(item) == manager:
                 pending[worker] += count
-        return sums_request(self.name, self.place.zone, met, demand, max(1, span), self.life, self.sequence, now, pending)
+        return sums_request(
+            self.name, self.place.zone, met, demand, max(1, span), self.life, self.sequence, now, pending
+        )
 
     def close(self):
         self.agent.close()
--- a/ospreyrouter/standins/reporters.py
+++ b/ospreyrouter/standins/reporters.py
@@ -1,7 +1,7 @@
 """Stand-in reporters by the thousand: a known truth, its counts reported as LoadStatsRequests over few or many streams.
 
-    truth = Truth(workers, seed)
-    fleet = ReporterFleet(loop, address, truth, first, count, streams, ...)
+truth = Truth(workers, seed)
+fleet = ReporterFleet(loop, address, truth, first, count, streams, ...)
 """
 
 from random import Random
@@ -77,20 +77,53 @@
             self.carry[k] = exact - tries
             if tries:
                 came += tries
-                ends.append({"metadata": {"worker": f"worker-{worker}"}, "totalIssuedRequests": tries, "totalErrorRequests": 0,
-                             "loadMetricStats": [{"metricName": "delay_us", "numRequestsFinishedWithMetric": tries,
-                                                  "totalMetricValue": 20_000.0 * tries}]})
+                ends.append(
+                    {
+                        "metadata": {"worker": f"worker-{worker}"},
+                        "totalIssuedRequests": tries,
+                        "totalErrorRequests": 0,
+                        "loadMetricStats": [
+                            {
+                                "metricName": "delay_us",
+                                "numRequestsFinishedWithMetric": tries,
+                                "totalMetricValue": 20_000.0 * tries,
+                            }
+                        ],
+                    }
+                )
         self.last_us = now
         text = f"{span // 1_000_000}.{span % 1_000_000:06d}s"
-        stats = [{"clusterName": "workers", "loadReportInterval": text,
-                  "upstreamLocalityStats": [{"upstreamEndpointStats": ends}]}]
+        stats = [
+            {
+                "clusterName": "workers",
+                "loadReportInterval": text,
+                "upstreamLocalityStats": [{"upstreamEndpointStats": ends}],
+            }
+        ]
         share = came // len(self.slices)
-        stats += [{"clusterName": f"slice-{item}", "loadReportInterval": text, "upstreamLocalityStats": [
-            {"loadMetricStats": [{"metricName": "look-up", "numRequestsFinishedWithMetric": share, "totalMetricValue": 0}]}]}
-            for item in self.slices if share]
-        return {"node": {"id": self.name, "locality": {"zone": self.zone},
-                         "metadata": {"life": "1", "sequence": self.sequence, "sent_us": now + self.offset}},
-                "clusterStats": stats}
+        stats += [
+            {
+                "clusterName": f"slice-{item}",
+                "loadReportInterval": text,
+                "upstreamLocalityStats": [
+                    {
+                        "loadMetricStats": [
+                            {"metricName": "look-up", "numRequestsFinishedWithMetric": share, "totalMetricValue": 0}
+                        ]
+                    }
+                ],
+            }
+            for item in self.slices
+            if share
+        ]
+        return {
+            "node": {
+                "id": self.name,
+                "locality": {"zone": self.zone},
+                "metadata": {"life": "1", "sequence": self.sequence, "sent_us": now + self.offset},
+            },
+            "clusterStats": stats,
+        }
 
 
 def encoded(reports, form):
@@ -98,6 +131,7 @@
     if form == PROTOBUF:
         from envoy.service.load_stats.v3 import lrs_pb2
         from google.protobuf import json_format
+
         body = b""
         for report in reports:
             data = json_format.ParseDict(report, lrs_pb2.LoadStatsRequest()).SerializeToString()
@@ -159,11 +193,34 @@
 
     def __init__(self, loop, address, body_reports, streams, seed):
         self.loop, self.address, self.streams, self.on, self.sent = loop, address, streams, False, 0
-        rows = [{"node": {"id": f"flood-{k}", "locality": {"zone": "a"}, "metadata": {"life": "1", "sequence": 1, "sent_us": 1}},
-                 "clusterStats": [{"clusterName": "workers", "loadReportInterval": "1s", "upstreamLocalityStats": [
-                     {"upstreamEndpointStats": [{"metadata": {"worker": f"worker-{w}"}, "totalIssuedRequests": 0,
-                                                 "totalErrorRequests": 0} for w in range(10)]}]}]}
-                for k in range(body_reports)]
+        rows = [
+            {
+                "node": {
+                    "id": f"flood-{k}",
+                    "locality": {"zone": "a"},
+                    "metadata": {"life": "1", "sequence": 1, "sent_us": 1},
+                },
+                "clusterStats": [
+                    {
+                        "clusterName": "workers",
+                        "loadReportInterval": "1s",
+                        "upstreamLocalityStats": [
+                            {
+                                "upstreamEndpointStats": [
+                                    {
+                                        "metadata": {"worker": f"worker-{w}"},
+                                        "totalIssuedRequests": 0,
+                                        "totalErrorRequests": 0,
+                                    }
+                                    for w in range(10)
+                                ]
+                            }
+                        ],
+                    }
+                ],
+            }
+            for k in range(body_reports)
+        ]
         self.headers, self.body = encoded(rows, JSON)
 
     def control(self, name, on):
@@ -182,4 +239,5 @@
 
         def answered(answer):
             self.loop.after(1_000 if answer.status else 200_000, lambda: self._next(client))
+
         client.ask("POST", "/v3/load_stats", self.headers, self.body, answered, 30_000_000)
--- a/ospreyrouter/standins/tamper.py
+++ b/ospreyrouter/standins/tamper.py
@@ -19,13 +19,17 @@
         self.server = Server(loop, listen, self._request)
 
     def _request(self, request):
-        way = self.chance.choice(WAYS) if request.path.startswith("/v3/tables") and self.chance.random() < self.share else ""
+        way = (
+            self.chance.choice(WAYS)
+            if request.path.startswith("/v3/tables") and self.chance.random() < self.share
+            else ""
+        )
         headers, body = dict(request.headers), request.body
         if way == "alter a weight":
             headers, body, way = self._altered(headers, body, way)
         elif way == "flip a byte":
             place = self.chance.randrange(len(body))
-            body = body[:place] + bytes([body[place] ^ 4]) + body[place + 1:]
+            body = body[:place] + bytes([body[place] ^ 4]) + body[place + 1 :]
         if way:
             self.counts[way] += 1
         if way == "lose":
@@ -40,8 +44,13 @@
         if headers.get("content-encoding") == "zstd":
             body = zstandard.ZstdDecompressor().decompressobj().decompress(body)
         parts = orjson.loads(body)
-        lines = [line for part in parts for row in part["resources"] for place in row.get("endpoints", ())
-                 for line in place["lbEndpoints"]]
+        lines = [
+            line
+            for part in parts
+            for row in part["resources"]
+            for place in row.get("endpoints", ())
+            for line in place["lbEndpoints"]
+        ]
         if not lines:
             return headers, original, ""
         line, name = self.chance.choice(lines), None
@@ -49,7 +58,9 @@
         for part in parts:
             for row in part["resources"]:
                 for place in row.get("endpoints", ()):
-                    weights = place.get("metadata", {}).get("filterMetadata", {}).get("ospreyrouter", {}).get("weights", {})
+                    weights = (
+                        place.get("metadata", {}).get("filterMetadata", {}).get("ospreyrouter", {}).get("weights", {})
+                    )
                     if name in weights:
                         weights[name] += 0.5
         body = orjson.dumps(parts)
@@ -62,7 +73,17 @@
         if client is None or client.closed:
             client = request.connection.context = Client(self.loop, self.target)
         for turn in range(times):
-            answered = (lambda answer: request.answer(answer.status, [(n, v) for n, v in answer.headers.items() if n == "etag"],
-                                                      answer.body) if answer.status else request.connection.abort("lost")) \
-                if turn == 0 else (lambda answer: None)
+            answered = (
+                (
+                    lambda answer: (
+                        request.answer(
+                            answer.status, [(n, v) for n, v in answer.headers.items() if n == "etag"], answer.body
+                        )
+                        if answer.status
+                        else request.connection.abort("lost")
+                    )
+                )
+                if turn == 0
+                else (lambda answer: None)
+            )
             client.ask(request.method, request.path, kept, body, answered, 10_000_000)
--- a/ospreyrouter/standins/worker_list.py
+++ b/ospreyrouter/standins/worker_list.py
@@ -48,8 +48,20 @@
             if self.state[name] != "gone" and name not in self.hidden:
                 life, started = self.lives[name]
                 age = None if started is None else self.loop.now() - started
-                out.append((name, spec.host, spec.port, spec.zone, "std", spec.cell, self.state[name], 1.0,
-                            f"{name}.{life}", age))
+                out.append(
+                    (
+                        name,
+                        spec.host,
+                        spec.port,
+                        spec.zone,
+                        "std",
+                        spec.cell,
+                        self.state[name],
+                        1.0,
+                        f"{name}.{life}",
+                        age,
+                    )
+                )
         for name, (host, port, zone) in self.ghosts.items():
             out.append((name, host, port, zone, "std", 0, "ready", 1.0, f"{name}.1", None))
         return out
@@ -71,8 +83,9 @@
 
     def _answer(self, request, manager):
         rows = self.rows()
-        self.journal.write("told", manager=manager, version=self.version,
-                           rows=[[row[0], row[6], row[9]] for row in rows])
+        self.journal.write(
+            "told", manager=manager, version=self.version, rows=[[row[0], row[6], row[9]] for row in rows]
+        )
         request.answer(200, [("content-type", "application/json")], list_body(str(self.version), rows))
 
 
--- a/ospreyrouter/standins/workers.py
+++ b/ospreyrouter/standins/workers.py
@@ -28,8 +28,14 @@
         self.busy_us, self.done, self.report, self.reported_at = 0.0, 0, {}, self.loop.now()
         self.server = Server(self.loop, (self.spec.host, self.port), self._request)
         self.port = self.server.address[1]
-        self.fleet.journal.write("started", worker=self.name, cold=cold, capacity=self.spec.cores * self.spec.speed,
-                                 cold_share=self.spec.cold_share, cold_us=self.spec.cold_us)
+        self.fleet.journal.write(
+            "started",
+            worker=self.name,
+            cold=cold,
+            capacity=self.spec.cores * self.spec.speed,
+            cold_share=self.spec.cold_share,
+            cold_us=self.spec.cold_us,
+        )
 
     def stop(self):
         if self.up:
@@ -58,8 +64,17 @@
             return
         head = request.headers
         kind, key, work = head["x-class"], head["x-key"], int(head["x-work-us"])
-        self.fleet.journal.write("arrived", worker=self.name, proxy=head["x-proxy"], slice=int(head["x-slice"]), cls=kind,
-                                 key=key, attempt=head["x-try"], sent=int(head["x-sent-us"]), work=work)
+        self.fleet.journal.write(
+            "arrived",
+            worker=self.name,
+            proxy=head["x-proxy"],
+            slice=int(head["x-slice"]),
+            cls=kind,
+            key=key,
+            attempt=head["x-try"],
+            sent=int(head["x-sent-us"]),
+            work=work,
+        )
         self._bear(work)
         if self.hung or self.fallen:
             return
@@ -128,8 +143,10 @@
         now = self.loop.now()
         if now - self.reported_at >= 500_000:
             span = now - self.reported_at
-            self.report = {"utilization": min(1.0, self.busy_us / span / self.spec.cores),
-                           "throughput": self.done / span * 1e6}
+            self.report = {
+                "utilization": min(1.0, self.busy_us / span / self.spec.cores),
+                "throughput": self.done / span * 1e6,
+            }
             self.busy_us, self.done, self.reported_at = 0.0, 0, now
         return [(ORCA_HEADER, orca_text(self.report))] if self.report else []
 
--- a/ospreyrouter/store/changes.py
+++ b/ospreyrouter/store/changes.py
@@ -43,6 +43,7 @@
             if cut:
                 damaged.append(f"{cut} bytes of a torn tail were cut")
             on_open(rows, damaged, None)
+
         self.calls.ask("open_log", (self.path,), opened)
 
     def _read(self):
@@ -68,6 +69,7 @@
         def done(size, problem):
             self.size = size if problem is None else self.size
             on_done(problem)
+
         self.calls.ask("append_log", (self.path, b"".join(map(line_of, rows))), done)
 
     def wants_rewrite(self):
@@ -75,8 +77,10 @@
 
     def rewrite(self, rows, on_done):
         """The old log stands where that fails."""
+
         def done(size, problem):
             if problem is None:
                 self.size = self.rewritten_size = size
             on_done(problem)
+
         self.calls.ask("rewrite_log", (self.path, b"".join(map(line_of, rows))), done)
--- a/ospreyrouter/store/epochs.py
+++ b/ospreyrouter/store/epochs.py
@@ -46,8 +46,9 @@
 
     def newest(self, known=0):
         """The newest epoch that can be read, or None where there is none after number `known`."""
-        for name in sorted((name for name in os.listdir(self.folder) if name.endswith(".json")
-                            and name[:-5].isdigit()), reverse=True)[:5]:
+        for name in sorted(
+            (name for name in os.listdir(self.folder) if name.endswith(".json") and name[:-5].isdigit()), reverse=True
+        )[:5]:
             if int(name[:-5]) <= known:
                 return None
             epoch = self._read(name)
@@ -61,7 +62,9 @@
                 data = orjson.loads(file.read())
             owners = tuple(self.managers.index(owner) for owner in data["owners"])
             fences = tuple(int(fence) for fence in data["fences"])
-            past = tuple(self.managers.index(owner) if owner else GIVEN for owner in data.get("past", [None] * len(owners)))
+            past = tuple(
+                self.managers.index(owner) if owner else GIVEN for owner in data.get("past", [None] * len(owners))
+            )
             if data["epoch"] == int(name[:-5]) and len(owners) == len(fences) == len(past):
                 return Epoch(data["epoch"], owners, fences, past)
         except (OSError, ValueError, KeyError, TypeError):
@@ -71,10 +74,15 @@
 
     def create(self, epoch):
         """Whether this manager was the one to create the number. Raises OSError where nothing can be written."""
-        body = orjson.dumps({"epoch": epoch.number, "by": self.managers[self.me],
-                             "owners": [self.managers[owner] for owner in epoch.owners],
-                             "fences": list(epoch.fences),
-                             "past": [self.managers[owner] if owner != GIVEN else None for owner in epoch.past]})
+        body = orjson.dumps(
+            {
+                "epoch": epoch.number,
+                "by": self.managers[self.me],
+                "owners": [self.managers[owner] for owner in epoch.owners],
+                "fences": list(epoch.fences),
+                "past": [self.managers[owner] if owner != GIVEN else None for owner in epoch.past],
+            }
+        )
         beside = self._path(f".epoch-{self.managers[self.me]}-{self.life}")
         self.disk.remove(beside)
         self.disk.write_new(beside, body)
--- a/ospreyrouter/store/log.py
+++ b/ospreyrouter/store/log.py
@@ -33,7 +33,9 @@
         self.size += len(body)
 
     def rewrite(self, body):
-        """Write the log anew beside and rename. Raises OSError; before the rename the old log stands, after it the new."""
+        """Write the log anew beside and rename. Raises OSError; before the rename the old log stands, after it the
+        new.
+        """
         beside = self.path + ".new"
         self.disk.remove(beside)
         self.disk.write_new(beside, body)
--- a/ospreyrouter/store/tables.py
+++ b/ospreyrouter/store/tables.py
@@ -51,8 +51,9 @@
     if data[0] > FORMAT:
         raise NewerFormat(f"{name}: has format {data[0]}, this program reads up to {FORMAT}")
     _, item, version, digest, parent, at_us, cause = data
-    return Kept(item, tuple(version), digest, parent, at_us, cause,
-                lambda: whole_table_of(orjson.loads(table), name)[0])
+    return Kept(
+        item, tuple(version), digest, parent, at_us, cause, lambda: whole_table_of(orjson.loads(table), name)[0]
+    )
 
 
 def wall_us():
@@ -67,9 +68,23 @@
 class TableStore:
     """See the top of this module. `calls` does the writing, off the loop; without it the store is read only."""
 
-    def __init__(self, folder, manager, calls, on_open=lambda cut, problem: None, compact_at=COMPACT_AT, history=None,
-                 wall=wall_us, steady=steady_us):
-        self.folder, self.manager, self.calls, self.compact_at = os.path.join(folder, "tables"), manager, calls, compact_at
+    def __init__(
+        self,
+        folder,
+        manager,
+        calls,
+        on_open=lambda cut, problem: None,
+        compact_at=COMPACT_AT,
+        history=None,
+        wall=wall_us,
+        steady=steady_us,
+    ):
+        self.folder, self.manager, self.calls, self.compact_at = (
+            os.path.join(folder, "tables"),
+            manager,
+            calls,
+            compact_at,
+        )
         self.path = os.path.join(self.folder, f"{manager}.log")
         self.newest_rows, self.offsets, self.damaged, self.own = {}, {}, [], {}
         self.history, self.wall, self.steady = history if history is not None else History(), wall, steady
@@ -106,8 +121,10 @@
         """Write the own log anew with what retention keeps; the old log stands where that fails."""
         self.compacting = True
         self.prune()
-        rows = sorted((row for row in self.history.by_digest.values() if row.digest in self.own),
-                      key=lambda row: (row.at_us, row.version, row.slice))
+        rows = sorted(
+            (row for row in self.history.by_digest.values() if row.digest in self.own),
+            key=lambda row: (row.at_us, row.version, row.slice),
+        )
         self.own = {row.digest: None for row in rows}
         body = b"".join(record(row.table, row.at_us, row.cause) for row in rows)
 
--- a/ospreyrouter/versions/__init__.py
+++ b/ospreyrouter/versions/__init__.py
@@ -10,5 +10,20 @@
 from .rollback import lines_to_return
 from .time_of_day import TimeOfDay
 
-__all__ = ["Altered", "Delta", "History", "Kept", "NO_PARENT", "TimeOfDay", "Unknown", "WrongBase", "apply", "between",
-           "digest_of", "lines_to_return", "successor", "verify", "worth"]
+__all__ = [
+    "Altered",
+    "Delta",
+    "History",
+    "Kept",
+    "NO_PARENT",
+    "TimeOfDay",
+    "Unknown",
+    "WrongBase",
+    "apply",
+    "between",
+    "digest_of",
+    "lines_to_return",
+    "successor",
+    "verify",
+    "worth",
+]
--- a/ospreyrouter/versions/delta.py
+++ b/ospreyrouter/versions/delta.py
@@ -25,7 +25,9 @@
 def apply(delta, held):
     """The table that the delta leads to. Raises WrongBase or Altered; nothing is changed then."""
     if held is None or held.digest != delta.base:
-        raise WrongBase(f"slice {delta.slice}: the change to {delta.version[0]}.{delta.version[1]} is from another version")
+        raise WrongBase(
+            f"slice {delta.slice}: the change to {delta.version[0]}.{delta.version[1]} is from another version"
+        )
     rows = {line.worker: line for line in held.lines}
     for name in delta.removed:
         if rows.pop(name, None) is None:
--- a/ospreyrouter/versions/history.py
+++ b/ospreyrouter/versions/history.py
@@ -1,11 +1,12 @@
 """Chains of versions by slice: what there was, what is in force, what may be pruned, where two histories part.
 
-    history = History(keep_count, keep_us)
-    history.add(table, at_us)            # in any order; a digest that is there already is no news
-    history.find(slice, "3.12")          # a version, a digest's beginning (8 or more), or a time in us
-    history.prunable(now_us)             # digests that retention no longer keeps
+history = History(keep_count, keep_us)
+history.add(table, at_us)            # in any order; a digest that is there already is no news
+history.find(slice, "3.12")          # a version, a digest's beginning (8 or more), or a time in us
+history.prunable(now_us)             # digests that retention no longer keeps
 """
 
+
 class Unknown(Exception):
     """No such version, or one that was pruned; `reason` says which."""
 
@@ -61,12 +62,16 @@
         return rows[-1] if rows else None
 
     def find(self, item, which):
-        """Raises Unknown. `which`: "FENCE.COUNT", a digest's beginning, or an int: the version in force at that time."""
+        """Raises Unknown. `which`: "FENCE.COUNT", a digest's beginning, or an int: the version in force at that
+        time.
+        """
         rows = self.slices.get(item, [])
         if isinstance(which, int):
             then = [place for place, row in enumerate(rows) if row.at_us <= which]
             if not then:
-                raise Unknown("pruned" if item in self.oldest_gone else "unknown", f"slice {item}: nothing from that time")
+                raise Unknown(
+                    "pruned" if item in self.oldest_gone else "unknown", f"slice {item}: nothing from that time"
+                )
             if then[-1] != len(then) - 1:
                 # A clock was set back: at that time of day two versions were in force, one after the other.
                 raise Unknown("ambiguous", f"slice {item}: the clock was set back round that time; name the version")
@@ -90,7 +95,9 @@
         return found[0]
 
     def prunable(self, now_us):
-        """Versions that neither count nor age keeps, as (slice, digest), oldest first. `now_us` None: by count alone."""
+        """Versions that neither count nor age keeps, as (slice, digest), oldest first. `now_us` None: by count
+        alone.
+        """
         out = []
         for item, rows in sorted(self.slices.items()):
             for place, row in enumerate(rows[:-1]):
@@ -104,8 +111,9 @@
         dropped = {digest for _, digest in gone}
         for item in {item for item, _ in gone}:
             rows = self.slices[item]
-            self.oldest_gone[item] = max(self.oldest_gone.get(item, (0, 0)), max(
-                row.version for row in rows if row.digest in dropped))
+            self.oldest_gone[item] = max(
+                self.oldest_gone.get(item, (0, 0)), max(row.version for row in rows if row.digest in dropped)
+            )
             self.slices[item] = [row for row in rows if row.digest not in dropped]
         for digest in dropped:
             del self.by_digest[digest]
@@ -114,12 +122,20 @@
 
     def problems(self):
         """What does not hold together: forks, and versions whose parent is neither kept nor pruned."""
-        out = [f"slice {item}: two versions {version[0]}.{version[1]}: {one[:12]} and {other[:12]}"
-               for item, version, one, other in self.forks]
+        out = [
+            f"slice {item}: two versions {version[0]}.{version[1]}: {one[:12]} and {other[:12]}"
+            for item, version, one, other in self.forks
+        ]
         for item, rows in sorted(self.slices.items()):
             for place, row in enumerate(rows):
-                if row.parent and row.parent not in self.by_digest and place \
-                        and row.version > self.oldest_gone.get(item, (0, 0)):
-                    out.append(f"slice {item}: version {row.version[0]}.{row.version[1]} follows "
-                               f"{row.parent[:12]}, which is not in the history")
+                if (
+                    row.parent
+                    and row.parent not in self.by_digest
+                    and place
+                    and row.version > self.oldest_gone.get(item, (0, 0))
+                ):
+                    out.append(
+                        f"slice {item}: version {row.version[0]}.{row.version[1]} follows "
+                        f"{row.parent[:12]}, which is not in the history"
+                    )
         return out
--- a/ospreyrouter/versions/identity.py
+++ b/ospreyrouter/versions/identity.py
@@ -18,8 +18,9 @@
 
 def canonical(item, manager, version, parent, lines):
     rows = sorted([line.worker, line.host, line.port, line.zone, float(line.weight)] for line in lines)
-    return rfc8785.dumps({"slice": item, "manager": manager, "version": f"{version[0]}.{version[1]}", "parent": parent,
-                          "lines": rows})
+    return rfc8785.dumps(
+        {"slice": item, "manager": manager, "version": f"{version[0]}.{version[1]}", "parent": parent, "lines": rows}
+    )
 
 
 def digest_of(item, manager, version, parent, lines):
@@ -32,12 +33,12 @@
     count = held.version[1] + 1 if held is not None and held.version[0] == fence else 1
     parent = held.digest if held is not None else NO_PARENT
     lines = tuple(lines)
-    return Table(item, manager, (fence, count), lines, parent,
-                 digest_of(item, manager, (fence, count), parent, lines))
+    return Table(item, manager, (fence, count), lines, parent, digest_of(item, manager, (fence, count), parent, lines))
 
 
 def verify(table):
     """Raises Altered."""
     if table.digest != digest_of(table.slice, table.manager, table.version, table.parent, table.lines):
-        raise Altered(f"slice {table.slice} version {table.version[0]}.{table.version[1]}: its digest is not that of its "
-                      f"content")
+        raise Altered(
+            f"slice {table.slice} version {table.version[0]}.{table.version[1]}: its digest is not that of its content"
+        )
--- a/ospreyrouter/versions/rollback.py
+++ b/ospreyrouter/versions/rollback.py
@@ -1,6 +1,6 @@
 """An earlier version comes back as a new one. Decisions only.
 
-    lines, left_out = lines_to_return(old, states, now)
+lines, left_out = lines_to_return(old, states, now)
 """
 
 
--- a/ospreyrouter/web/client.py
+++ b/ospreyrouter/web/client.py
@@ -6,8 +6,8 @@
 `on_answer(answer)` is called once: `answer.status`, or 0 and `answer.reason` where none came. `answer.sent` says
 whether anything of the request was written: if not, it was never begun at the far end.
 
-With `on_part` each piece of a good answer's body is handed on as it comes and not kept; `timeout_us` bounds the wait for
-the first and `silence_us` that for each piece after it, in place of the whole.
+With `on_part` each piece of a good answer's body is handed on as it comes and not kept; `timeout_us` bounds the wait
+for the first and `silence_us` that for each piece after it, in place of the whole.
 """
 
 from collections import deque
@@ -29,8 +29,16 @@
     __slots__ = ("method", "path", "headers", "body", "on_answer", "timeout_us", "on_part", "silence_us")
 
     def __init__(self, *values):
-        self.method, self.path, self.headers, self.body, self.on_answer, self.timeout_us, self.on_part, \
-            self.silence_us = values
+        (
+            self.method,
+            self.path,
+            self.headers,
+            self.body,
+            self.on_answer,
+            self.timeout_us,
+            self.on_part,
+            self.silence_us,
+        ) = values
 
 
 class Client:
--- a/ospreyrouter/web/coding.py
+++ b/ospreyrouter/web/coding.py
@@ -32,9 +32,12 @@
                 raise BadBody("malformed", "the gzip stream is cut off")
             return data
         if encoding == "zstd":
-            worker, data = zstandard.ZstdDecompressor(max_window_size=8 << 20).decompressobj(read_across_frames=False), b""
+            worker, data = (
+                zstandard.ZstdDecompressor(max_window_size=8 << 20).decompressobj(read_across_frames=False),
+                b"",
+            )
             for start in range(0, len(body), 4096):
-                data += worker.decompress(body[start:start + 4096])
+                data += worker.decompress(body[start : start + 4096])
                 if len(data) > PLAIN_MOST:
                     raise BadBody("bomb", f"more than {PLAIN_MOST} bytes once decompressed")
             if not worker.eof:
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -174,9 +174,11 @@
 
     def _refuse_connection(self, stream):
         """Answered once it has asked something; given up if it does not soon."""
+
         def asked(data):
             stream.write(OVERLOADED)
             stream.close()
+
         stream.start(asked, None)
         self.loop.after(REFUSED_WAIT_US, lambda: stream.abort("too many connections"))
 
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -1,10 +1,10 @@
 """Which workers are withdrawn from the proxies, and which proxies may have missed that. Decides when it is said again.
 
 An order goes to all joined proxies, so what one proxy has missed costs a line at each. What it holds is kept when its
-stream breaks: a proxy that comes back has missed only what was ordered after its last answer. A withdrawal that the list
-causes goes at once. One that is only said again, for proxies that have joined since or slices that were given, waits
-until no more of them come, for they come in handfuls: as long as `TOGETHER` of the drain grace, and never so long that the
-channel could not bring it within the grace, which begins for these proxies and slices when they come.
+stream breaks: a proxy that comes back has missed only what was ordered after its last answer. A withdrawal that the
+list causes goes at once. One that is only said again, for proxies that have joined since or slices that were given,
+waits until no more of them come, for they come in handfuls: as long as `TOGETHER` of the drain grace, and never so long
+that the channel could not bring it within the grace, which begins for these proxies and slices when they come.
 """
 
 from dataclasses import dataclass
@@ -18,9 +18,9 @@
 class Proof:
     """What one proxy is known to hold. Messages are counted from 1 on, in the order they were sent.
 
-    It held what had been ordered when it joined, after message `joined`, but for `lacks` (workers), and has what was sent
-    to it since up to message `answered`. `unsure`: it may also hold withdrawals by an earlier life of this manager.
-    `latest`: the last message it has answered on any stream, 0 for none.
+    It held what had been ordered when it joined, after message `joined`, but for `lacks` (workers), and has what was
+    sent to it since up to message `answered`. `unsure`: it may also hold withdrawals by an earlier life of this
+    manager. `latest`: the last message it has answered on any stream, 0 for none.
     """
 
     unsure: bool
@@ -39,11 +39,10 @@
     """State by worker index. Times are whole microseconds.
 
     `said_in`: the messages that withdrew a worker, or let it in, since that last changed; a repeat is one more.
-    `proofs`: what each proxy holds, by its index.
-    `known`: all joined proxies were ordered not to send there. `missed`: since when some proxy, or the table of some
-    slice, may have missed that order. `barred`: withdrawn and not let in since. `freed`: let in again since this
-    manager began. `doubted`: some proxy may still hold a withdrawal that is over. `unremembered`: some proxy may hold one
-    of which this life of the manager does not know.
+    `proofs`: what each proxy holds, by its index. `known`: all joined proxies were ordered not to send there. `missed`:
+    since when some proxy, or the table of some slice, may have missed that order. `barred`: withdrawn and not let in
+    since. `freed`: let in again since this manager began. `doubted`: some proxy may still hold a withdrawal that is
+    over. `unremembered`: some proxy may hold one of which this life of the manager does not know.
     """
 
     def __init__(self, setup):
@@ -124,10 +123,11 @@
         self.missed = {worker: since for worker, since in self.missed.items() if worker in lost}
 
     def due(self, now, lost, leave_us, few, idle):
-        """Workers to withdraw now: whom the list caused to be, and whom to withdraw once more, the longest missed first.
+        """Workers to withdraw now: whom the list caused to be, and whom to withdraw once more, the longest missed
+        first.
 
-        `few`: so many lines cost no more than a message of their own; a repeat of no more goes with what goes at once, or
-        with tables where the channel is `idle`.
+        `few`: so many lines cost no more than a message of their own; a repeat of no more goes with what goes at once,
+        or with tables where the channel is `idle`.
         """
         at_once = sorted(lost - self.known - self.missed.keys())
         rides = (at_once or idle) and len(self.missed) <= few
--- a/ospreyrouter/xds/documents.py
+++ b/ospreyrouter/xds/documents.py
@@ -17,9 +17,12 @@
 KEY = "ospreyrouter"
 WEIGHT_UNIT = 10_000  # an integer weight of this much is a share of 1
 LINES_MOST = 10_000  # lines of one table: more is not a table of ours
-RETRY_ON = {"none": None, "proven": ("connect-failure,refused-stream", 1),
-            "once": ("5xx,reset,connect-failure,refused-stream", 1),
-            "twice": ("5xx,reset,connect-failure,refused-stream", 2)}
+RETRY_ON = {
+    "none": None,
+    "proven": ("connect-failure,refused-stream", 1),
+    "once": ("5xx,reset,connect-failure,refused-stream", 1),
+    "twice": ("5xx,reset,connect-failure,refused-stream", 2),
+}
 ALL_TABLES = "*"  # stands for every table of one manager
 
 
@@ -132,14 +135,30 @@
         zones.setdefault(line.zone, []).append(line)
     endpoints = []
     for zone, lines in sorted(zones.items()) or [("", [])]:
-        endpoints.append({"locality": {"zone": zone}, "lbEndpoints": [{
-            "endpoint": {"address": address(line.host, line.port), "hostname": line.worker},
-            "healthStatus": "DRAINING" if line.worker in withheld else "HEALTHY",
-            "loadBalancingWeight": max(1, round(line.weight * WEIGHT_UNIT)),
-        } for line in lines]})
-    endpoints[0]["metadata"] = {"filterMetadata": {KEY: {
-        "manager": table.manager, "version": version_text(table.version), "parent": table.parent,
-        "digest": table.digest, "weights": {line.worker: line.weight for line in table.lines}}}}
+        endpoints.append(
+            {
+                "locality": {"zone": zone},
+                "lbEndpoints": [
+                    {
+                        "endpoint": {"address": address(line.host, line.port), "hostname": line.worker},
+                        "healthStatus": "DRAINING" if line.worker in withheld else "HEALTHY",
+                        "loadBalancingWeight": max(1, round(line.weight * WEIGHT_UNIT)),
+                    }
+                    for line in lines
+                ],
+            }
+        )
+    endpoints[0]["metadata"] = {
+        "filterMetadata": {
+            KEY: {
+                "manager": table.manager,
+                "version": version_text(table.version),
+                "parent": table.parent,
+                "digest": table.digest,
+                "weights": {line.worker: line.weight for line in table.lines},
+            }
+        }
+    }
     resource = {"@type": CLA, "clusterName": f"slice-{table.slice}", "endpoints": endpoints}
     if levels:
         resource["policy"] = {"dropOverloads": drops(levels)}
@@ -163,9 +182,13 @@
 
 def drops(levels):
     """Levels by class as drop overloads: what is dropped is what is not let in."""
-    return [{"category": name, "dropPercentage": {
-        "numerator": round((1.0 - min(1.0, amount)) * 1_000_000), "denominator": "MILLION"}}
-        for name, (amount, _) in sorted(levels.items())]
+    return [
+        {
+            "category": name,
+            "dropPercentage": {"numerator": round((1.0 - min(1.0, amount)) * 1_000_000), "denominator": "MILLION"},
+        }
+        for name, (amount, _) in sorted(levels.items())
+    ]
 
 
 def levels_of(resource, where):
@@ -216,7 +239,9 @@
         removed = need(own, "removed", list, where)
         if not all(isinstance(name, str) for name in removed):
             raise BadDocument(f"{where}.removed: has the wrong type")
-        return Delta(item, manager, version, need(own, "base", str, where), digest, tuple(lines), tuple(removed)), withheld
+        return Delta(
+            item, manager, version, need(own, "base", str, where), digest, tuple(lines), tuple(removed)
+        ), withheld
     return Table(item, manager, version, tuple(lines), need(own, "parent", str, where), digest), withheld
 
 
@@ -259,11 +284,19 @@
     for name, (amount, retry) in sorted(levels.items()):
         way = RETRY_ON[retry]
         policy = {"retryOn": way[0], "numRetries": way[1]} if way else {"numRetries": 0}
-        routes.append({"match": {"prefix": "/", "headers": [{"name": "x-class", "stringMatch": {"exact": name}}]},
-                       "route": {"clusterHeader": "x-slice", "retryPolicy": policy},
-                       "metadata": {"filterMetadata": {KEY: {"level": amount, "retry": retry}}}})
-    host = {"name": manager, "domains": [manager], "routes": routes,
-            "metadata": {"filterMetadata": {KEY: {"withheld": sorted(withheld)}}}}
+        routes.append(
+            {
+                "match": {"prefix": "/", "headers": [{"name": "x-class", "stringMatch": {"exact": name}}]},
+                "route": {"clusterHeader": "x-slice", "retryPolicy": policy},
+                "metadata": {"filterMetadata": {KEY: {"level": amount, "retry": retry}}},
+            }
+        )
+    host = {
+        "name": manager,
+        "domains": [manager],
+        "routes": routes,
+        "metadata": {"filterMetadata": {KEY: {"withheld": sorted(withheld)}}},
+    }
     return {"@type": ROUTES, "name": manager, "virtualHosts": [host]}
 
 
@@ -290,8 +323,9 @@
 
 @dataclass(slots=True)
 class Push:
-    """What a manager sends to a proxy at one time: tables that changed, each whole or as a Delta, workers withheld or let in again,
-    levels in force, and a mark to be answered. `fence` is the sender's fencing number."""
+    """What a manager sends to a proxy at one time: tables that changed, each whole or as a Delta, workers withheld or
+    let in again, levels in force, and a mark to be answered. `fence` is the sender's fencing number.
+    """
 
     manager: str
     fence: int
@@ -308,8 +342,10 @@
     nonce = "" if push.mark is None else str(push.mark)
     parts = [response(version, CLA, [resource_of(table) for table in push.tables], nonce)]
     if push.withheld:
-        health = [{"endpoint": {"hostname": name}, "healthStatus": "DRAINING" if out else "HEALTHY"}
-                  for name, out in push.withheld.items()]
+        health = [
+            {"endpoint": {"hostname": name}, "healthStatus": "DRAINING" if out else "HEALTHY"}
+            for name, out in push.withheld.items()
+        ]
         parts.append(response(version, HEALTH, [{"@type": HEALTH, "endpointsHealth": health}], nonce))
     if push.levels:
         parts.append(response(version, ROUTES, [routes_resource(push.manager, push.levels, ())], nonce))
--- a/ospreyrouter/xds/reports.py
+++ b/ospreyrouter/xds/reports.py
@@ -11,9 +11,14 @@
 
 ORCA_HEADER = "endpoint-load-metrics"
 # ORCA's names for what workers report, and the module's.
-ORCA = {"cpu_utilization": "utilization", "rps_fractional": "throughput", "eps": "errors_per_s",
-        "named_metrics.recent_ms": "recent_ms", "named_metrics.outstanding": "outstanding",
-        "named_metrics.backlog": "backlog"}
+ORCA = {
+    "cpu_utilization": "utilization",
+    "rps_fractional": "throughput",
+    "eps": "errors_per_s",
+    "named_metrics.recent_ms": "recent_ms",
+    "named_metrics.outstanding": "outstanding",
+    "named_metrics.backlog": "backlog",
+}
 DELAY = "delay_us"
 
 
@@ -60,23 +65,49 @@
     for worker in sorted(met.keys() | pending.keys()):
         tries, lost, delay, report = met.get(worker, (0, 0, 0, {}))
         metrics = [{"metricName": DELAY, "numRequestsFinishedWithMetric": str(tries - lost), "totalMetricValue": delay}]
-        metrics += [{"metricName": name, "numRequestsFinishedWithMetric": "1", "totalMetricValue": value}
-                    for name, value in sorted(report.items())]
-        endpoints.append({"metadata": {"worker": worker}, "totalIssuedRequests": str(tries),
-                          **({"totalRequestsInProgress": str(pending[worker])} if worker in pending else {}),
-                          "totalSuccessfulRequests": str(tries - lost), "totalErrorRequests": str(lost),
-                          "loadMetricStats": metrics})
+        metrics += [
+            {"metricName": name, "numRequestsFinishedWithMetric": "1", "totalMetricValue": value}
+            for name, value in sorted(report.items())
+        ]
+        endpoints.append(
+            {
+                "metadata": {"worker": worker},
+                "totalIssuedRequests": str(tries),
+                **({"totalRequestsInProgress": str(pending[worker])} if worker in pending else {}),
+                "totalSuccessfulRequests": str(tries - lost),
+                "totalErrorRequests": str(lost),
+                "loadMetricStats": metrics,
+            }
+        )
     slices, dropped = {}, {}
     for (item, kind), (came, lost, refused) in sorted(demand.items()):
         if refused:
             dropped.setdefault(item, []).append({"category": kind, "droppedCount": str(refused)})
-        slices.setdefault(item, []).append({"metricName": kind, "numRequestsFinishedWithMetric": str(came),
-                                            "totalMetricValue": lost})
-    stats = [{"clusterName": "workers", "loadReportInterval": interval(span_us),
-              "upstreamLocalityStats": [{"locality": {"zone": zone}, "upstreamEndpointStats": endpoints}]}]
-    stats += [{"clusterName": f"slice-{item}", "loadReportInterval": interval(span_us),
-               "upstreamLocalityStats": [{"locality": {"zone": zone}, "loadMetricStats": rows}],
-               **({"totalDroppedRequests": str(sum(int(row["droppedCount"]) for row in dropped[item])),
-                   "droppedRequests": dropped[item]} if item in dropped else {})} for item, rows in slices.items()]
+        slices.setdefault(item, []).append(
+            {"metricName": kind, "numRequestsFinishedWithMetric": str(came), "totalMetricValue": lost}
+        )
+    stats = [
+        {
+            "clusterName": "workers",
+            "loadReportInterval": interval(span_us),
+            "upstreamLocalityStats": [{"locality": {"zone": zone}, "upstreamEndpointStats": endpoints}],
+        }
+    ]
+    stats += [
+        {
+            "clusterName": f"slice-{item}",
+            "loadReportInterval": interval(span_us),
+            "upstreamLocalityStats": [{"locality": {"zone": zone}, "loadMetricStats": rows}],
+            **(
+                {
+                    "totalDroppedRequests": str(sum(int(row["droppedCount"]) for row in dropped[item])),
+                    "droppedRequests": dropped[item],
+                }
+                if item in dropped
+                else {}
+            ),
+        }
+        for item, rows in slices.items()
+    ]
     about = {"life": life, "sequence": sequence, "sent_us": sent_us}
     return {"node": {"id": proxy, "locality": {"zone": zone}, "metadata": about}, "clusterStats": stats}
--- a/ospreyrouter/xds/worker_list.py
+++ b/ospreyrouter/xds/worker_list.py
@@ -16,10 +16,13 @@
         own = {"kind": kind, "cell": cell, "size": weight, "incarnation": incarnation}
         if age is not None:
             own["age_us"] = age
-        zones.setdefault(zone, []).append({
-            "endpoint": {"address": address(host, port), "hostname": name},
-            "healthStatus": "DRAINING" if state == "draining" else "HEALTHY",
-            "metadata": {"filterMetadata": {KEY: own}}})
+        zones.setdefault(zone, []).append(
+            {
+                "endpoint": {"address": address(host, port), "hostname": name},
+                "healthStatus": "DRAINING" if state == "draining" else "HEALTHY",
+                "metadata": {"filterMetadata": {KEY: own}},
+            }
+        )
     endpoints = [{"locality": {"zone": zone}, "lbEndpoints": lines} for zone, lines in sorted(zones.items())]
     return dump(response(version, CLA, [{"@type": CLA, "clusterName": NAME, "endpoints": endpoints}]))
 
@@ -49,6 +52,18 @@
             size, age = need(own, "size", (int, float), where), own.get("age_us")
             if age is not None and (not isinstance(age, int) or age < 0) or size < 0:
                 raise BadDocument(f"{where}: a size or age is below 0")
-            rows.append((name, host, port, zone, need(own, "kind", str, where), need(own, "cell", int, where),
-                         state, float(size), need(own, "incarnation", str, where), age))
+            rows.append(
+                (
+                    name,
+                    host,
+                    port,
+                    zone,
+                    need(own, "kind", str, where),
+                    need(own, "cell", int, where),
+                    state,
+                    float(size),
+                    need(own, "incarnation", str, where),
+                    age,
+                )
+            )
     return need(data, "versionInfo", str, "worker list"), rows
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -2,10 +2,10 @@
 
     python -m tests [part of a test's name ...]
 
-A line of that file is a test's whole name, why it fails and the issue it waits for: `tests.test_x.Y.test_z cause (issue 9)`.
-Only those may fail, and they are printed. More than three lines, a line without cause or issue, a listed test that
-passes, and one that does not exist fail the run; so does a run without a test. No file, no exception. A line that begins with
-`seen:` tells of a fault that no test here shows, by the command and seed that did; it excuses no test.
+A line of that file is a test's whole name, why it fails and the issue it waits for: `tests.test_x.Y.test_z cause (issue
+9)`. Only those may fail, and they are printed. More than three lines, a line without cause or issue, a listed test that
+passes, and one that does not exist fail the run; so does a run without a test. No file, no exception. A line that
+begins with `seen:` tells of a fault that no test here shows, by the command and seed that did; it excuses no test.
 """
 
 import re
@@ -39,10 +39,12 @@
 
 def verdict(known, ran, failed):
     """What fails the run, as lines; nothing where only known tests failed, and all of those did."""
-    return [f"failed: {name}" for name in sorted(failed - known.keys())] \
-        + [f"KNOWN-RED.txt: no such test: {name}" for name in sorted(known.keys() - ran)] \
-        + [f"KNOWN-RED.txt: passes, take its line out: {name}" for name in sorted((known.keys() & ran) - failed)] \
+    return (
+        [f"failed: {name}" for name in sorted(failed - known.keys())]
+        + [f"KNOWN-RED.txt: no such test: {name}" for name in sorted(known.keys() - ran)]
+        + [f"KNOWN-RED.txt: passes, take its line out: {name}" for name in sorted((known.keys() & ran) - failed)]
         + ([] if ran else ["no test ran"])
+    )
 
 
 class Result(unittest.TextTestResult):
--- a/tests/channel.py
+++ b/tests/channel.py
@@ -19,7 +19,8 @@
 
 
 class ChannelRelay(Relay):
-    """`late` gathers (proxy, worker) still sent to when the grace was over; `most_waiting` is the fullest the channel was.
+    """`late` gathers (proxy, worker) still sent to when the grace was over; `most_waiting` is the fullest the channel
+    was.
 
     A proxy reads the store when it joins. The grace of a worker begins when `told` is called, for a proxy that joins
     later at its joining, and for a slice that is given later when it is given."""
@@ -91,8 +92,14 @@
 
         def check():
             long_given = [table for table, at in self.given_at.items() if self.loop.now() - at >= self.grace_us]
-            self.late |= {(proxy, worker) for proxy, member in watched if self.members.get(proxy) is member
-                          for worker in workers if member.sends_to(worker, long_given)}
+            self.late |= {
+                (proxy, worker)
+                for proxy, member in watched
+                if self.members.get(proxy) is member
+                for worker in workers
+                if member.sends_to(worker, long_given)
+            }
+
         self.loop.after(self.grace_us, check)
 
     def _line(self, stream, line):
--- a/tests/drain_days.py
+++ b/tests/drain_days.py
@@ -30,13 +30,22 @@
         grace = GRACE_S + SLACK_S + {"none": 0.0, "doubt": DOUBT_S, "news": BROKEN_NEWS_S}[self.trouble]
         config = settings(self.slices, len(self.proxies), EgressPerS=float(pace), QueueCap=float(pace))
         self.mine = self.slices // self.chance.randint(1, 4)
-        self.scene = Scene(workers=self.workers, more=config, relay_type=ChannelRelay, setup=config["FamilyInfo"],
-                           slices=self.tables(0, self.mine), grace_us=int(grace * SECOND), proxies=self.proxies)
+        self.scene = Scene(
+            workers=self.workers,
+            more=config,
+            relay_type=ChannelRelay,
+            setup=config["FamilyInfo"],
+            slices=self.tables(0, self.mine),
+            grace_us=int(grace * SECOND),
+            proxies=self.proxies,
+        )
         self.relay = self.scene.relay
 
     def tables(self, first, last):
-        return {table: {f"s-{1 + table % self.workers}": 1.0, f"s-{1 + table * 7 % self.workers}": 0.01}
-                for table in range(first, last)}
+        return {
+            table: {f"s-{1 + table % self.workers}": 1.0, f"s-{1 + table * 7 % self.workers}": 0.01}
+            for table in range(first, last)
+        }
 
     def play(self):
         """Broken rules as text, or nothing."""
@@ -62,6 +71,7 @@
 
         def at(step, event):
             events.setdefault(step, []).append(event)
+
         for place in range(3):
             at(20 + 53 * place, self.drain)
         gone = self.chance.sample(self.proxies, self.chance.randint(0, len(self.proxies) * 7 // 10))
@@ -77,7 +87,10 @@
             at(step + self.chance.randint(20, 80), lambda: self.relay.take_away(range(self.mine, self.slices)))
         for _ in range(3):
             if self.trouble == "doubt":
-                at(self.chance.randint(15, 190), lambda: self.relay.fates.append(self.chance.choice(["lost", "done", "mute"])))
+                at(
+                    self.chance.randint(15, 190),
+                    lambda: self.relay.fates.append(self.chance.choice(["lost", "done", "mute"])),
+                )
         if self.trouble == "news":
             at(self.chance.randint(15, 190), lambda: [stream.abort() for stream in list(self.relay.followers)])
         return events
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -8,19 +8,50 @@
 
 
 def kind(name="look-up", quoted=1.0, utility=1.0, repeat=Repeat.SAFE):
-    return TransactionClass(name, int(quoted * SECOND), int(3 * quoted * SECOND), utility, 0.1, repeat, "cell",
-                            4 * SECOND, False, False)
+    return TransactionClass(
+        name, int(quoted * SECOND), int(3 * quoted * SECOND), utility, 0.1, repeat, "cell", 4 * SECOND, False, False
+    )
 
 
 def deployment(**other):
     values = dict(
-        me=0, managers=1, zone=0, zones=("a", "b"), slices=8, proxies=4, single_owner=False, lists_on_request=False,
-        classes=(kind(), kind("purchase", 2.0, 3.0, Repeat.NEVER)), ask_within_us=0, probes_allowed=True,
-        peers_allowed=False, weights_listed=False, report_period_us=SECOND // 2, reports_per_s=200.0,
-        lines_per_s=2000.0, message_head=8.0, queue_lines=4000.0, messages_most=0, messages_over_us=10 * SECOND,
-        transit_us=SECOND // 5, transit_most_us=SECOND // 2, bare_us=2 * SECOND, settle_us=4 * SECOND, lease_us=0,
-        level_kind=LevelKind.SHARE, usual_retry=Retry.PROVEN, try_factor=1.2, cold_share=0.2, cold_us=16 * SECOND,
-        fall_multiple=3.0, fall_us=SECOND, grace_us=2 * SECOND, gone_binds=True, full_may_have_run=False, warm_keys=True)
+        me=0,
+        managers=1,
+        zone=0,
+        zones=("a", "b"),
+        slices=8,
+        proxies=4,
+        single_owner=False,
+        lists_on_request=False,
+        classes=(kind(), kind("purchase", 2.0, 3.0, Repeat.NEVER)),
+        ask_within_us=0,
+        probes_allowed=True,
+        peers_allowed=False,
+        weights_listed=False,
+        report_period_us=SECOND // 2,
+        reports_per_s=200.0,
+        lines_per_s=2000.0,
+        message_head=8.0,
+        queue_lines=4000.0,
+        messages_most=0,
+        messages_over_us=10 * SECOND,
+        transit_us=SECOND // 5,
+        transit_most_us=SECOND // 2,
+        bare_us=2 * SECOND,
+        settle_us=4 * SECOND,
+        lease_us=0,
+        level_kind=LevelKind.SHARE,
+        usual_retry=Retry.PROVEN,
+        try_factor=1.2,
+        cold_share=0.2,
+        cold_us=16 * SECOND,
+        fall_multiple=3.0,
+        fall_us=SECOND,
+        grace_us=2 * SECOND,
+        gone_binds=True,
+        full_may_have_run=False,
+        warm_keys=True,
+    )
     return Deployment(**values | other)
 
 
@@ -41,6 +72,7 @@
                 item, worker, weight = values
                 table = self.tables.setdefault(item, {})
                 table.pop(worker, None) if weight == 0 else table.update({worker: weight})
+
         return write
 
     def all(self, name):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -25,8 +25,16 @@
 
 
 def row(number, state="active", born_ms=0, dial=None, **other):
-    return {"host": f"s-{number}", "dial": dial or f"10.1.0.{number}:8443", "site": "a", "class": "std", "block": 0,
-            "health": state, "share": 1.0, "born_ms": born_ms} | other
+    return {
+        "host": f"s-{number}",
+        "dial": dial or f"10.1.0.{number}:8443",
+        "site": "a",
+        "class": "std",
+        "block": 0,
+        "health": state,
+        "share": 1.0,
+        "born_ms": born_ms,
+    } | other
 
 
 class Relay:
@@ -61,6 +69,7 @@
             for line in lines:
                 if not self.silent:
                     self._line(stream, line.decode())
+
         stream.start(data, lambda reason: stream in self.followers and self.followers.remove(stream))
         self.streams.append(stream)
 
@@ -77,7 +86,7 @@
                 lines += [f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items())]
             text = "".join(line + "\r\n" for line in lines).encode()
             for at in range(0, len(text), 37):  # bytes come in pieces
-                stream.write(text[at:at + 37])
+                stream.write(text[at : at + 37])
             return
         orders = line.removeprefix("txn ").split(";")
         fate = self.fates.pop(0) if self.fates else "ok"
@@ -93,8 +102,9 @@
         elif fate == "spoilt":
             stream.write(b"O\xff3\r\n")
         elif fate != "mute":
-            stream.write(f"OK {taken}\r\n".encode() if fate == "ok" or isinstance(fate, int)
-                         else f"ERR {fate}\r\n".encode())
+            stream.write(
+                f"OK {taken}\r\n".encode() if fate == "ok" or isinstance(fate, int) else f"ERR {fate}\r\n".encode()
+            )
 
     def release(self):
         """Goes on with what was held, in the order it came."""
@@ -139,6 +149,7 @@
                 for line in self.lines:
                     self._write(stream, line)
                 stream.write(b"1\r\n\n\r\n")
+
         stream.start(data, lambda reason: stream in self.streams and self.streams.remove(stream))
 
     def _write(self, stream, line):
@@ -164,8 +175,10 @@
         if stream is None:
             self.ended = "refused"
             return
-        stream.start(lambda data: self.got.extend(m["msg"] for m in self.reader.feed(data)),
-                     lambda reason: setattr(self, "ended", reason))
+        stream.start(
+            lambda data: self.got.extend(m["msg"] for m in self.reader.feed(data)),
+            lambda reason: setattr(self, "ended", reason),
+        )
         self.say(*messages)
 
     def say(self, *messages):
@@ -207,8 +220,13 @@
         self.door = Door(more or settings())
         known = (1, True, [row(n) for n in range(1, workers + 1)]) if known is None else known
         station = Station("n0", AT, DISCOVERY, RELAY, 5, sockets, known, more or settings())
-        self.service = Service(self.host, station, self.door, lambda event, **f: self.logged.append((event, f)),
-                               *([manager] if manager else []))
+        self.service = Service(
+            self.host,
+            station,
+            self.door,
+            lambda event, **f: self.logged.append((event, f)),
+            *([manager] if manager else []),
+        )
         self.manager, self.counts = self.service.manager, self.service.counts
 
     def _probed(self, number, request):
@@ -257,9 +275,19 @@
         self.dials = {number: self.worker(number) for number in range(1, workers + 1)}
         self.door = Door(more or settings())
         known = (1, True, [self.row(number) for number in self.dials]) if known is None else known
-        station = Station("n0", HERE, self.discovery.listener.address, self.relay.listener.address, 5, sockets, known,
-                          more or settings())
-        self.service = Service(self.loop, station, self.door, lambda event, **f: self.logged.append((event, f)), manager)
+        station = Station(
+            "n0",
+            HERE,
+            self.discovery.listener.address,
+            self.relay.listener.address,
+            5,
+            sockets,
+            known,
+            more or settings(),
+        )
+        self.service = Service(
+            self.loop, station, self.door, lambda event, **f: self.logged.append((event, f)), manager
+        )
         self.manager, self.counts = self.service.manager, self.service.counts
         case.addCleanup(self.service.close)
 
--- a/tests/program_case.py
+++ b/tests/program_case.py
@@ -33,11 +33,21 @@
         self.path = os.path.join(folder.name, "config.json")
         self.listen, self.hub, self.list = free_address(), free_address(), free_address()
         self.config = {
-            "name": "n3", "listen": text(self.listen), "discovery": text(self.list), "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "hub": {"address": text(self.hub)},
-            "known": {"seq": 1, "whole": True, "hosts": [row(1), row(2)]}, "settings": settings()}
-        self.environment = {"LB_NAME": "n3", "LB_LISTEN": text(self.listen), "LB_DISCOVERY": text(self.list),
-                            "LB_CONFIG": self.path}
+            "name": "n3",
+            "listen": text(self.listen),
+            "discovery": text(self.list),
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "hub": {"address": text(self.hub)},
+            "known": {"seq": 1, "whole": True, "hosts": [row(1), row(2)]},
+            "settings": settings(),
+        }
+        self.environment = {
+            "LB_NAME": "n3",
+            "LB_LISTEN": text(self.listen),
+            "LB_DISCOVERY": text(self.list),
+            "LB_CONFIG": self.path,
+        }
         self.write(self.config)
 
     def write(self, data):
@@ -46,8 +56,14 @@
     def start(self, *words):
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         kept = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-        return subprocess.Popen(words or ["/bin/sh", "-c", run], cwd=ROOT, env=kept | self.environment,
-                                stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+        return subprocess.Popen(
+            words or ["/bin/sh", "-c", run],
+            cwd=ROOT,
+            env=kept | self.environment,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
 
     def begun(self, *words):
         """The program, started and ended with the test; `words` instead of `run`."""
--- a/tests/soak_final_answers.py
+++ b/tests/soak_final_answers.py
@@ -1,12 +1,13 @@
 """Ends of the program drawn from a seed: callers ask for signs of life on open connections until it has gone.
 
-    python -m tests.soak_final_answers 50     # seeds 0 to 49; a line for each that broke something, then one JSON object
-
-The program runs as a process without relay and discovery. SIGTERM comes with others in series; some runs have a crowd of
-strangers. All callers ask right before the first SIGTERM, on half of the days while the program stands still, so that it
-finds both at once when it goes on; SIGKILL comes at the platform's earliest. A PING is unanswered
-if it was sent before that SIGTERM, or SENT_BEFORE_S or more before its connection was last seen open; of a later one it is
-not known whether the program could still have read it, it is counted apart. A trace of the first runs showed why it is not
+    python -m tests.soak_final_answers 50     # seeds 0 to 49; a line for each that broke something, then one JSON
+    object
+
+The program runs as a process without relay and discovery. SIGTERM comes with others in series; some runs have a crowd
+of strangers. All callers ask right before the first SIGTERM, on half of the days while the program stands still, so
+that it finds both at once when it goes on; SIGKILL comes at the platform's earliest. A PING is unanswered if it was
+sent before that SIGTERM, or SENT_BEFORE_S or more before its connection was last seen open; of a later one it is not
+known whether the program could still have read it, it is counted apart. A trace of the first runs showed why it is not
 the moment at which the end was noticed: that came up to 7 ms late on a busy machine, with a PING sent in between.
 """
 
@@ -32,7 +33,9 @@
 
 @dataclass
 class Asking:
-    """One caller: when each of its PINGs was sent, how many bytes of answers came, when its connection was last open."""
+    """One caller: when each of its PINGs was sent, how many bytes of answers came, when its connection was last
+    open.
+    """
 
     sock: socket.socket
     sent: list = field(default_factory=list)
@@ -59,7 +62,7 @@
 
     def unanswered(self, told_at):
         """PINGs without an answer: those sent in time, and those sent right before the end. `told_at`: of SIGTERM."""
-        left = self.sent[self.got // len(frames.PONG):]
+        left = self.sent[self.got // len(frames.PONG) :]
         until = self.open_at - SENT_BEFORE_S
         if self.open_at >= told_at - SENT_BEFORE_S:  # else the program had closed it before: one collector too many
             until = max(until, told_at)
@@ -82,13 +85,19 @@
         for caller in callers:  # a joined one may stay for as long as it likes
             caller.sock.sendall(frames.frame({"msg": "SOURCE", "az": "a"}) if chance.random() < 0.2 else b"")
         signals = [(RUN_S, signal.SIGTERM)] + [
-            (RUN_S + chance.uniform(-0.02, 0.05), chance.choice([signal.SIGHUP, signal.SIGTERM])) for _ in range(chance.randint(0, 4))]
+            (RUN_S + chance.uniform(-0.02, 0.05), chance.choice([signal.SIGHUP, signal.SIGTERM]))
+            for _ in range(chance.randint(0, 4))
+        ]
         told_at = self.ask_until_it_ends(process, callers, sorted(signals), chance)
         for sock in [*crowd, *(caller.sock for caller in callers)]:
             sock.close()
         found = [caller.unanswered(told_at) for caller in callers]
-        return {"asked": sum(len(caller.sent) for caller in callers), "unanswered": sum(row[0] for row in found),
-                "at_the_end": sum(row[1] for row in found), "crashes": int(process.wait() != 0)}
+        return {
+            "asked": sum(len(caller.sent) for caller in callers),
+            "unanswered": sum(row[0] for row in found),
+            "at_the_end": sum(row[1] for row in found),
+            "crashes": int(process.wait() != 0),
+        }
 
     @staticmethod
     def ask_until_it_ends(process, callers, signals, chance):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -10,8 +10,19 @@
 from ospreyrouter.advice import DrainWatch
 from ospreyrouter.changes import CallerDrains, Change, ChangeBook, Closed, TooMany
 from ospreyrouter.client import DID_NOT, SENT, TOOK_EFFECT, FileFollower, SaspFollower
-from ospreyrouter.sasp import (DeregistrationRequest, Framer, Group, LbStateRequest, Member, MemberState,
-                               MemberStateRequest, RegistrationRequest, Reply, decode, encode)
+from ospreyrouter.sasp import (
+    DeregistrationRequest,
+    Framer,
+    Group,
+    LbStateRequest,
+    Member,
+    MemberState,
+    MemberStateRequest,
+    RegistrationRequest,
+    Reply,
+    decode,
+    encode,
+)
 from ospreyrouter.sasp import numbers as n
 from ospreyrouter.standins.failing_disk import FailingDisk
 
@@ -33,8 +44,14 @@
 
 class Book(unittest.TestCase):
     @settings(deadline=None, max_examples=120)
-    @given(st.lists(st.tuples(st.sampled_from(["set", "clear", "repeat", "write", "stored", "failed", "restart"]),
-                              st.integers(0, 2)), max_size=40))
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["set", "clear", "repeat", "write", "stored", "failed", "restart"]), st.integers(0, 2)
+            ),
+            max_size=40,
+        )
+    )
     def test_what_was_answered_is_in_force_and_what_failed_left_no_trace(self, moves):
         """State: which of three names are set. The store: the same, of what was stored; both must agree in the end."""
         book, state, disk, log, answered, number = ChangeBook(), set(), set(), [], {}, 0
@@ -48,11 +65,19 @@
             nonlocal number
             number += 1
             before = name in state
-            change = Change("c", str(number), f"{name}{on}", frozenset([str(name)]), (name, on), None,
-                            lambda: do(state, (name, before)))
+            change = Change(
+                "c",
+                str(number),
+                f"{name}{on}",
+                frozenset([str(name)]),
+                (name, on),
+                None,
+                lambda: do(state, (name, before)),
+            )
             do(state, change.effect)
             book.enter(change, lambda ended, key=str(number): told.__setitem__(key, ended is not None))
             log.append((str(number), name, on))
+
         for what, name in moves:
             if what in ("set", "clear"):
                 enter(name, what == "set")
@@ -140,9 +165,18 @@
         self.workers = [("127.0.0.1", stage.ports["workers"][k]) for k in range(stage.day.fleet.workers)]
         host = stage.network.host("callers")
         doors = [("127.0.0.1", port) for port in stage.ports["managers"]]
-        return host, {"files": FileFollower(host, os.path.join(self.folder, "proxy-0"), 1, "caller-1", doors),
-                      "sasp": SaspFollower(host, [("127.0.0.1", port) for port in stage.ports["sasp"]], "lb-1",
-                                           {item: self.workers for item in range(12)}, 1, doors, **more)}
+        return host, {
+            "files": FileFollower(host, os.path.join(self.folder, "proxy-0"), 1, "caller-1", doors),
+            "sasp": SaspFollower(
+                host,
+                [("127.0.0.1", port) for port in stage.ports["sasp"]],
+                "lb-1",
+                {item: self.workers for item in range(12)},
+                1,
+                doors,
+                **more,
+            ),
+        }
 
     def test_one_suite_through_both_with_kills_at_every_step(self):
         """Drain a worker, the manager is killed some time after, and comes back: what is answered then is true, a
@@ -223,7 +257,13 @@
         front, doors, told, answers = stage.parts["manager-0"].front, followers["files"].doors, [], []
         doors.became(0, "sasp/slow", "7", told.append)
         network.run(network.time + SECOND)
-        self.talk(stage, front, "slow", [encode(RegistrationRequest((Group("slow", f"slice-{min(front.owned)}", (Member(*worker),)),)), 7)], answers)
+        self.talk(
+            stage,
+            front,
+            "slow",
+            [encode(RegistrationRequest((Group("slow", f"slice-{min(front.owned)}", (Member(*worker),)),)), 7)],
+            answers,
+        )
         network.run(network.time + SECOND)
         self.assertEqual((told, replies(answers)), ([DID_NOT], [(7, n.NOT_ACCEPTED)]))
         self.assertNotIn("slow", front.registry.balancers)
@@ -240,7 +280,9 @@
         for name in ("files", "sasp"):
             change = followers[name].drain(worker)
             network.run(network.time + SECOND)
-            self.assertEqual(change.state, TOOK_EFFECT if name == "files" else DID_NOT)  # files: the other manager keeps it
+            self.assertEqual(
+                change.state, TOOK_EFFECT if name == "files" else DID_NOT
+            )  # files: the other manager keeps it
             self.assertFalse(any(state.members[worker] for state in before.values()))
             self.assertEqual(manager.callers.drains.rows, {})
             followers[name].drain(worker, False)
@@ -266,6 +308,7 @@
 
         def standing(part):
             return sorted(part.front._standing()), part.callers.drains.rows, sorted(part.changes.book.callers)
+
         held = standing(manager)
         stage.kill("manager-0")
         stage.start("manager-0")
@@ -287,10 +330,14 @@
         framer = Framer()
 
         def connected(stream, reason):
-            stream.start(lambda data: answers.extend(decode(one) for one in framer.feed(data)), lambda reason: answers.append(reason))
+            stream.start(
+                lambda data: answers.extend(decode(one) for one in framer.feed(data)),
+                lambda reason: answers.append(reason),
+            )
             answers.append(stream)
             for body in messages:
                 stream.write(body)
+
         stage.network.host(name).connect(front.address, SECOND, connected)
 
     def test_hard_cases_of_registrations(self):
@@ -303,11 +350,15 @@
         register = lambda lb: RegistrationRequest((Group(lb, f"slice-{item}", members),))  # noqa: E731
         one, other = [], []
         # The same members from two balancers, numbers that wrap; each has its own advice.
-        self.talk(stage, front, "one", [encode(LbStateRequest("one", push=True), 2**32 - 1), encode(register("one"), 0)], one)
+        self.talk(
+            stage, front, "one", [encode(LbStateRequest("one", push=True), 2**32 - 1), encode(register("one"), 0)], one
+        )
         self.talk(stage, front, "other", [encode(register("other"), 2**32 - 1)], other)
         network.run(network.time + SECOND)
         self.assertEqual(replies(one), [(2**32 - 1, n.SUCCESS), (0, n.SUCCESS)])
-        newest = lambda: next(row[0] for row in reversed(one) if isinstance(row, tuple) and hasattr(row[0], "groups")).groups[0].rows  # noqa: E731
+        newest = lambda: (
+            next(row[0] for row in reversed(one) if isinstance(row, tuple) and hasattr(row[0], "groups")).groups[0].rows
+        )  # noqa: E731
         weights = newest()
         self.assertEqual(sum(row.weight for row in weights), 10_000)
         self.assertEqual([(row.weight, row.contact) for row in weights if row.member.host == "10.9.9.9"], [(0, False)])
@@ -325,7 +376,12 @@
         network.run(network.time + SECOND)
         pushes = front.counts["pushes"]
         for turn in range(150):
-            one[0].write(encode(MemberStateRequest((Group("one", f"slice-{item}", (MemberState(members[0], 0, turn % 2 == 0),)),)), 10 + turn))
+            one[0].write(
+                encode(
+                    MemberStateRequest((Group("one", f"slice-{item}", (MemberState(members[0], 0, turn % 2 == 0),)),)),
+                    10 + turn,
+                )
+            )
             network.run(network.time + 5_000)
         network.run(network.time + SECOND)
         self.assertLess(front.counts["pushes"] - pushes, 0.75 * SECOND / 20_000 + 8)
@@ -342,7 +398,9 @@
         network.run(network.time + 62 * SECOND)
         self.assertIsInstance(half[-1], str)
         self.assertIsInstance(silent[-1], str)
-        self.assertEqual((front.counts["message without end"], front.counts["silent"]), (1, 2))  # "other" does not ask either
+        self.assertEqual(
+            (front.counts["message without end"], front.counts["silent"]), (1, 2)
+        )  # "other" does not ask either
         self.assertTrue(one[0].open)
 
     def test_balancers_that_ask_get_the_same_weights(self):
--- a/tests/test_channel_limit.py
+++ b/tests/test_channel_limit.py
@@ -40,8 +40,16 @@
         config = settings(2 * SLICES, PROXIES, EgressPerS=PACE, QueueCap=QUEUE)
         tables = {table: {f"s-{1 + table % WORKERS}": 1.0} for table in range(SLICES)}
         known = (1, True, [row(number, "leaving" if number <= 20 else "active") for number in range(1, WORKERS + 1)])
-        scene = Scene(workers=WORKERS, known=known, more=config, relay_type=LateNews, setup=config["FamilyInfo"],
-                      slices=tables, grace_us=2 * SECOND, proxies=range(at_once))
+        scene = Scene(
+            workers=WORKERS,
+            known=known,
+            more=config,
+            relay_type=LateNews,
+            setup=config["FamilyInfo"],
+            slices=tables,
+            grace_us=2 * SECOND,
+            proxies=range(at_once),
+        )
         scene.run(0.2)
         scene.relay.join_untold(range(at_once, PROXIES))
         for step in range(PROXIES // at_once):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -62,7 +62,11 @@
             (lambda d: d.update(sites={"reserve": 1.2}), "sites.reserve", "less than 1"),
             (lambda d: d.update(sites={"reserves": {"moon": 0.1}}), "sites.reserves", "'moon'"),
             (lambda d: d.update(sites={"spill": {"moon": []}}), "sites.spill", "'moon' is no site"),
-            (lambda d: d.update(sites={"groups": {"x": ["y"], "y": ["x"]}}), "sites.groups", "x -> y -> x form a cycle"),
+            (
+                lambda d: d.update(sites={"groups": {"x": ["y"], "y": ["x"]}}),
+                "sites.groups",
+                "x -> y -> x form a cycle",
+            ),
         ]
         for change, *words in cases:
             with self.subTest(words=words):
@@ -75,9 +79,14 @@
 
     def test_days(self):
         for change, *words in (
-                (lambda d: d.update(troubles=[{"what": "earthquake", "at_s": 1.0}]), "troubles.0", "earthquake"),
-                (lambda d: d.update(troubles=[{"what": "drain", "at_s": 1.0, "workers": [6]}]), "troubles.0.workers", "only 6"),
-                (lambda d: d["traffic"].update(shares={"x": 1.0}), "traffic.shares", "classes")):
+            (lambda d: d.update(troubles=[{"what": "earthquake", "at_s": 1.0}]), "troubles.0", "earthquake"),
+            (
+                lambda d: d.update(troubles=[{"what": "drain", "at_s": 1.0, "workers": [6]}]),
+                "troubles.0.workers",
+                "only 6",
+            ),
+            (lambda d: d["traffic"].update(shares={"x": 1.0}), "traffic.shares", "classes"),
+        ):
             with self.subTest(words=words):
                 data = json.loads(short_day().model_dump_json())
                 change(data)
@@ -101,8 +110,13 @@
         lock.mkdir(parents=True)
         with open(lock / ".lock", "w") as held:
             fcntl.flock(held, fcntl.LOCK_EX)
-            ended = subprocess.run([sys.executable, "-m", "ospreyrouter", "manager", self.path, "--name", "manager-0"],
-                                   capture_output=True, text=True, timeout=30, check=False)
+            ended = subprocess.run(
+                [sys.executable, "-m", "ospreyrouter", "manager", self.path, "--name", "manager-0"],
+                capture_output=True,
+                text=True,
+                timeout=30,
+                check=False,
+            )
         self.assertEqual(ended.returncode, 2)
         self.assertIn("another process holds it", ended.stderr.strip().splitlines()[-1])
 
