--- a/benchmarks/custody.py
+++ b/benchmarks/custody.py
@@ -130,7 +130,7 @@
     fleet.run(10 * LEASE)
     seen, twice = fleet.published()
     out["at_start"] = {"owned": len(seen), "most": evenness(seen, managers)[0]}
-    taken, lost_at = [], 0
+    taken = []
 
     def until_owned(what, limit):
         """Time until each slice has a publisher again, looked at each 10 ms."""
@@ -154,7 +154,7 @@
     seen, _ = fleet.published()
     living = managers - sum(not up for up in fleet.up)
     out["after_losses"] = {"living": living, "mean": round(slices / living, 1), "most": evenness(seen, managers)[0]}
-    writes, at, moved = fleet.writes, fleet.now, fleet.moved
+    writes, at = fleet.writes, fleet.now
     fleet.run(10 * LEASE)
     out["writes_a_second_calm"] = round((fleet.writes - writes) / ((fleet.now - at) / 1e6), 1)
     back_at, writes, bare = fleet.now, fleet.writes, 0
--- a/benchmarks/fronts.py
+++ b/benchmarks/fronts.py
@@ -15,7 +15,6 @@
 import tempfile
 from pathlib import Path
 
-
 from benchmarks.size import rss_mb, write_deployment
 from ospreyrouter.client import SaspFollower
 from ospreyrouter.files import TableReader
--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -131,9 +131,9 @@
         os.makedirs(folder, exist_ok=True)
         reader = TableReader(folder)
         sums = Sums(reader, setup, place.zone, place.name)
-        name = place.name
+        name, numbers = place.name, count()
 
-        def report(manager, sums=sums, name=name, numbers=count()):
+        def report(manager, sums=sums, name=name, numbers=numbers):
             data = sums(manager)
             data["node"]["id"] = name
             data["node"]["metadata"] = {"life": "1", "sequence": next(numbers), "sent_us": loop.now()}
@@ -173,6 +173,7 @@
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmHWM"):
             return round(int(line.split()[1]) / 1024, 1)
+    return None
 
 
 def measure(folder, proxies, slices, workers, seconds):
@@ -264,8 +265,8 @@
     store = TableStore(str(folder / "store"), "manager-0", InlineCalls(Loop(), Disk(flush=False)))
     for item in range(slices):
         first = None
-        for count in range(2):
-            picked = [specs[(5 * item + 7 * k + 3 * count) % len(specs)] for k in range(5)]
+        for version in range(2):
+            picked = [specs[(5 * item + 7 * k + 3 * version) % len(specs)] for k in range(5)]
             lines = {
                 spec.name: Line(spec.name, spec.host, spec.port, spec.zone, 0.2 + 0.1 * k)
                 for k, spec in enumerate(picked)
--- a/benchmarks/swaps.py
+++ b/benchmarks/swaps.py
@@ -159,7 +159,7 @@
                 name = chance.choice(proxies)
                 if stage.processes[name].poll() is None:
                     stage.kill(name)
-                    loop.after(300_000, lambda: stage.start(name))
+                    loop.after(300_000, lambda name=name: stage.start(name))
             if done["swaps"] >= swaps:
                 loop.stop()
 
--- a/ospreyrouter/advice/__init__.py
+++ b/ospreyrouter/advice/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from .drains import DrainWatch
-from .registry import Registry, Refused
+from .registry import Refused, Registry
 from .weights import WHOLE, steady_weights
 
 __all__ = ["DrainWatch", "Refused", "Registry", "WHOLE", "steady_weights"]
--- a/ospreyrouter/advice/drains.py
+++ b/ospreyrouter/advice/drains.py
@@ -11,7 +11,6 @@
 
 from dataclasses import dataclass
 
-
 OVERDUE_EVERY_US = 1_000_000
 
 
--- a/ospreyrouter/benchlink/host.py
+++ b/ospreyrouter/benchlink/host.py
@@ -195,7 +195,7 @@
         """One instance's events of one batch; returns its actions."""
         outbox, intake, place = [], [], -1
         try:
-            for place, item in enumerate(items):
+            for place, item in enumerate(items):  # noqa: B007, a malformed one is named by its place
                 check_shape(item)
                 kind = item[0]
                 if kind == "SNAPSHOT_ROWS":
--- a/ospreyrouter/changes/book.py
+++ b/ospreyrouter/changes/book.py
@@ -14,8 +14,9 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Callable
+from typing import Any
 
 KEYS_MOST = 64  # of one caller; more have no use: a caller asks about what was cut off
 CALLERS_MOST = 10_000
--- a/ospreyrouter/cli/main.py
+++ b/ospreyrouter/cli/main.py
@@ -102,8 +102,8 @@
     @click.option("--control", type=int, required=True)
     @click.option("--start-us", type=int, default=0, help="when traffic begins, on the machine's monotonic clock")
     def run(stage, journal, control, start_us):
-        from ..rehearse.processes import stage_of
         from ..rehearse.play import balancer_rows
+        from ..rehearse.processes import stage_of
         from ..standins import Balancers, Clients, Journal, WorkerListService, Workers
         from ..standins.control import Controlled
 
--- a/ospreyrouter/cli/tables.py
+++ b/ospreyrouter/cli/tables.py
@@ -8,7 +8,7 @@
 import os
 import sys
 import time
-from datetime import datetime, timezone
+from datetime import UTC, datetime
 from pathlib import Path
 
 import click
@@ -73,7 +73,7 @@
             when = datetime.fromisoformat(text)
         except ValueError:
             raise BadInput(f"{text}: is no time") from None
-        return round((when if when.tzinfo else when.replace(tzinfo=timezone.utc)).timestamp() * 1e6)
+        return round((when if when.tzinfo else when.replace(tzinfo=UTC)).timestamp() * 1e6)
     return text
 
 
@@ -87,7 +87,7 @@
 
 
 def when(at_us):
-    return datetime.fromtimestamp(at_us / 1e6, timezone.utc).isoformat(timespec="milliseconds")
+    return datetime.fromtimestamp(at_us / 1e6, UTC).isoformat(timespec="milliseconds")
 
 
 def row_data(row):
@@ -256,7 +256,7 @@
         place = next(row for row in store.setup.managers if row.name == name)
         answers.append((name, ask(place.listen.pair, name, {"to": to, "slices": given, "hold_s": hold_s, "key": key})))
     returned = 0
-    for name, answer in answers:
+    for _, answer in answers:
         for item, row in sorted(answer["slices"].items(), key=lambda pair: int(pair[0])):
             returned += "version" in row
             if not as_json:
--- a/ospreyrouter/custody/dealing.py
+++ b/ospreyrouter/custody/dealing.py
@@ -9,7 +9,6 @@
 import hashlib
 from dataclasses import dataclass
 
-
 GIVEN = -1
 
 
--- a/ospreyrouter/files/reader.py
+++ b/ospreyrouter/files/reader.py
@@ -71,7 +71,7 @@
 
     def _use(self, files):
         self.tables, self.levels, self.withheld, self.fences = {}, {}, {}, {}
-        for name, (_, content) in files.items():
+        for _, content in files.values():
             for key, value in content.items():
                 if key == "fences":
                     self.fences.update(value)
--- a/ospreyrouter/helper/work.py
+++ b/ospreyrouter/helper/work.py
@@ -11,7 +11,6 @@
 from ..store.log import LogWriter
 from ..store.orders import BadOrders, read_orders
 
-
 LOCK_TRIES = 30  # tenths of a second: a killed process's helper ends by then
 
 
--- a/ospreyrouter/manager/background.py
+++ b/ospreyrouter/manager/background.py
@@ -69,7 +69,7 @@
             session.audited = True
             self.audits += 1
             self.service._tell_to_read(sorted(self.service.core.tables), session)
-        return None
+        return
 
     def claimed(self, proxy, slices, different):
         """What an audited proxy said: so many tables are not the ones that were meant, and are on their way."""
@@ -77,7 +77,7 @@
         if different:
             self.differences += different
             self.service.log.info("audit_differs", manager=self.service.name, proxy=proxy, tables=different)
-        return None
+        return
 
     def _retain(self):
         history = self.service.tables.history
@@ -86,7 +86,7 @@
             self.service.log.info(
                 "versions_pruned", manager=self.service.name, versions=gone, kept=len(history.by_digest)
             )
-        return None
+        return
 
     def _compact(self):
         self.service.tables.compact()
--- a/ospreyrouter/manager/core.py
+++ b/ospreyrouter/manager/core.py
@@ -229,9 +229,12 @@
                     )
                 )
         down = {name for name, row in self.sites.rows.items() if row.state == "returning" or self.sites.gone(name)}
-        proven = lambda site: (
-            0.0 if self.sites.gone(site) else self.sites.usable(site) if self.setup.sites.bound_returns else 1.0
-        )  # noqa: E731
+
+        def proven(site):
+            if self.sites.gone(site):
+                return 0.0
+            return self.sites.usable(site) if self.setup.sites.bound_returns else 1.0
+
         levels = {name: self.levels.get(name, (1.0, ""))[0] for name in self.classes}
         self.spill.turn(now, workers, down, proven, levels, len(self.tables) / self.setup.slices)
         if self.spill.most != most and self.setup.sites.refuse_ahead:
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -109,9 +109,7 @@
             )
             if not lines:
                 answer["slices"][str(item)] = {"left": "none of its workers may be used now"}
-            elif present is not None and {(l.worker, l.weight) for l in lines} == {
-                (l.worker, l.weight) for l in present.lines
-            }:
+            elif present is not None and shares(lines) == shares(present.lines):
                 answer["slices"][str(item)] = {"left": "it is in force"}
             else:
                 returning[item] = lines
@@ -188,5 +186,9 @@
     return Change(CALLER + key, key, "", frozenset(), ["answer"], answer)
 
 
+def shares(lines):
+    return {(line.worker, line.weight) for line in lines}
+
+
 def made(table):
     return {"version": f"{table.version[0]}.{table.version[1]}", "digest": table.digest}
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -551,7 +551,7 @@
             request.answer(503, [("retry-after", str(max(1, round(wait)))), *close])
             return
         nonce = session.nonce if session is not None else f"{self.life}.{self.joins}"
-        fences = {item: (self.core.epoch, self.name) for item in items}
+        fences = dict.fromkeys(items, (self.core.epoch, self.name))
         answer = {
             "systemVersionInfo": f"{self.core.epoch}.{self.core.number}",
             "typeUrl": CLA,
--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -20,7 +20,6 @@
 from .log import Log  # noqa: E402
 from .service import Service  # noqa: E402
 
-
 END_MOST_US = 500_000  # from SIGTERM to the end; the platform kills no sooner than after 0.7 s
 
 
--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -10,7 +10,6 @@
 from .listing import address, listing
 from .relay_lines import sayable
 
-
 SOCKETS_LEAST = 64  # the program's own, its links, some probes, a collector from each zone, strangers on their way out
 
 
--- a/ospreyrouter/rehearse/audit.py
+++ b/ospreyrouter/rehearse/audit.py
@@ -187,7 +187,7 @@
     for row in account.by["arrived"]:
         arrivals[row["worker"]].append(row)
     for row in account.by["told"]:
-        for name, state, age in row["rows"]:
+        for name, _, age in row["rows"]:
             if age is not None:
                 knew[name, row["manager"]].append((row["t"], row["t"] - age))
     for name, lives in starts.items():
--- a/ospreyrouter/rehearse/day.py
+++ b/ospreyrouter/rehearse/day.py
@@ -1,7 +1,7 @@
 """A day as JSON: fleet, traffic, troubles by time. `deployment(day, ports)` makes the deployment file of it."""
 
 from dataclasses import dataclass
-from typing import Annotated, Literal, Union
+from typing import Annotated, Literal
 
 from pydantic import Field, model_validator
 
@@ -148,23 +148,21 @@
 
 
 AnyTrouble = Annotated[
-    Union[
-        WorkersTrouble,
-        SharedTrouble,
-        ManagerTrouble,
-        ProxyTrouble,
-        LoseManager,
-        SlowChannel,
-        Ghosts,
-        HotKey,
-        ReportFlood,
-        RollBack,
-        BalancerDeaf,
-        SiteLoss,
-        Unreached,
-        StoreTrouble,
-        ClockStep,
-    ],
+    WorkersTrouble
+    | SharedTrouble
+    | ManagerTrouble
+    | ProxyTrouble
+    | LoseManager
+    | SlowChannel
+    | Ghosts
+    | HotKey
+    | ReportFlood
+    | RollBack
+    | BalancerDeaf
+    | SiteLoss
+    | Unreached
+    | StoreTrouble
+    | ClockStep,
     Field(discriminator="what"),
 ]
 
--- a/ospreyrouter/rehearse/watch.py
+++ b/ospreyrouter/rehearse/watch.py
@@ -15,7 +15,7 @@
     def __init__(self, loop, folders, store, journal):
         self.loop, self.journal, self.custody = loop, journal, os.path.join(store, "custody")
         self.readers = {name: TableReader(folder) for name, folder in folders.items()}
-        self.epoch, self.usable, self.stopped = 0, {name: None for name in folders}, False
+        self.epoch, self.usable, self.stopped = 0, dict.fromkeys(folders), False
         self.look()
 
     def look(self):
--- a/ospreyrouter/sites/__init__.py
+++ b/ospreyrouter/sites/__init__.py
@@ -8,7 +8,7 @@
 
 from .control import SpillControl
 from .evidence import Evidence
-from .states import SiteState, Sites
+from .states import Sites, SiteState
 from .tiers import BadTiers, tiers_of
 
 __all__ = ["BadTiers", "Evidence", "SiteState", "Sites", "SpillControl", "tiers_of"]
--- a/ospreyrouter/standins/reporters.py
+++ b/ospreyrouter/standins/reporters.py
@@ -23,7 +23,7 @@
         self.start_us, self.workers = start_us, workers
         self.level = [level * chance.uniform(0.5, 1.5) for _ in range(workers)]
         self.pieces = []  # by worker: (from second, factor at start, factor at end, until second)
-        for k in range(workers):
+        for _ in range(workers):
             at, factor, rows = 0.0, 1.0, []
             while at < seconds + 60:  # some more: processes end a little after each other
                 length = chance.uniform(12, 30)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -54,7 +54,7 @@
     )
     def test_what_was_answered_is_in_force_and_what_failed_left_no_trace(self, moves):
         """State: which of three names are set. The store: the same, of what was stored; both must agree in the end."""
-        book, state, disk, log, answered, number = ChangeBook(), set(), set(), [], {}, 0
+        book, state, disk, log, number = ChangeBook(), set(), set(), [], 0
         writing, told, lost = [], {}, set()
 
         def do(target, effect):
@@ -171,7 +171,7 @@
                 host,
                 [("127.0.0.1", port) for port in stage.ports["sasp"]],
                 "lb-1",
-                {item: self.workers for item in range(12)},
+                dict.fromkeys(range(12), self.workers),
                 1,
                 doors,
                 **more,
@@ -356,9 +356,11 @@
         self.talk(stage, front, "other", [encode(register("other"), 2**32 - 1)], other)
         network.run(network.time + SECOND)
         self.assertEqual(replies(one), [(2**32 - 1, n.SUCCESS), (0, n.SUCCESS)])
-        newest = lambda: (
-            next(row[0] for row in reversed(one) if isinstance(row, tuple) and hasattr(row[0], "groups")).groups[0].rows
-        )  # noqa: E731
+
+        def newest():
+            told = [row[0] for row in one if isinstance(row, tuple) and hasattr(row[0], "groups")]
+            return told[-1].groups[0].rows
+
         weights = newest()
         self.assertEqual(sum(row.weight for row in weights), 10_000)
         self.assertEqual([(row.weight, row.contact) for row in weights if row.member.host == "10.9.9.9"], [(0, False)])
@@ -387,7 +389,7 @@
         self.assertLess(front.counts["pushes"] - pushes, 0.75 * SECOND / 20_000 + 8)
         self.assertFalse(balancers["one"].groups[f"slice-{item}"].members[workers[0]])
         # Weights that all are 0: said, with the reason in the flags.
-        front.publish(item, {worker: 1.0 for worker in workers}, set(workers))
+        front.publish(item, dict.fromkeys(workers, 1.0), set(workers))
         network.run(network.time + SECOND)
         rows = newest()
         self.assertEqual([(row.weight, row.quiesce) for row in rows if row.member.host != "10.9.9.9"], [(0, True)] * 6)
--- a/tests/test_custody_model.py
+++ b/tests/test_custody_model.py
@@ -123,9 +123,11 @@
         return None
 
     def key(self):
-        near = lambda t: None if t is None else max(t - self.now, -3 * LEASE)  # noqa: E731
+        def near(t):
+            return None if t is None else max(t - self.now, -3 * LEASE)
+
         rows = []
-        for k, one in enumerate(self.processes):
+        for one in self.processes:
             members = tuple(
                 (m, self.beats[m] - row.beat, near(row.changed_at), near(row.alive_since), row.lost, row.flaps)
                 for m, row in sorted(one.members.rows.items())
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -29,7 +29,7 @@
 
 def ends(callers, seconds):
     """What each caller has read until its connection ended: bytes, and how it ended ("" where it did not)."""
-    got, how, open_callers = {c: b"" for c in callers}, dict.fromkeys(callers, ""), set(callers)
+    got, how, open_callers = dict.fromkeys(callers, b""), dict.fromkeys(callers, ""), set(callers)
     until = time.monotonic() + seconds
     while open_callers and (left := until - time.monotonic()) > 0:
         for caller in select.select(list(open_callers), [], [], left)[0]:
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -68,7 +68,7 @@
                 network.host(f"lb-{push}"),
                 [("127.0.0.1", port) for port in stage.ports["sasp"]],
                 f"lb-{push}",
-                {item: workers for item in range(12)},
+                dict.fromkeys(range(12), workers),
                 push=push,
             )
         network.run(network.time + 6 * SECOND)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -82,7 +82,7 @@
 
     def test_each_slice_has_a_lingering_replica_on_another_well_server(self):
         stand = Stand(entries=[entry(0), entry(1), entry(2), entry(3, started=99 * SECOND)])
-        for item, table in stand.sheet.tables.items():
+        for table in stand.sheet.tables.values():
             lingering = [w for w, weight in table.items() if weight == policy.LINGER]
             self.assertEqual(len(lingering), 1)
             self.assertNotIn(3, lingering)
@@ -340,7 +340,7 @@
             *(("probed", w, Outcome.PASSED, 1000, {}) for w in range(40)),
         )
         demand = {item: 40.0 / (1 + item) ** 0.6 for item in range(240)}
-        stand.run(4, demand, {w: (10, 0, 0.1) for w in warm})
+        stand.run(4, demand, dict.fromkeys(warm, (10, 0, 0.1)))
 
         def most():
             """Of what all is asked, against each cold server's part by its warmth."""
@@ -356,7 +356,7 @@
         self.assertEqual(stand.manager.withdrawals.barred, set(drain))
         for _ in range(6):
             self.assertLess(most(), 2.0)
-            stand.run(0.5, demand, {w: (10, 0, 0.1) for w in warm[8:]})
+            stand.run(0.5, demand, dict.fromkeys(warm[8:], (10, 0, 0.1)))
 
 
 class Effects(unittest.TestCase):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 from ospreyrouter.node.log import Log
 from ospreyrouter.node.reports import load_report
 
-from .peers import DISCOVERY, RELAY, SECOND, Discovery, Heard, Relay, Scene, row, settings
+from .peers import SECOND, Discovery, Heard, Relay, Scene, row, settings
 
 SOURCE = {"msg": "SOURCE", "az": "a"}
 LOAD = {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,11 +17,11 @@
 
 from ospreyrouter.channel import PacedChannel
 from ospreyrouter.files import TableReader
+from ospreyrouter.intake import BadBody, decode
 from ospreyrouter.manager.admission import ReadBudget
 from ospreyrouter.rehearse import audit
 from ospreyrouter.web import Client, content_digest
 from ospreyrouter.xds.documents import BadDocument, Push, dump, push_body, push_of
-from ospreyrouter.intake import BadBody, decode
 from ospreyrouter.xds.reports import orca_report, orca_text, sums_request
 from ospreyrouter.xds.worker_list import list_body, list_of
 
@@ -300,8 +300,8 @@
         self.assertTrue(all("proxy-0" in row.sessions for row in managers))
         held = stage.parts["proxy-0"].agent.ledger.tables
         for row in managers:
-            for item, table in row.core.written.items():
-                self.assertEqual(held[item].digest, table.digest)
+            for item, written in row.core.written.items():
+                self.assertEqual(held[item].digest, written.digest)
 
     def test_altered_truncated_or_misplaced_pushes_change_nothing(self):
         stage = self.stage(short_day(5))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,8 +17,8 @@
 class LeavesBare(Manager):
     def send(self, sizes):
         if self.now - self.since.get(0, self.now) < 4 * SECOND:
-            return super().send(sizes)
-        if 0 in self.own and self.tables[0]:
+            super().send(sizes)
+        elif 0 in self.own and self.tables[0]:
             for worker in sorted(self.tables[0]):
                 self.orders.line(0, worker, 0)
             self.tables[0] = {}
@@ -46,7 +46,7 @@
 
     def capacities(self):
         started = [w for w in self.ready() if self.workers[w].started is not None]
-        return {w: 1.0 for w in started or self.ready()}
+        return dict.fromkeys(started or self.ready(), 1.0)
 
 
 class KnowsNoQueue(Manager):
--- a/tests/test_sasp.py
+++ b/tests/test_sasp.py
@@ -191,7 +191,7 @@
             host,
             [("127.0.0.1", port) for port in stage.ports["sasp"]],
             "lb-1",
-            {item: workers for item in range(item_count)},
+            dict.fromkeys(range(item_count), workers),
             seed=1,
         )
         return files, spoken
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -354,7 +354,7 @@
         stand = Stand(entries=[entry(w, READY) for w in range(4)])
         stand.run(2, demand={0: 5})
         stand.round(("bounded", [0.4, 1.0]), after=0.1)
-        self.assertEqual([row for row in stand.sheet.all("level")][-1][1:3], (1, 0.4))
+        self.assertEqual(list(stand.sheet.all("level"))[-1][1:3], (1, 0.4))
         stand.sheet.orders.clear()
         stand.run(4, demand={0: 5})
         self.assertEqual(stand.sheet.all("level"), [])  # its own say 1 each second: the bound stays
@@ -365,7 +365,7 @@
         loads = {}
         for confined in (False, True):
             stand = Stand(workers=4, weights_listed=True)
-            demand, met = dict.fromkeys(range(8), 20), {w: (40, 0, 0.1) for w in range(4)}
+            demand, met = dict.fromkeys(range(8), 20), dict.fromkeys(range(4), (40, 0, 0.1))
             stand.run(20, demand=demand, met=met)
             stand.round(
                 ("listed", True, [entry(w, weight=0.4 if w > 1 else 1.0) for w in range(4)]),
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -491,7 +491,7 @@
         self.assertGreaterEqual(len([way for way, count in stage.tampered.items() if count]), 4)
         written = {}
         for k in range(2):
-            written |= {item: table for item, table in stage.parts[f"manager-{k}"].core.written.items()}
+            written |= stage.parts[f"manager-{k}"].core.written
         for k in range(3):
             reader = TableReader(os.path.join(self.folder, f"proxy-{k}"))
             reader.poll()
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -4,9 +4,8 @@
 
 import unittest
 
-from tests.helper import deployment
-
 from ospreyrouter.withdrawals import Withdrawals
+from tests.helper import deployment
 
 WORKER = 1
 # What happens to one proxy and one worker, in words: "start" (the proxy joins, started anew), "join" (its stream had
