A shortage at the end loses no caller, one at the start ends no start

Cause: Listener._pause() unregistered a listener that waited already (KeyError, so that on_done of the drain was never called), and take_all() left out who waited while the listener did. It is asked in either state now, and pauses once. setsockopt and bind at the start go through a shortage as socket and listen do. Class: a state entered twice.

--- a/ospreyrouter/loop/real.py
+++ b/ospreyrouter/loop/real.py
@@ -68,8 +68,8 @@
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         sock = through_shortage(lambda: socket.socket(family, socket.SOCK_STREAM))
         try:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(address)
+            through_shortage(lambda: sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1))
+            through_shortage(lambda: sock.bind(address))
             through_shortage(lambda: sock.listen(backlog))
         except OSError as problem:
             sock.close()
--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -263,14 +263,15 @@
 
     def take_all(self):
         """Accept who waits by now, of at most the backlog; they have been told that they are connected."""
-        if not self.paused:
-            for _ in range(BACKLOG // ACCEPTS_A_TURN):
-                self._ready(selectors.EVENT_READ)
+        for _ in range(BACKLOG // ACCEPTS_A_TURN):
+            self._ready(selectors.EVENT_READ)
 
     def _pause(self):
         """Out of descriptors, or of memory: spinning on accept would starve everything else, and a caller waits for
         each moment that is lost. So it is tried again soon, and less and less often.
         """
+        if self.paused:  # asked at the end of the program, while it waits
+            return
         self.paused = True
         self.loop.selector.unregister(self.sock)
         self.loop.after(self.retry_us, self._resume)
