--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -275,7 +275,7 @@
         out[name] = {
             "service": account["service"],
             "rules_broken": sum(row["broken"] for row in account["rules"].values()),
-            "lines": round(sum(manager.channel.lines_sent for manager in managers)),
+            "lines": round(sum(manager.proxies.channel.lines_sent for manager in managers)),
             "kb_pushed": round(sum(manager.counts["bytes pushed"] for manager in managers) / 1000),
             "to_agent_ms_p50": round(ways[len(ways) // 2] / 1000, 1),
             "to_agent_ms_p99": round(ways[len(ways) * 99 // 100] / 1000, 1),
--- a/ospreyrouter/manager/background.py
+++ b/ospreyrouter/manager/background.py
@@ -24,7 +24,7 @@
                 20_000_000,
                 {"cpu_us": 5_000, "lines": 50},
                 self._audit,
-                lambda: bool(service.sessions),
+                lambda: bool(service.proxies.sessions),
             )
         )
         add(Job("retention", 1, RETAIN_EVERY_US, 300_000_000, {"cpu_us": 20_000}, self._retain))
@@ -48,8 +48,8 @@
         service.loop.after(LOOK_US, self._look)
         # Withdrawals wait in the channel like everything else: while much waits, nothing is added.
         busy = (
-            service.channel.waiting > service.channel.limit / 4
-            or service.unsaved
+            service.proxies.channel.waiting > service.proxies.channel.limit / 4
+            or service.writes.unsaved
             or not service.custody.may_publish(service.loop.now())
         )
         job = self.schedule.next(service.loop.now(), bool(busy))
@@ -62,13 +62,13 @@
 
     def _audit(self):
         """The next proxy is asked to say what it holds, and is given what differs."""
-        names = sorted(self.service.sessions)
+        names = sorted(self.service.proxies.sessions)
         self.place = (self.place + 1) % len(names)
-        session = self.service.sessions[names[self.place]]
+        session = self.service.proxies.sessions[names[self.place]]
         if session.ready and not session.audited and not session.outbox:
             session.audited = True
             self.audits += 1
-            self.service._tell_to_read(sorted(self.service.core.tables), session)
+            self.service.proxies.tell_to_read(sorted(self.service.core.tables), session)
         return
 
     def claimed(self, proxy, slices, different):
--- a/ospreyrouter/manager/hints.py
+++ b/ospreyrouter/manager/hints.py
@@ -57,7 +57,7 @@
         ):
             self.looked_at = now
             service.counts["hints followed"] += 1
-            service._look()
+            service.look()
 
     def close(self):
         for client in self.clients.values():
--- a/ospreyrouter/manager/operators.py
+++ b/ospreyrouter/manager/operators.py
@@ -144,9 +144,9 @@
                 if not rows.open and not rows.left:
                     self._remember(rows.request, rows.key, rows.answer, rows.stored)
 
-            service._save(tables, CAUSE + rows.key, saved)
+            service.writes.save(tables, CAUSE + rows.key, saved)
             service.log.info("rolled_back", manager=service.name, key=rows.key, slices=len(tables), hold_s=rows.hold_s)
-            service._soon()
+            service.turn_soon()
             if rows.hold_s and not self.holding:
                 self.holding = True
                 service.loop.after(PORTION_US, self._hold)
@@ -173,7 +173,7 @@
         held = self.service.core.hold(self.service.loop.now(), PORTION)
         self.holding = held > 0 and not self.service.stopped
         if self.holding:
-            self.service._soon()
+            self.service.turn_soon()
             self.service.loop.after(max(PORTION_US, min(HOLD_US, HOLD_US * PORTION // held)), self._hold)
 
     @staticmethod
--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -158,11 +158,11 @@
             )
         )
         stage.network.run(stage.network.time + 10_500_000)
-        self.assertEqual([len(stage.parts[f"manager-{k}"].sessions) for k in range(2)], [0, 0])
+        self.assertEqual([len(stage.parts[f"manager-{k}"].proxies.sessions) for k in range(2)], [0, 0])
         account = audit(stage.day, stage.run())
         self.assertEqual(account["broken"], {})
         self.assertGreater(account["rules"]["drains kept"]["checked"], 0)
-        self.assertEqual([len(stage.parts[f"manager-{k}"].sessions) for k in range(2)], [3, 3])  # they are back
+        self.assertEqual([len(stage.parts[f"manager-{k}"].proxies.sessions) for k in range(2)], [3, 3])  # they are back
 
 
 class HintsOnManagers(StageCase):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -285,7 +285,7 @@
         reader.poll()
         self.assertGreater(stage.parts["proxy-1"].agent.counts["swaps"], agent.counts["swaps"])
         for row in managers:
-            self.assertLessEqual(row.channel.waiting, stage.day.channel.queue_lines)
+            self.assertLessEqual(row.proxies.channel.waiting, stage.day.channel.queue_lines)
 
     def test_a_proxy_that_stands_still_in_the_middle_of_a_push_is_let_go_and_comes_back(self):
         stage = self.stage(short_day(16, [{"what": "worker_crash", "at_s": 4, "for_s": 3, "workers": [0]}]))
@@ -293,11 +293,11 @@
         stage.pause("proxy-0")  # it reads nothing; its streams stay up
         stage.network.run(stage.network.time + 6 * SECOND)
         managers = [stage.parts[f"manager-{k}"] for k in range(2)]
-        self.assertTrue(any("proxy-0" not in row.sessions for row in managers))
-        self.assertTrue(all({"proxy-1", "proxy-2"} <= row.sessions.keys() for row in managers))
+        self.assertTrue(any("proxy-0" not in row.proxies.sessions for row in managers))
+        self.assertTrue(all({"proxy-1", "proxy-2"} <= row.proxies.sessions.keys() for row in managers))
         stage.resume("proxy-0")
         stage.run()
-        self.assertTrue(all("proxy-0" in row.sessions for row in managers))
+        self.assertTrue(all("proxy-0" in row.proxies.sessions for row in managers))
         held = stage.parts["proxy-0"].agent.ledger.tables
         for row in managers:
             for item, written in row.core.written.items():
@@ -368,9 +368,9 @@
         stage = self.stage(day)
         stage.network.run(stage.network.time + 20 * SECOND)
         manager = stage.parts["manager-0"]
-        self.assertEqual(len(manager.sessions), 60)
-        self.assertGreater(manager.reads.put_off, 0)
-        self.assertLessEqual(manager.channel.longest, 3000.0)
+        self.assertEqual(len(manager.proxies.sessions), 60)
+        self.assertGreater(manager.proxies.reads.put_off, 0)
+        self.assertLessEqual(manager.proxies.channel.longest, 3000.0)
 
     def test_same_seed_same_day(self):
         days = []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -90,7 +90,7 @@
             for module in (broken, Manager):
                 with self.subTest(rule=rule, module=module.__name__):
                     channel = NoLimit if module is KnowsNoQueue else PacedChannel
-                    with mock.patch("ospreyrouter.manager.service.PacedChannel", channel):
+                    with mock.patch("ospreyrouter.manager.proxies.PacedChannel", channel):
                         self.setUp()
                         account = audit(day, self.stage(day, module=module).run())
                     result = account["rules"][rule]
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -559,7 +559,7 @@
             network.run(network.time + 50_000)
             seen += [stage.parts[f"proxy-{k}"].agent.ledger.ordered("manager-0").levels["look-up"][0] for k in range(3)]
         self.assertIsNot(stage.parts["manager-0"].core.started_at, None)
-        self.assertGreater(stage.parts["manager-0"].joins, 0)
+        self.assertGreater(stage.parts["manager-0"].proxies.joins, 0)
         self.assertLess(max(seen), 0.99)
 
     def test_what_two_sites_cannot_carry_is_refused_by_utility_before_answers_are_slow(self):
