Log lines carry the time since the start; the soak of failing calls keeps a trace of what it breaks

With a wall clock that is stepped by an hour the order of lines from one log could not be told by their times. A soak that breaks now leaves the program's log and what the list said in found/.

--- a/ospreyrouter/node/log.py
+++ b/ospreyrouter/node/log.py
@@ -14,12 +14,14 @@
 
 class Log:
     def __init__(self, descriptor=2, name=""):
-        self.descriptor, self.name, self.dropped = descriptor, name, 0
+        self.descriptor, self.name, self.dropped, self.started_at = descriptor, name, 0, time.monotonic()
         self.poll = select.poll()
         self.poll.register(descriptor, select.POLLOUT)
 
     def __call__(self, event, **fields):
-        row = {"time": round(time.time(), 3), "name": self.name, "event": event, **fields}
+        # The time of day may be stepped between two lines; the time since the start orders them.
+        up_ms = round((time.monotonic() - self.started_at) * 1000)
+        row = {"time": round(time.time(), 3), "up_ms": up_ms, "name": self.name, "event": event, **fields}
         if self.dropped:
             row["lines_dropped"] = self.dropped
         data = orjson.dumps(row, default=str)[:LINE_MOST] + b"\n"
--- a/tests/soak_system_faults.py
+++ b/tests/soak_system_faults.py
@@ -28,6 +28,7 @@
 STEP_S, STEPS = 0.1, 60
 STOPPED_US = 400_000  # a process that stands still for a moment
 AWAY_S = 3.0  # from draining to the return under the same name
+TRACES = ROOT / "found"  # a log for each seed that broke something
 PING = frames.frame({"msg": "PING"})
 
 
@@ -91,7 +92,8 @@
 
     def play(self, seed, *words):
         """`words`: arguments of Python in place of the module that makes calls fail."""
-        self.chance, self.seq, self.health, self.untold = Random(seed), 1, {}, []
+        self.chance, self.seq, self.health, self.untold, self.said = Random(seed), 1, {}, [], []
+        self.started_at = self.loop.now()
         self.arrange()
         python = str(ROOT / ".venv" / "bin" / "python")
         process = self.begun(python, *(words or ("-m", "tests.faulty_program")), str(seed))
@@ -106,7 +108,7 @@
         process.send_signal(signal.SIGTERM)
         ended = process.wait(5)
         logged = process.stderr.read()
-        return Found(
+        found = Found(
             seeds=1,
             asked=sum(caller.asked for caller in callers),
             unanswered=sum(caller.asked - caller.answered for caller in callers),
@@ -116,6 +118,18 @@
             faults=logged.count('"event":"fault"') + logged.count("Traceback"),
             crashes=int(ended != 0),
         )
+        if found.broken:
+            self.keep_trace(seed, found, logged)
+        return found
+
+    def keep_trace(self, seed, found, logged):
+        """The program's log and, by the same clock, what the list said and which proxies were late, in TRACES."""
+        TRACES.mkdir(exist_ok=True)
+        told = [f"{at / 1000:.0f} ms list: {changed}" for at, changed in self.said]
+        late = [f"late: proxy {proxy}, {worker}" for proxy, worker in sorted(self.relay.late)]
+        started = f"started at {self.started_at / 1000:.0f} ms"
+        lines = [str(found), started, *told, *late, logged]
+        (TRACES / f"soak-system-faults-{seed}.log").write_text("\n".join(lines))
 
     def arrange(self):
         server = Server(self.loop, ("127.0.0.1", 0), lambda request: request.answer(200, body=b"{}"))
@@ -141,6 +155,7 @@
     def say(self, changed):
         self.seq += 1
         self.rows[changed["host"]] = changed
+        self.said.append((self.loop.now(), f"{changed['host']} {changed['health']}"))
         self.discovery.say(self.seq, False, changed)
         whole = {"seq": self.seq, "whole": True, "hosts": list(self.rows.values())}
         self.discovery.lines = [json.dumps(whole)]  # for a watch that begins now
