A dial that never left this machine does not lengthen the back-off of its link

Cause: Link.drop() and Watch._ended() took EADDRNOTAVAIL, ENETUNREACH, ENOBUFS or EAGAIN of a dial for the peer's refusal and doubled the wait, to 640 and 800 ms, though nothing had reached the peer. They wait 20 and 50 ms after such a dial now, each time.

--- a/ospreyrouter/node/link.py
+++ b/ospreyrouter/node/link.py
@@ -9,6 +9,8 @@
 an earlier dial or stream has to say is not heard: a dial is cancelled, a stream is compared.
 """
 
+from ..loop import LOCAL_ERRORS
+
 DIAL_US = 500_000
 BACKOFF_US, BACKOFF_MOST_US = 20_000, 640_000
 
@@ -63,9 +65,13 @@
 
     def drop(self, reason):
         """Give this connection up; what was awaited on it is in doubt."""
+        # A dial that never left this machine says nothing of the peer, which is not spared by waiting longer.
+        left_this_machine = self.stream is not None or reason not in LOCAL_ERRORS
         self.close()
-        self.not_before = self.loop.now() + int(self.backoff_us * self.chance.uniform(0.8, 1.2))
-        self.backoff_us = min(BACKOFF_MOST_US, max(BACKOFF_US, self.backoff_us * 2))
+        wait_us = self.backoff_us if left_this_machine else BACKOFF_US
+        self.not_before = self.loop.now() + int(wait_us * self.chance.uniform(0.8, 1.2))
+        if left_this_machine:
+            self.backoff_us = min(BACKOFF_MOST_US, max(BACKOFF_US, self.backoff_us * 2))
         self.on_down(reason)
 
     def close(self):
--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -21,6 +21,7 @@
 
 from ..door import Malformed
 from ..interface import State
+from ..loop import LOCAL_ERRORS
 from ..web.client import Client
 from . import listing
 from .frames import Unreadable
@@ -89,7 +90,9 @@
         if self.closed or client not in (self.client, self.next):
             return
         self.counts[f"watch broken: {reason}"] += 1
-        wait, self.backoff_us = self.backoff_us, min(BACKOFF_MOST_US, self.backoff_us * 2)
+        wait = BACKOFF_US
+        if client.stream is not None or reason not in LOCAL_ERRORS:  # else the dial never left this machine
+            wait, self.backoff_us = self.backoff_us, min(BACKOFF_MOST_US, self.backoff_us * 2)
         self.log("watch ended", reason=reason, address=client.address, retry_ms=wait // 1000)
         self.loop.after(int(wait * self.chance.uniform(0.8, 1.2)), lambda: self._again(client))
 
