--- a/benchmarks/swaps.py
+++ b/benchmarks/swaps.py
@@ -35,7 +35,7 @@
 class Restless(Manager):
     """Writes every line of every table anew as soon as all proxies have answered the last time."""
 
-    turn_number = unanswered = 0
+    turn_number = unanswered = number = 0
     asked_at = 0
 
     def send(self, sizes):
