The stand-in for the channel checks the drains of proxies that had joined before

Found on reading the change again: ChannelRelay.told() went over its argument twice, and the tests of drains gave it a generator, so that the second set was empty and only proxies that joined later were checked: a check that could not fail, also before this change. It keeps the first word on a worker now, so a second word puts off no check. A test tells: without this set() != {(0, 's-1')}.

--- a/tests/channel.py
+++ b/tests/channel.py
@@ -84,8 +84,10 @@
 
     def told(self, workers):
         """The list has said by now that these drain."""
-        self.told_at |= dict.fromkeys(workers, self.loop.now())
-        self._check_after_grace(set(self.members), set(workers))
+        workers = set(workers)  # it may be a generator, and is gone over twice
+        for worker in workers:
+            self.told_at.setdefault(worker, self.loop.now())
+        self._check_after_grace(set(self.members), workers)
 
     def told_back(self, worker):
         """The list has said by now that it is well again."""
--- a/tests/test_drain_grace.py
+++ b/tests/test_drain_grace.py
@@ -17,10 +17,13 @@
     19.821 withdrawn workers=8 sent_ms=937 ms=2102
 """
 
+import unittest
+
+from ospreyrouter.loop import VirtualNetwork
 from ospreyrouter.web import Server
 
 from .channel import ChannelRelay
-from .peers import Discovery, row, settings
+from .peers import SECOND, Discovery, row, settings
 from .program_case import ProgramCase
 
 GRACE_US = 2_300_000  # of the settings, and 300 ms that are allowed on sockets
@@ -30,6 +33,22 @@
 )
 
 
+class StandIn(unittest.TestCase):
+    def test_it_tells_of_a_server_that_is_still_sent_to_after_the_grace(self):
+        """Told by a generator, it went over the names twice, and checked no proxy that had joined before."""
+        network = VirtualNetwork(seed=1)
+        relay = ChannelRelay(
+            network.host("far"),
+            setup=settings()["FamilyInfo"],
+            slices={0: {"s-1": 1.0}},
+            grace_us=SECOND,
+            proxies=[0],
+        )
+        relay.told(name for name in ["s-1"])
+        network.run(network.time + 2 * SECOND)
+        self.assertEqual(relay.late, {(0, "s-1")})
+
+
 class DrainGrace(ProgramCase):
     def setUp(self):
         super().setUp()
