Tests: a program of its own for each manager, and no address is given out twice

Several programs in one test need a configuration and addresses each. A port that had been looked up and not listened on yet was given out a second time:

Refused: 127.0.2.10:53527: Address already in use

--- a/tests/program_case.py
+++ b/tests/program_case.py
@@ -13,27 +13,32 @@
 ROOT = Path(__file__).parent.parent
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
+given_out = set()
+
+
+def free_address(host="127.0.0.1"):
+    """One that nobody listens on, and that was not given out before: whoever has it may not listen yet."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            address = sock.getsockname()
+        if address not in given_out:
+            given_out.add(address)
+            return address
 
 
 def text(address):
     return "{}:{}".format(*address)
 
 
-class ProgramCase(LiveCase):
-    """Starts the program as `run` of the deploy file does; its peers are served by the test's own loop."""
+class Program:
+    """One manager that can be started: its addresses, its configuration, what its environment tells it."""
 
-    def setUp(self):
-        super().setUp()
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.path = os.path.join(folder.name, "config.json")
-        self.listen, self.hub, self.list = free_address(), free_address(), free_address()
+    def __init__(self, folder, name="n3", host="127.0.0.1"):
+        self.path = os.path.join(folder, f"{name}.json")
+        self.listen, self.hub, self.list = free_address(host), free_address(host), free_address(host)
         self.config = {
-            "name": "n3",
+            "name": name,
             "listen": text(self.listen),
             "discovery": text(self.list),
             "seed": "8c1f30d27a5be964",
@@ -43,7 +48,7 @@
             "settings": settings(),
         }
         self.environment = {
-            "LB_NAME": "n3",
+            "LB_NAME": name,
             "LB_LISTEN": text(self.listen),
             "LB_DISCOVERY": text(self.list),
             "LB_CONFIG": self.path,
@@ -53,18 +58,37 @@
     def write(self, data):
         Path(self.path).write_text(data if isinstance(data, str) else json.dumps(data))
 
-    def start(self, *words):
+    def start(self, *words, stdout=subprocess.PIPE, stderr=subprocess.PIPE):
+        """As `run` of the deploy file does; `words` instead of it."""
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         kept = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
         return subprocess.Popen(
             words or ["/bin/sh", "-c", run],
             cwd=ROOT,
             env=kept | self.environment,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
+            stdout=stdout,
+            stderr=stderr,
             text=True,
         )
 
+
+class ProgramCase(LiveCase):
+    """Starts the program as `run` of the deploy file does; its peers are served by the test's own loop."""
+
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.program = Program(folder.name)
+        self.path, self.config, self.environment = self.program.path, self.program.config, self.program.environment
+        self.listen, self.hub, self.list = self.program.listen, self.program.hub, self.program.list
+
+    def write(self, data):
+        self.program.write(data)
+
+    def start(self, *words):
+        return self.program.start(*words)
+
     def begun(self, *words):
         """The program, started and ended with the test; `words` instead of `run`."""
         process = self.start(*words)
