Soak of final answers: a NACK answers no PING

Answers were counted by their bytes, and a NACK is as long as a PONG: one that followed a PING which had no answer hid it. PONGs are counted now. tests.test_soak_final_answers and test_final_answers pass as before.

--- a/tests/soak_final_answers.py
+++ b/tests/soak_final_answers.py
@@ -33,13 +33,11 @@
 
 @dataclass
 class Asking:
-    """One caller: when each of its PINGs was sent, how many bytes of answers came, when its connection was last
-    open.
-    """
+    """One caller: when each of its PINGs was sent, what came back, when its connection was last open."""
 
     sock: socket.socket
     sent: list = field(default_factory=list)
-    got: int = 0
+    got: bytes = b""  # a NACK may end it, which answers no PING
     open_at: float = 0.0
     ended: bool = False
 
@@ -57,15 +55,19 @@
             data = self.sock.recv(65536)
         except OSError:
             data = b""
-        self.got += len(data)
+        self.got += data
         self.ended = not data
 
-    def unanswered(self, told_at):
-        """PINGs without an answer: those sent in time, and those sent right before the end. `told_at`: of SIGTERM."""
-        left = self.sent[self.got // len(frames.PONG) :]
+    def owed_until(self, told_at):
+        """A PING that was sent by then is owed an answer. `told_at`: of SIGTERM."""
         until = self.open_at - SENT_BEFORE_S
         if self.open_at >= told_at - SENT_BEFORE_S:  # else the program had closed it before: one collector too many
             until = max(until, told_at)
+        return until
+
+    def unanswered(self, until):
+        """PINGs without an answer: those sent until then, and those sent later."""
+        left = self.sent[self.got.count(frames.PONG) :]
         in_time = sum(at <= until for at in left)
         return in_time, len(left) - in_time
 
@@ -91,7 +93,7 @@
         told_at = self.ask_until_it_ends(process, callers, sorted(signals), chance)
         for sock in [*crowd, *(caller.sock for caller in callers)]:
             sock.close()
-        found = [caller.unanswered(told_at) for caller in callers]
+        found = [caller.unanswered(caller.owed_until(told_at)) for caller in callers]
         return {
             "asked": sum(len(caller.sent) for caller in callers),
             "unanswered": sum(row[0] for row in found),
