--- a/tests/channel.py
+++ b/tests/channel.py
@@ -155,4 +155,8 @@
                 if not rows[order[2]]:
                     del rows[order[2]]
         if mark is not None:
-            self.say(f"* ACK {proxy} {mark} 200.0")
+            self.say(f"* ACK {proxy} {mark} {self._lag_ms(mark)}")
+
+    def _lag_ms(self, mark):
+        """How long it took, as the proxy says."""
+        return 200.0
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -81,7 +81,7 @@
                 return
             stream.write(b"OK\r\n")
             self.followers.append(stream)
-            lines = [f"* SUBSCRIBE {proxy} a 5.0 {self.subscribed}" for proxy in self.proxies]
+            lines = [f"* SUBSCRIBE {proxy} a 5.0 {self.standing(proxy)}" for proxy in self.proxies]
             for table, rows in self.slices.items():
                 lines += [f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items())]
             text = "".join(line + "\r\n" for line in lines).encode()
@@ -106,6 +106,10 @@
                 f"OK {taken}\r\n".encode() if fate == "ok" or isinstance(fate, int) else f"ERR {fate}\r\n".encode()
             )
 
+    def standing(self, proxy):
+        """What a snapshot says of this proxy."""
+        return self.subscribed
+
     def release(self):
         """Goes on with what was held, in the order it came."""
         held, self.held, self.hold_follows = self.held, [], False
