--- /dev/null
+++ b/tests/judged_relay.py
@@ -0,0 +1,242 @@
+"""A stand-in relay that judges the manager it serves: drains, slices without a server, servers held out, the queue.
+
+    relay.begin_life(rows)               # the process was started, told of these rows of the list
+    relay.in_use()                       # it has answered: proxies may join
+    relay.connect(proxy); relay.disconnect(proxy); relay.restart(proxy)
+    relay.listed(seq, whole, rows)       # discovery has written this to the manager
+    relay.wait(4 * SECOND)               # the time limits wait from now on
+    relay.judge()                        # often; `drains` and `blackholes` gather what was broken
+    relay.end_life()                     # the process ended: its channel is lost, proxies keep what they hold
+
+A time limit that waits stands still, for all that waits at the moment: waits that overlap do not add up.
+"""
+
+from dataclasses import dataclass
+
+from .channel import ChannelRelay
+from .peers import SECOND
+
+SLACK_US = 300_000  # beside the limits of the settings, on sockets
+IN_USE_US = SECOND  # from the first answer to the moment at which limits begin
+CALL_BROKEN_US, CALL_SILENT_US, NEWS_BROKEN_US = SECOND // 2, SECOND * 3 // 2, 4 * SECOND
+DOUBT_US = {"lost": CALL_BROKEN_US, "done": CALL_BROKEN_US, "mute": CALL_SILENT_US, "spoilt": CALL_SILENT_US}
+
+
+@dataclass(frozen=True)
+class LateDrain:
+    """A proxy that would still send to a worker when the grace was over. Times are on the loop's clock."""
+
+    proxy: int
+    worker: str
+    table: int
+    told_at: int
+    joined_at: int
+    given_at: int
+
+
+@dataclass(frozen=True)
+class Blackhole:
+    """A joined proxy that had no line to pick for a slice for too long."""
+
+    proxy: int
+    table: int
+    since: int
+
+
+@dataclass
+class Wait:
+    begin: int
+    end: int
+
+
+class JudgedRelay(ChannelRelay):
+    """`departed`: workers that have left, each with the number of the list that was the first without it.
+
+    `up`: the manager is in use. `told_at`: since when it is told that a worker drains or is gone. `ready`: whom it is
+    told to be ready, and whether it started long ago. `fresh`: proxies without a stream here since they were started.
+    `judged`: drains that came to their limit, kept or not.
+    """
+
+    def __init__(self, loop, address, *, setup, slices, grace_us, blackhole_us, proxies, departed):
+        super().__init__(loop, address, setup=setup, slices=slices, grace_us=grace_us)
+        self.blackhole_us, self.departed = blackhole_us, departed
+        self.fresh, self.stands_fresh = set(proxies), {}
+        self.up, self.floor_at, self.waits = False, 0, []
+        self.ready, self.told_seq, self.told_at = {}, {}, {}
+        self.whole_seq, self.whole_at, self.sent_at = 0, 0, {}
+        self.empty_since, self.drains, self.blackholes, self.judged = {}, {}, {}, set()
+
+    # The manager's lives.
+
+    def begin_life(self, seq, rows):
+        self.up, self.waits, self.empty_since = False, [], {}
+        self.ready, self.told_seq, self.told_at = {}, {}, {}
+        self.whole_seq, self.whole_at = 0, 0
+        self.listed(seq, False, rows)
+
+    def in_use(self):
+        self.up, self.floor_at = True, self.loop.now() + IN_USE_US
+
+    def end_life(self):
+        """The process has ended, or its end has begun: proxies have gone elsewhere."""
+        self.up, self.free_at = False, 0
+        for proxy in list(self.proxies):
+            self.proxies.remove(proxy)
+            self.broken[proxy] = self.members.pop(proxy)
+
+    # Proxies.
+
+    def standing(self, proxy):
+        return self.stands_fresh[proxy]
+
+    def connect(self, proxy):
+        if not self.up or proxy in self.members:
+            return
+        self.stands_fresh[proxy] = int(proxy in self.fresh)
+        if proxy in self.fresh:
+            self.fresh.discard(proxy)
+            self.join(proxy)
+        else:
+            self.come_back(proxy)
+
+    def disconnect(self, proxy):
+        if proxy in self.members:
+            self.leave(proxy)
+
+    def restart(self, proxy):
+        """It is started anew: it forgets what it was told."""
+        self.disconnect(proxy)
+        self.broken.pop(proxy, None)
+        self.fresh.add(proxy)
+
+    # What the manager is told.
+
+    def listed(self, seq, whole, rows):
+        """A line of the list; also a change that counts as told since it is old enough, where no later one has come."""
+        if whole:
+            self._whole(seq, {row["host"] for row in rows})
+        elif seq <= self.whole_seq:
+            return
+        for row in rows:
+            if seq >= self.told_seq.get(row["host"], 0):
+                self.told_seq[row["host"]] = seq
+                self._listed_row(row)
+
+    def _whole(self, seq, names):
+        self.whole_at = self.whole_at or self.loop.now()
+        self.whole_seq = seq
+        for name in self.ready.keys() - names:
+            self._gone(name)
+
+    def _listed_row(self, row):
+        name = row["host"]
+        if row["health"] == "active":
+            self.ready[name] = row["born_ms"] == 0
+            self.told_at.pop(name, None)
+        else:
+            self._gone(name)
+
+    def _gone(self, name):
+        self.ready.pop(name, None)
+        self.told_at.setdefault(name, self.loop.now())
+
+    def _tell_of_departed(self):
+        """The store names workers that had left before the list that the manager has: by that it was told."""
+        for name in {name for rows in self.slices.values() for name in rows} - self.ready.keys():
+            if self.departed.get(name, self.whole_seq + 1) <= self.whole_seq:
+                self.told_at.setdefault(name, self.whole_at)
+
+    # What the limits wait for.
+
+    def wait(self, span_us):
+        now = self.loop.now()
+        if self.waits and now <= self.waits[-1].end:
+            self.waits[-1].end = max(self.waits[-1].end, now + span_us)
+        else:
+            self.waits.append(Wait(now, now + span_us))
+
+    def break_news(self):
+        for stream in list(self.followers):
+            stream.abort()
+        if self.followers:
+            self.wait(NEWS_BROKEN_US)
+        self.followers.clear()
+
+    def _line(self, stream, line):
+        calls = len(self.calls)
+        super()._line(stream, line)
+        fate = self.calls[-1][0] if len(self.calls) > calls else None
+        if fate in DOUBT_US:
+            self.wait(DOUBT_US[fate])
+
+    def _carry_out(self, order):
+        if order[0] == "mark":
+            self.sent_at[int(order[1])] = self.loop.now()
+        super()._carry_out(order)
+
+    def _lag_ms(self, mark):
+        return (self.loop.now() - self.sent_at[int(mark)]) / 1000
+
+    def overdue_since(self, limit_us):
+        """What began then or before, and has a time limit of so much, is too late by now."""
+        at, left = self.loop.now(), limit_us
+        for wait in reversed(self.waits):
+            ran = max(0, at - wait.end)
+            if ran >= left:
+                break
+            at, left = min(at, wait.begin), left - ran
+        return at - left
+
+    # The judgement.
+
+    def _check_after_grace(self, proxies, workers):
+        """Not once, as the limits may wait: see `judge`."""
+
+    def judge(self):
+        if self.up:
+            self._judge_drains()
+            self._judge_tables()
+
+    def _judge_drains(self):
+        since = self.overdue_since(self.grace_us + SLACK_US)
+        if self.floor_at > since:
+            return
+        self._tell_of_departed()
+        gone = {name for name, at in self.told_at.items() if at <= since}
+        self.judged |= {(name, self.told_at[name]) for name in gone}
+        tables = [table for table, at in self.given_at.items() if at <= since]
+        for proxy, member in self.members.items():
+            if not gone or member.joined_at > since:
+                continue
+            for table in tables:
+                for worker in (member.rows.get(table, {}).keys() & gone) - member.withdrawn:
+                    late = LateDrain(proxy, worker, table, self.told_at[worker], member.joined_at, self.given_at[table])
+                    self.drains.setdefault((proxy, worker, late.told_at), (self.loop.now(), late))
+
+    def _judge_tables(self):
+        if not any(self.ready.values()):  # the rule asks for a worker that is ready and warm
+            self.empty_since = {}
+            return
+        now, since, empty = self.loop.now(), self.overdue_since(self.blackhole_us + SLACK_US), {}
+        for proxy, member in self.members.items():
+            for table, rows in member.rows.items():
+                if rows.keys() <= member.withdrawn:
+                    begun = max(member.joined_at, self.given_at[table], self.floor_at)
+                    empty[proxy, table] = max(begun, self.empty_since.get((proxy, table), now))
+        self.empty_since = empty
+        for (proxy, table), at in empty.items():
+            if at <= since:
+                self.blackholes.setdefault((proxy, table), (now, Blackhole(proxy, table, at)))
+
+    def held_out(self):
+        """Pairs of a joined proxy and a ready server that tables name there and the proxy was told not to send to."""
+        named = {name for rows in self.slices.values() for name in rows}
+        return [
+            (proxy, worker)
+            for proxy, member in self.members.items()
+            for worker in sorted(member.withdrawn & named & self.ready.keys())
+        ]
+
+    @property
+    def overfull(self):
+        return self.most_waiting > self.setup["QueueCap"]
--- /dev/null
+++ b/tests/test_judged_relay.py
@@ -0,0 +1,113 @@
+"""The stand-in relay that judges: what it has to tell of, and what it must not."""
+
+import unittest
+
+from ospreyrouter.loop import VirtualNetwork
+
+from .judged_relay import SLACK_US, JudgedRelay
+from .peers import SECOND, row, settings
+
+GRACE_US, BLACKHOLE_US, STEP_US = 2 * SECOND, 2_300_000, 20_000
+
+
+class Judgement(unittest.TestCase):
+    def setUp(self):
+        self.network = VirtualNetwork(seed=1)
+        self.departed = {}
+        self.relay = JudgedRelay(
+            self.network.host("far"),
+            ("10.2.0.2", 6400),
+            setup=settings()["FamilyInfo"],
+            slices={0: {"s-1": 1.0}},
+            grace_us=GRACE_US,
+            blackhole_us=BLACKHOLE_US,
+            proxies=[0],
+            departed=self.departed,
+        )
+        self.relay.begin_life(1, [row(1), row(2)])
+        self.relay.in_use()
+        self.relay.connect(0)
+        self.run_for(2.0)
+
+    def run_for(self, seconds):
+        end = self.network.time + int(seconds * SECOND)
+        while self.network.time < end:
+            self.network.run(self.network.time + STEP_US)
+            self.relay.judge()
+
+    def drain(self):
+        self.relay.listed(2, False, [row(1, "leaving")])
+
+    def late(self):
+        return [(late.proxy, late.worker) for _, late in self.relay.drains.values()]
+
+    def test_it_tells_of_a_drain_that_is_late_by_a_moment_and_not_before(self):
+        self.drain()
+        self.run_for((GRACE_US + SLACK_US) / SECOND - 0.1)
+        self.assertEqual(self.late(), [])
+        self.run_for(0.2)
+        self.assertEqual(self.late(), [(0, "s-1")])
+
+    def test_waits_that_overlap_do_not_add_up(self):
+        self.drain()
+        self.run_for(1.0)
+        self.relay.wait(SECOND)
+        self.run_for(0.5)
+        self.relay.wait(SECOND)
+        self.run_for(2.2)  # of 3.7 s, 1.5 s were waited
+        self.assertEqual(self.late(), [])
+        self.run_for(0.2)
+        self.assertEqual(self.late(), [(0, "s-1")])
+
+    def test_a_proxy_that_was_told_is_not_late_and_one_that_was_started_anew_is(self):
+        self.drain()
+        self.relay.members[0].withdrawn.add("s-1")
+        self.run_for(3.0)
+        self.relay.disconnect(0)
+        self.relay.connect(0)
+        self.run_for(3.0)
+        self.assertEqual(self.late(), [])
+        self.relay.restart(0)
+        self.relay.connect(0)
+        self.run_for(3.0)
+        self.assertEqual(self.late(), [(0, "s-1")])
+
+    def test_limits_begin_a_second_after_the_first_answer_of_a_life(self):
+        self.relay.end_life()
+        self.relay.begin_life(2, [row(1, "leaving"), row(2)])
+        self.run_for(5.0)
+        self.relay.in_use()
+        self.relay.connect(0)
+        self.run_for(1.0 + (GRACE_US + SLACK_US) / SECOND - 0.1)
+        self.assertEqual(self.late(), [])
+        self.run_for(0.2)
+        self.assertEqual(self.late(), [(0, "s-1")])
+
+    def test_a_server_that_had_left_before_the_whole_list_is_told_though_only_the_store_names_it(self):
+        self.departed["s-9"] = 2
+        self.relay.listed(3, True, [row(1), row(2)])
+        self.relay.give({1: {"s-9": 1.0}})
+        self.run_for(3.0)
+        self.assertEqual(self.late(), [(0, "s-9")])
+
+    def test_a_change_that_counts_as_told_undoes_nothing_that_came_later(self):
+        self.drain()
+        self.relay.listed(3, True, [row(2)])
+        self.relay.listed(2, False, [row(1)])
+        self.run_for(3.0)
+        self.assertEqual(self.late(), [(0, "s-1")])
+
+    def test_it_tells_of_a_slice_without_a_server(self):
+        self.relay.members[0].withdrawn.add("s-1")
+        self.run_for((BLACKHOLE_US + SLACK_US) / SECOND - 0.1)
+        self.assertEqual(self.relay.blackholes, {})
+        self.run_for(0.3)
+        self.assertEqual(list(self.relay.blackholes), [(0, 0)])
+
+    def test_it_tells_of_a_ready_server_that_is_held_out(self):
+        self.relay.members[0].withdrawn |= {"s-1", "s-2"}  # no table names the latter
+        self.assertEqual(self.relay.held_out(), [(0, "s-1")])
+
+
+if __name__ == "__main__":
+    unittest.main()
