Fault proxy: bytes on their way keep their order when a delay ends; its tests

A lot that was due in this turn and not written yet was overtaken by what came right then:

unknown news: b'* ACK 43 18 62* ACK 15 18 639.974'

--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -6,6 +6,7 @@
 `heard`: called for each connection; what it returns is called with the bytes as they are written to who dialled.
 """
 
+from collections import deque
 from dataclasses import dataclass
 
 from .peers import SECOND
@@ -35,6 +36,7 @@
         self.proxy, self.loop, self.near, self.far = proxy, proxy.loop, near, None
         self.held, self.asked, self.silent = [], False, False
         self.last_at = {"near": 0, "far": 0}  # when the last bytes on their way to that side arrive
+        self.on_way = {"near": deque(), "far": deque()}  # these bytes, in order
         self.heard = proxy.heard() if proxy.heard is not None else None
         near.start(self._from_near, self._near_ended)
         self.loop.connect(proxy.upstream, SECOND, self._far_up)
@@ -69,12 +71,12 @@
             self._write_at(side, at, data[start : start + size])
 
     def _write_at(self, side, at, data):
-        late = self.last_at[side] > self.loop.now()  # what came before has not been written yet
         self.last_at[side] = at
-        if at <= self.loop.now() and not late:
+        if at <= self.loop.now() and not self.on_way[side]:
             self._write(side, data)
         else:
-            self.loop.at(at, lambda: self._write(side, data))
+            self.on_way[side].append(data)
+            self.loop.at(at, lambda: self._write(side, self.on_way[side].popleft()))
 
     def _write(self, side, data):
         stream = getattr(self, side)
@@ -96,10 +98,13 @@
 
     def _far_ended(self, reason):
         if not self.silent:
-            self.loop.at(max(self.loop.now(), self.last_at["near"]), self._end_near)
+            self._end_near()
 
     def _end_near(self):
-        if not self.silent:
+        """Once all that was said before has been written."""
+        if self.on_way["near"] and self.near.open:
+            self.loop.after(PIECE_APART_US, self._end_near)
+        elif not self.silent:
             self.near.abort()
 
     def reset(self):
