--- a/tests/drain_day_events.py
+++ b/tests/drain_day_events.py
@@ -24,7 +24,7 @@
 
 KINDS = {
     "drain_servers": Kind(6, 14, until=0.75),
-    "release": Kind(0, 1, until=0.5),
+    "release": Kind(0, 2, until=0.5),
     "lose_server": Kind(1, 4, until=0.75),
     "hang_server": Kind(0, 2),
     "roughen_server": Kind(3, 8),
@@ -32,7 +32,7 @@
     "break_a_dozen_streams": Kind(1, 4),
     "restart_a_proxy": Kind(4, 24),
     "restart_a_dozen_proxies": Kind(1, 3),
-    "storm_of_restarts": Kind(0, 3, until=0.75),
+    "storm_of_restarts": Kind(1, 3, until=0.75),
     "terminate_manager": Kind(1, 3, until=0.75),
     "kill_manager": Kind(1, 2, until=0.75),
     "reload_manager": Kind(1, 2, until=0.75),
--- a/tests/soak_drains.py
+++ b/tests/soak_drains.py
@@ -525,7 +525,7 @@
 
     def storm_of_restarts(self, chance):
         """One after another, for some seconds."""
-        at_s, until_s, each_s = 0.0, chance.uniform(2.0, 5.0), chance.uniform(0.1, 0.4)
+        at_s, until_s, each_s = 0.0, chance.uniform(2.0, 6.0), chance.uniform(0.06, 0.4)
         while at_s < until_s:
             proxy = chance.randrange(self.proxies)
             self.loop.after(int(at_s * SECOND), lambda proxy=proxy: self._restart([proxy], chance))
