--- a/tests/judged_relay.py
+++ b/tests/judged_relay.py
@@ -66,6 +66,7 @@
         self.ready, self.ready_at, self.told_seq, self.told_at = {}, {}, {}, {}
         self.whole_seq, self.whole_at, self.sent_at = 0, 0, {}
         self.empty_since, self.drains, self.blackholes, self.judged = {}, {}, {}, set()
+        self.called, self.moved = [], []  # for a trace: calls with what became of them, proxies that came and went
 
     # The manager's lives.
 
@@ -94,6 +95,9 @@
         if not self.up or proxy in self.members:
             return
         self.stands_fresh[proxy] = int(proxy in self.fresh)
+        self.moved.append(
+            (self.loop.now(), f"proxy {proxy} joins, {'started anew' if proxy in self.fresh else 'as it was'}")
+        )
         if proxy in self.fresh:
             self.fresh.discard(proxy)
             self.join(proxy)
@@ -103,6 +107,7 @@
     def disconnect(self, proxy):
         if proxy in self.members:
             self.leave(proxy)
+            self.moved.append((self.loop.now(), f"proxy {proxy} leaves"))
 
     def restart(self, proxy):
         """It is started anew: it forgets what it was told."""
@@ -168,9 +173,11 @@
     def _line(self, stream, line):
         calls = len(self.calls)
         super()._line(stream, line)
-        fate = self.calls[-1][0] if len(self.calls) > calls else None
-        if fate in DOUBT_US:
-            self.wait(DOUBT_US[fate])
+        if len(self.calls) > calls:
+            fate, orders = self.calls[-1]
+            self.called.append((self.loop.now(), f"{fate}: {';'.join(orders)}"))
+            if fate in DOUBT_US:
+                self.wait(DOUBT_US[fate])
 
     def _carry_out(self, order):
         if order[0] == "mark":
--- a/tests/soak_drains.py
+++ b/tests/soak_drains.py
@@ -667,6 +667,9 @@
         """What happened, and by about the same clock what the programs logged, in TRACES."""
         TRACES.mkdir(exist_ok=True)
         lines = [((at - self.began_at) / 1000, what) for at, what in self.notes]
+        for manager in self.managers:
+            said = manager.relay.called + manager.relay.moved
+            lines += [((at - self.began_at) / 1000, f"  relay of n{manager.number}: {what}") for at, what in said]
         for manager, life, logged in self.logs:
             started_ms = life.started_at * 1000 - self.began_at / 1000
             for line in logged.splitlines():
