--- a/tests/channel.py
+++ b/tests/channel.py
@@ -14,6 +14,7 @@
     rows: dict
     withdrawn: set = field(default_factory=set)
     next_at: int = 0  # when the last message that is on its way arrives
+    told: bool = False  # a message has come on this stream
 
     def sends_to(self, worker, tables):
         return worker not in self.withdrawn and any(worker in self.rows.get(table, ()) for table in tables)
@@ -144,6 +145,7 @@
     def _arrive(self, proxy, member, orders, mark):
         if self.members.get(proxy) is not member:
             return
+        member.told = True
         for order in orders:
             if order[0] == "withdraw":
                 member.withdrawn.add(order[1])
