Tests: each program's configuration is config.json in a folder of its own

tests.test_node_process names that file in what it expects: 'config.json.*No such file'. The first form of the class gave it the manager's name, and that test failed.

--- a/tests/program_case.py
+++ b/tests/program_case.py
@@ -32,10 +32,10 @@
 
 
 class Program:
-    """One manager that can be started: its addresses, its configuration, what its environment tells it."""
+    """One manager that can be started: its addresses, its configuration in a folder of its own, its environment."""
 
     def __init__(self, folder, name="n3", host="127.0.0.1"):
-        self.path = os.path.join(folder, f"{name}.json")
+        self.path = os.path.join(folder, "config.json")
         self.listen, self.hub, self.list = free_address(host), free_address(host), free_address(host)
         self.config = {
             "name": name,
--- a/tests/soak_drains.py
+++ b/tests/soak_drains.py
@@ -85,8 +85,7 @@
         self.seed, self.words, self.chance, self.found = seed, words, Random(seed), Found(seeds=1)
         self.played_s = played_s
         self.began_at, self.notes, self.logs = self.loop.now(), [], []
-        self.folder_path = Path(self.path).parent
-        self.folder = str(self.folder_path)
+        self.folder = Path(self.path).parent
         self.arrange()
         for manager in self.managers:
             manager.start()
--- a/tests/steered_manager.py
+++ b/tests/steered_manager.py
@@ -48,7 +48,9 @@
     def __init__(self, day, number, tables):
         self.day, self.loop, self.number = day, day.loop, number
         self.host = host(FIRST_HOST + number)
-        self.program = Program(day.folder, f"n{number}", self.host)
+        folder = day.folder / f"n{number}"
+        folder.mkdir()
+        self.program = Program(folder, f"n{number}", self.host)
         self.faulty_seed = day.chance.getrandbits(16) if day.chance.random() < FAULTY_PART else None
         self.life, self.lives, self.known = None, 0, None
         self.relay = JudgedRelay(
@@ -85,7 +87,7 @@
         self.program.config |= {"known": known, "settings": self.day.settings}
         self.program.write(self.program.config)
         self.lives += 1
-        log = self.day.folder_path / f"n{self.number}-{self.lives}.log"
+        log = self.day.folder / f"n{self.number}-{self.lives}.log"
         words = self.day.words or ([] if self.faulty_seed is None else self._faulty_words())
         with open(log, "w") as errors:
             process = self.program.start(*words, stdout=subprocess.DEVNULL, stderr=errors)
