--- a/tests/channel.py
+++ b/tests/channel.py
@@ -6,76 +6,201 @@
 from .peers import RELAY, SECOND, Relay
 
 
+@dataclass
+class SlowSpan:
+    """From `begin` to `end` (whole microseconds) the channel sends `factor` times slower than stated."""
+
+    begin: int
+    end: int
+    factor: float
+
+
+class Pace:
+    """Lines that leave over time; slower than stated during some spans."""
+
+    def __init__(self, lines_per_s, slow=()):
+        self.lines_per_s, self.slow = lines_per_s, sorted(slow, key=lambda span: span.begin)
+
+    def rate(self, now):
+        """Part of the stated pace at a moment, and until when it stays."""
+        for span in self.slow:
+            if now < span.begin:
+                return 1.0, span.begin
+            if now < span.end:
+                return 1.0 / span.factor, span.end
+        return 1.0, None
+
+    def full_us(self, begin, end):
+        """How long a channel that is never slow takes for what this one sends between the two."""
+        total = 0.0
+        while begin < end:
+            rate, until = self.rate(begin)
+            until = end if until is None else min(until, end)
+            total += (until - begin) * rate
+            begin = until
+        return total
+
+    def ends(self, begin, lines):
+        """When so many lines have left, the first of them at `begin`."""
+        left_us = lines / self.lines_per_s * SECOND
+        while True:
+            rate, until = self.rate(begin)
+            if until is None or left_us <= (until - begin) * rate:
+                return begin + int(left_us / rate)
+            left_us -= (until - begin) * rate
+            begin = until
+
+    def lines(self, begin, end):
+        return self.full_us(begin, end) / SECOND * self.lines_per_s
+
+
+class RuleClock:
+    """What the rules' time limits count: slower with the channel, and not at all while they wait."""
+
+    def __init__(self, loop, pace):
+        self.loop, self.pace = loop, pace
+        self.read_at, self.counted_us, self.stands_until = loop.now(), 0.0, 0
+
+    def now(self):
+        begin, self.read_at = self.read_at, self.loop.now()
+        self.counted_us += self.pace.full_us(max(begin, self.stands_until), self.read_at)
+        return self.counted_us
+
+    def wait(self, us):
+        self.now()
+        self.stands_until = max(self.stands_until, self.loop.now() + us)
+
+
+@dataclass
+class Message:
+    """What one call orders, as it goes to the proxies; `mark` is the order that asks for an answer, if there is one."""
+
+    orders: list
+    mark: list | None
+    sent_at: int
+
+    def workers(self):
+        """Whom its orders name."""
+        return {order[2 if order[0] == "share" else 1] for order in self.orders if order[0] != "mark"}
+
+
 @dataclass
 class Proxy:
-    """What one proxy holds: rows by slice, the workers it was told not to send to."""
+    """What one proxy holds: rows by slice, the workers it was told not to send to.
 
-    joined_at: int
+    `first`: it is its first stream since it started. `left`: its stream has broken.
+    """
+
+    joined_at: float
     rows: dict
+    first: bool = True
     withdrawn: set = field(default_factory=set)
     next_at: int = 0  # when the last message that is on its way arrives
+    reads_at: int = 0  # when it has read the store
+    left: bool = False
 
-    def sends_to(self, worker, tables):
-        return worker not in self.withdrawn and any(worker in self.rows.get(table, ()) for table in tables)
+    def sent_to(self, workers, tables):
+        """Those of the workers that it may still send to."""
+        named = {worker for table in tables for worker in self.rows.get(table, ())}
+        return (named & workers) - self.withdrawn
 
 
 class ChannelRelay(Relay):
     """`late` gathers (proxy, worker) still sent to when the grace was over; `most_waiting` is the fullest the channel
     was.
 
-    A proxy reads the store when it joins. The grace of a worker begins when `told` is called, for a proxy that joins
-    later at its joining, and for a slice that is given later when it is given."""
+    A proxy reads the store when it joins, or within `reads_within_us` of that. The grace of a worker begins when `told`
+    is called, for a proxy that joins later at its joining, and for a slice that is given later when it is given.
+    `told_at`, `given_at` and `joined_at` are read off `clock`."""
+
+    # While a call is left in doubt the limits wait so long, where `limits_wait`.
+    WAITS_US = {"lost": SECOND // 2, "done": SECOND // 2, "mute": SECOND * 3 // 2, "spoilt": SECOND * 3 // 2}
 
-    def __init__(self, loop, address=RELAY, *, setup, slices, grace_us, proxies=()):
+    def __init__(self, loop, address=RELAY, *, setup, slices, grace_us, proxies=(), slow=(), limits_wait=False):
         super().__init__(loop, address, proxies=(), slices=slices)
         self.setup, self.grace_us, self.chance = setup, grace_us, Random(1)
+        self.pace = Pace(setup["EgressPerS"], slow)
+        self.clock, self.limits_wait = RuleClock(loop, self.pace), limits_wait
         self.members, self.broken, self.told_at, self.late = {}, {}, {}, set()
-        self.given_at = dict.fromkeys(self.slices, loop.now())
+        self.late_at = {}  # when each of these was found
+        self.unnoticed = set()  # whose streams have broken without the relay's knowledge
+        self.given_at = dict.fromkeys(self.slices, self.clock.now())
         self.free_at, self.most_waiting, self.carried_out = 0, 0.0, []
+        self.levels = set()  # orders that set a level for all tables: each rides along with every later message
+        self.reads_within_us = 0
         for proxy in proxies:
             self._member(proxy)
 
     def _member(self, proxy):
         self.proxies.append(proxy)
-        self.members[proxy] = Proxy(self.loop.now(), {table: dict(rows) for table, rows in self.slices.items()})
-        self._check_after_grace({proxy}, self.told_at)
+        self.members[proxy] = member = Proxy(self.clock.now(), {}, reads_at=self.loop.now())
+        if self.reads_within_us:
+            member.reads_at += self.chance.randint(0, self.reads_within_us)
+            self.loop.at(member.reads_at, lambda: self._read_store(proxy, member))
+        else:
+            self._read_store(proxy, member)
+        self._after(self.grace_us, lambda: self._judge([proxy], self.told_at))
+        return member
+
+    def _read_store(self, proxy, member):
+        if not member.left:
+            member.rows = {table: dict(rows) for table, rows in self.slices.items()}
+            self._judge([proxy], self.told_at)
+
+    def _standing(self, proxy):
+        return int(self.subscribed and self.members[proxy].first) if proxy in self.members else 0
 
     def join(self, proxy):
         """Started anew, or for the first time: it holds no withdrawal, and reads the store."""
+        self._notice(proxy)
         self.broken.pop(proxy, None)
         self._member(proxy)
         self.say(f"* SUBSCRIBE {proxy} a 5.0 1")
 
-    def leave(self, proxy):
+    def leave(self, proxy, noticed_after_us=0):
         """The stream breaks: what travels is lost, what has come is kept."""
         self.proxies.remove(proxy)
         self.broken[proxy] = self.members.pop(proxy)
-        self.say(f"* CLOSED {proxy}")
+        self.broken[proxy].left = True
+        if noticed_after_us:
+            self.unnoticed.add(proxy)
+            self.loop.after(noticed_after_us, lambda: self._notice(proxy))
+        else:
+            self.say(f"* CLOSED {proxy}")
+
+    def _notice(self, proxy):
+        if proxy in self.unnoticed:
+            self.unnoticed.discard(proxy)
+            self.say(f"* CLOSED {proxy}")
 
     def come_back(self, proxy):
         """After `leave`, not restarted: it obeys the withdrawals it had, and reads the store again."""
-        self._member(proxy)
-        self.members[proxy].withdrawn |= self.broken.pop(proxy).withdrawn
+        self._notice(proxy)
+        before, member = self.broken.pop(proxy), self._member(proxy)
+        member.withdrawn |= before.withdrawn
+        member.rows, member.first = member.rows or before.rows, False
         self.say(f"* SUBSCRIBE {proxy} a 5.0 0")
 
     def all_come_back(self):
         """To a manager that starts anew: it hears of them as of proxies that were not restarted."""
         self.subscribed = 0
         for proxy in list(self.proxies):
-            withdrawn = self.members.pop(proxy).withdrawn
+            before = self.members.pop(proxy)
+            before.left = True
             self.proxies.remove(proxy)
-            self._member(proxy)
-            self.members[proxy].withdrawn |= withdrawn
+            member = self._member(proxy)
+            member.withdrawn |= before.withdrawn
+            member.rows, member.first = member.rows or before.rows, False
 
     def give(self, tables):
         """Slices come into the manager's charge, with their rows."""
         self.slices |= tables
-        self.given_at |= dict.fromkeys(tables, self.loop.now())
+        self.given_at |= dict.fromkeys(tables, self.clock.now())
         for member in self.members.values():
             member.rows |= {table: dict(rows) for table, rows in tables.items()}
         for table, rows in tables.items():
             self.say(f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items()))
-        self._check_after_grace(set(self.members), self.told_at)
+        self._after(self.grace_us, lambda: self._judge(self.members, self.told_at))
 
     def take_away(self, tables):
         for table in tables:
@@ -88,34 +213,44 @@
         """The list has said by now that these drain."""
         workers = set(workers)  # it may be a generator, and is gone over twice
         for worker in workers:
-            self.told_at.setdefault(worker, self.loop.now())
-        self._check_after_grace(set(self.members), workers)
+            self.told_at.setdefault(worker, self.clock.now())
+        self._after(self.grace_us, lambda: self._judge(self.members, workers))
 
     def told_back(self, worker):
         """The list has said by now that it is well again."""
         self.told_at.pop(worker, None)
 
-    def _away_for_the_grace(self, worker):
-        return worker in self.told_at and self.loop.now() - self.told_at[worker] >= self.grace_us
+    def _after(self, limit_us, check):
+        """`check` once so much of the rules' time is over."""
+        until = self.clock.now() + limit_us
 
-    def _check_after_grace(self, proxies, workers):
-        watched = [(proxy, self.members[proxy]) for proxy in proxies]
-        workers = set(workers)
+        def wait():
+            left_us = until - self.clock.now()
+            if left_us > 0:
+                self.loop.after(max(1, int(left_us)), wait)
+            else:
+                check()
 
-        def check():
-            long_given = [table for table, at in self.given_at.items() if self.loop.now() - at >= self.grace_us]
-            self.late |= {
-                (proxy, worker)
-                for proxy, member in watched
-                if self.members.get(proxy) is member
-                for worker in workers
-                if self._away_for_the_grace(worker) and member.sends_to(worker, long_given)
-            }
+        self.loop.after(limit_us, wait)
 
-        self.loop.after(self.grace_us, check)
+    def _judge(self, proxies, workers):
+        """Who still sends where its grace is over."""
+        now, grace = self.clock.now(), self.grace_us
+        away = {worker for worker in workers if worker in self.told_at and now - self.told_at[worker] >= grace}
+        if not away:
+            return
+        tables = [table for table, at in self.given_at.items() if now - at >= grace]
+        for proxy in proxies:
+            member = self.members.get(proxy)
+            if member is not None and now - member.joined_at >= grace:
+                for worker in member.sent_to(away, tables):
+                    self.late.add((proxy, worker))
+                    self.late_at.setdefault((proxy, worker), self.loop.now())
 
     def _line(self, stream, line):
         self.carried_out = []
+        if self.limits_wait and line != "follow" and self.fates:
+            self.clock.wait(self.WAITS_US.get(self.fates[0], 0))
         super()._line(stream, line)
         if self.carried_out:
             self._send(self.carried_out)
@@ -126,33 +261,56 @@
             super()._carry_out(order)
 
     def _send(self, orders):
-        mark = next((order[1] for order in orders if order[0] == "mark"), None)
-        now, pace = self.loop.now(), self.setup["EgressPerS"]
+        self.levels |= {tuple(order[1:3]) for order in orders if order[0] == "admit" and order[1] == "*"}
+        message = Message(orders, next((order for order in orders if order[0] == "mark"), None), self.loop.now())
+        to_all = message.mark is not None and message.mark[2] == "1"
         for proxy, member in self.members.items():
-            lines = self.setup["Overhead"] + sum(self._concerns(member, order) for order in orders)
-            self.free_at = max(self.free_at, now) + int(lines / pace * SECOND)
-            transit = self.chance.uniform(0.5, 2.0) * self.setup["PushDelayS"] * SECOND
-            member.next_at = max(member.next_at, self.free_at + int(transit))  # a stream keeps the order
-            self.loop.at(member.next_at, lambda p=proxy, m=member: self._arrive(p, m, orders, mark))
-        self.most_waiting = max(self.most_waiting, (self.free_at - now) / SECOND * pace)
-
-    @staticmethod
-    def _concerns(member, order):
-        """A withdrawal is a line at each proxy that holds a table with that worker; all else is one at each."""
-        return order[0] not in ("withdraw", "restore") or any(order[1] in rows for rows in member.rows.values())
-
-    def _arrive(self, proxy, member, orders, mark):
+            own = sum(self._concerns(member, order) for order in orders)
+            if own or to_all:
+                self._queue(proxy, member, message, self.setup["Overhead"] + own + len(self.levels))
+        self.most_waiting = max(self.most_waiting, self.waiting)
+
+    def _queue(self, proxy, member, message, lines):
+        self.free_at = self.pace.ends(max(self.free_at, self.loop.now()), lines)
+        transit = self.chance.uniform(0.5, 2.0) * self.setup["PushDelayS"] * SECOND
+        member.next_at = max(member.next_at, self.free_at + int(transit))  # a stream keeps the order
+        self.loop.at(member.next_at, lambda: self._arrive(proxy, member, message))
+
+    @property
+    def waiting(self):
+        """Lines that wait in the channel."""
+        return self.pace.lines(self.loop.now(), self.free_at)
+
+    def _concerns(self, member, order):
+        """Whether an order is a line at that proxy; levels for all tables are counted apart."""
+        if order[0] in ("withdraw", "restore"):  # at each proxy that holds a table with that worker
+            return any(order[1] in rows for rows in member.rows.values())
+        if order[0] in ("share", "clear"):
+            return int(order[1]) in self.slices
+        return order[0] == "mark"
+
+    def _arrive(self, proxy, member, message):
         if self.members.get(proxy) is not member:
             return
-        for order in orders:
+        in_store = message.sent_at < member.reads_at <= self.loop.now()  # what it has read is as new or newer
+        for order in message.orders:
             if order[0] == "withdraw":
                 member.withdrawn.add(order[1])
             elif order[0] == "restore":
                 member.withdrawn.discard(order[1])
-            elif order[0] == "share" and int(order[1]) in member.rows:
+            elif order[0] == "share" and int(order[1]) in member.rows and not in_store:
                 rows = member.rows[int(order[1])]
                 rows[order[2]] = float(order[3])
                 if not rows[order[2]]:
                     del rows[order[2]]
-        if mark is not None:
-            self.say(f"* ACK {proxy} {mark} 200.0")
+        self._judge([proxy], message.workers())
+        if message.mark is not None:
+            self._answer(proxy, member, message)
+
+    def _answer(self, proxy, member, message):
+        """It has applied all up to the mark, the store among it."""
+        now = self.loop.now()
+        if now < member.reads_at:
+            self.loop.at(member.reads_at, lambda: self._answer(proxy, member, message))
+        elif self.members.get(proxy) is member:
+            self.say(f"* ACK {proxy} {message.mark[1]} {(now - message.sent_at) / 1000:.1f}")
--- a/tests/drain_days.py
+++ b/tests/drain_days.py
@@ -25,7 +25,7 @@
 
 
 class DrainDay:
-    def __init__(self, seed, returns=Returns.STARTED_ANEW):
+    def __init__(self, seed, returns=Returns.STARTED_ANEW, relay_type=ChannelRelay):
         self.chance = Random(seed)
         self.workers, self.slices = self.chance.randint(40, 100), self.chance.randint(40, 120)
         self.proxies = list(range(self.chance.randint(30, 100)))
@@ -41,13 +41,13 @@
         self.scene = Scene(
             workers=self.workers,
             more=config,
-            relay_type=ChannelRelay,
+            relay_type=relay_type,
             setup=config["FamilyInfo"],
             slices=self.tables(0, self.mine),
             grace_us=int(grace * SECOND),
             proxies=self.proxies,
         )
-        self.relay = self.scene.relay
+        self.relay, self.begun_at = self.scene.relay, self.scene.network.time
         self.come_back = self.relay.join if returns is Returns.STARTED_ANEW else self.relay.come_back
 
     def tables(self, first, last):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -61,6 +61,10 @@
         for stream in self.followers:
             stream.write("".join(line + "\r\n" for line in lines).encode())
 
+    def _standing(self, proxy):
+        """What a snapshot says of it: 1 where it holds no table that was ordered."""
+        return self.subscribed
+
     def _accepted(self, stream):
         held = [b""]
 
@@ -81,7 +85,7 @@
                 return
             stream.write(b"OK\r\n")
             self.followers.append(stream)
-            lines = [f"* SUBSCRIBE {proxy} a 5.0 {self.subscribed}" for proxy in self.proxies]
+            lines = [f"* SUBSCRIBE {proxy} a 5.0 {self._standing(proxy)}" for proxy in self.proxies]
             for table, rows in self.slices.items():
                 lines += [f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items())]
             text = "".join(line + "\r\n" for line in lines).encode()
