--- a/tests/channel.py
+++ b/tests/channel.py
@@ -98,6 +98,11 @@
     next_at: int = 0  # when the last message that is on its way arrives
     reads_at: int = 0  # when it has read the store
     left: bool = False
+    changes: int = 0  # of rows or withdrawals
+
+    def bare(self, tables):
+        """Those of the slices for which it has no line to pick."""
+        return [table for table in tables if not self.rows.get(table, {}).keys() - self.withdrawn]
 
     def sent_to(self, workers, tables):
         """Those of the workers that it may still send to."""
@@ -127,7 +132,7 @@
         self.given_at = dict.fromkeys(self.slices, self.clock.now())
         self.free_at, self.most_waiting, self.carried_out = 0, 0.0, []
         self.levels = set()  # orders that set a level for all tables: each rides along with every later message
-        self.reads_within_us = 0
+        self.reads_within_us, self.runs_from = 0, 0  # calls are turned away until then
         for proxy in proxies:
             self._member(proxy)
 
@@ -145,6 +150,7 @@
     def _read_store(self, proxy, member):
         if not member.left:
             member.rows = {table: dict(rows) for table, rows in self.slices.items()}
+            member.changes += 1
             self._judge([proxy], self.told_at)
 
     def _standing(self, proxy):
@@ -198,6 +204,7 @@
         self.given_at |= dict.fromkeys(tables, self.clock.now())
         for member in self.members.values():
             member.rows |= {table: dict(rows) for table, rows in tables.items()}
+            member.changes += 1
         for table, rows in tables.items():
             self.say(f"* GRANT {table} 1", *(f"* ROW {table} {name} {weight}" for name, weight in rows.items()))
         self._after(self.grace_us, lambda: self._judge(self.members, self.told_at))
@@ -207,6 +214,7 @@
             del self.slices[table], self.given_at[table]
             for member in self.members.values():
                 member.rows.pop(table, None)
+                member.changes += 1
             self.say(f"* GRANT {table} 0")
 
     def told(self, workers):
@@ -249,6 +257,8 @@
 
     def _line(self, stream, line):
         self.carried_out = []
+        if line != "follow" and self.loop.now() < self.runs_from:
+            self.fates.insert(0, "throttled")
         if self.limits_wait and line != "follow" and self.fates:
             self.clock.wait(self.WAITS_US.get(self.fates[0], 0))
         super()._line(stream, line)
@@ -292,6 +302,7 @@
     def _arrive(self, proxy, member, message):
         if self.members.get(proxy) is not member:
             return
+        member.changes += 1
         in_store = message.sent_at < member.reads_at <= self.loop.now()  # what it has read is as new or newer
         for order in message.orders:
             if order[0] == "withdraw":
