--- a/tests/wide_days.py
+++ b/tests/wide_days.py
@@ -236,11 +236,11 @@
 
 
 class WideDay:
-    def __init__(self, seed, relay_type=ChannelRelay):
+    def __init__(self, seed, relay_type=ChannelRelay, asked=ASKED):
         self.chance = Random(f"wide {seed}")
         self.draw()
         need = Reference(self.day)
-        self.asked = self.chance.uniform(*ASKED)
+        self.asked = self.chance.uniform(*asked)
         pace = max(need.least_pace() / self.asked, need.least_pace(tables=True))
         need.keeps(pace)
         cap = max(pace * self.chance.uniform(1.0, 2.0), 2.0 * need.longest, need.most_waiting)
