--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -21,6 +21,7 @@
     ("started anew, it has forgotten all", "start out! start", True, False),
     ("let in while it was away", "start out! back join", False, True),
     ("and once more", "start out! back join back! join", False, False),
+    ("let in and withdrawn once more before it was started anew", "start out! back! out! start", True, False),
     ("let in before it was started anew", "start out back start join", False, False),
     ("what an earlier life withdrew", "join", False, True),
     ("is let in once", "join back! join returns", False, False),
