One place decides when a message goes to the proxies; what is due gathers until then

What callers saw: requests reached servers later than the grace after the list had them as draining.

So what can wait went ahead of what cannot (`call withdraw=4 share=38`, the next one 2.57 s after the list's word), each reason made a message of its own behind a head of 17 to 20 lines (`withdraw=2 mark=1` three times while 16 to 36 waited), and a repeat was due the earlier the longer the queue was, which its own repeats made (22.353 q=10867 {'mark': 1} ... 28.227 q=17369 {'withdraw': 5}).

Change: channel_schedule.py decides when the next message may go and how long it may be. Nothing is handed over that would keep a withdrawal right behind it from its grace; what is only said again waits until the channel is about to be free, and gathers; a part of what is due goes only if it is worth its head; a message for who lacks the levels does not go ahead of a repeat. While withdrawals are said again, lost servers leave the tables first: that is what there is to repeat.

The tests of manager reach the books by `manager.schedule`; a stand makes its deployment with the proxies there may be, for the schedule keeps its own settings.

--- a/ospreyrouter/channel_books.py
+++ b/ospreyrouter/channel_books.py
@@ -26,15 +26,22 @@
 
 
 class ChannelBooks:
-    """`pace_lines`: lines a second that the channel is believed to carry."""
+    """`pace_lines`: lines a second that the channel is believed to carry. `free_at`: when it would have sent all that
+    was handed to it, at the pace that the settings state.
+    """
 
     def __init__(self, setup):
         self.setup, self.sent, self.pace_lines = setup, [], setup.lines_per_s
+        self.free_at = 0
 
     def send(self, now, mark, lines, waiting, proxies):
         """A message of so many lines goes to so many proxies, behind `waiting` lines."""
         cost = lines * proxies
         self.sent.append(SentMessage(mark, cost, lines, now, waiting + cost / 2, proxies))
+        self._take(now, cost)
+
+    def _take(self, now, lines):
+        self.free_at = max(self.free_at, now) + int(lines / self.setup.lines_per_s * 1_000_000)
 
     def _place(self, mark):
         return next((place for place, message in enumerate(self.sent) if message.mark == mark), None)
@@ -46,7 +53,7 @@
             return
         self.sent = self.sent[place:]
         message = self.sent[0]
-        message.unproven -= message.lines
+        message.unproven = max(0.0, message.unproven - message.lines)  # more may answer than were known of
         # The first answer to a mark tells the true pace: what was ahead of it took so long to leave.
         if message.ahead:
             slow, full = delay - self.setup.transit_us, self.setup.lines_per_s
@@ -57,14 +64,19 @@
     def stalled(self, now, taken, proxies):
         """What was sent after the mark `taken` comes to the channel only now, for so many proxies."""
         place = self._place(taken)
-        for message in self.sent[0 if place is None else place + 1 :]:
+        untaken = self.sent[0 if place is None else place + 1 :]
+        lines = sum(message.lines * message.proxies for message in untaken)
+        self.free_at = max(now, self.free_at - int(lines / self.setup.lines_per_s * 1_000_000))
+        for message in untaken:
             message.unproven = max(message.unproven, message.lines * proxies)
             message.sent_at, message.proxies = now, proxies
+            self._take(now, message.lines * proxies)
 
     def forget_old(self, now):
         """What the slowest channel would have sent by now is no longer waited for."""
-        slowest = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
-        self.sent = [message for message in self.sent if now - message.sent_at < slowest + self.setup.transit_most_us]
+        slowest_us = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
+        since = now - slowest_us - self.setup.transit_most_us
+        self.sent = [m for m in self.sent if m.sent_at > since]
 
     def unproven_and_waiting(self, now, count, recent_us):
         """Lines not proven to have left, and of these the ones that are not yet due to have.
@@ -79,8 +91,11 @@
         return unproven, waiting
 
     def _for_who_came(self, message, now, count, recent_us):
-        """Lines to those who were heard of since it was sent, and may have joined before it left."""
-        recent = self.setup.slices and now - message.sent_at < recent_us
+        """Lines to those who were heard of since it was sent, and may have joined before it left.
+
+        Who has joined before that is heard of before the first answer to it.
+        """
+        recent = self.setup.slices and message.ahead and now - message.sent_at < recent_us
         return message.lines * max(0, count - message.proxies) if recent else 0.0
 
     def lines_at_each(self):
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -6,9 +6,10 @@
 match (the mechanism), what is heard, what is made of it, the layout, the sends.
 """
 
+from dataclasses import dataclass, field, replace
 from random import Random
 
-from .channel_books import ChannelBooks
+from .channel_schedule import UNPROVEN, ChannelSchedule, Urgency
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
 from .packing import hashed, match, pack
 from .ring import Ring
@@ -45,16 +46,86 @@
 UNLISTED = 0.15  # part of the drain grace in which the list must name whom only a store's table names
 FORGET_US = 30_000_000  # who is gone for so long, and in no table, is forgotten
 VOUCHED_US = 3_000_000  # so long after an answer a worker that the list has lost is held to be running
-USUAL_FILL, URGENT_FILL = 0.40, 0.85  # parts of the queue's limit that ordinary sends and removals may fill
-UNPROVEN = 0.8  # part of the latter that ordinary sends may fill before any is proven to have left
-SOON = 0.25  # part of the drain grace in which the channel must be rid of ordinary sends, at its true pace
-FEW = 8  # lines that make a message worth its head
 
 MARKS = 65536  # marks are numbered from 0 to this less 1
 
 RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
 
 
+@dataclass(frozen=True)
+class TableChange:
+    """A table that is not as it is to be. `load`: how much of the demand that moves. `can_wait`: enough is left to pick
+    at warm servers. `kept`: half of its weight is left. `outstays`: it names a worker that has to be withdrawn again
+    because of such tables.
+    """
+
+    table: int
+    load: float
+    can_wait: bool
+    kept: bool
+    outstays: bool
+
+    @property
+    def order(self):
+        """The most urgent first."""
+        return self.can_wait, self.kept, not self.outstays, -self.load, self.table
+
+    @property
+    def settled(self):
+        return self.can_wait and self.kept
+
+
+@dataclass
+class Agenda:
+    """What is due for the proxies. `wanted`: rows by table, as they are to be. `usable`, `warm`: servers that can be
+    picked. `lost`: servers that are named by tables and are not to be. `again`, `back`: to be let in, at once or with
+    ordinary sends. `at_once`, `once_more`: to be withdrawn, by the list's word or since some proxy may have missed it.
+    """
+
+    wanted: dict
+    usable: set
+    warm: set
+    lost: set
+    again: list
+    back: list
+    changes: list = field(default_factory=list)
+    at_once: list = field(default_factory=list)
+    once_more: list = field(default_factory=list)
+    levels_changed: bool = False
+
+    @property
+    def out(self):
+        return self.at_once + self.once_more
+
+    @property
+    def anything(self):
+        return bool(self.changes or self.out or self.again or self.back)
+
+    @property
+    def urgency(self):
+        if self.at_once:
+            return Urgency.WITHDRAWAL
+        if self.levels_changed:
+            return Urgency.LEVELS
+        if self.changes and not self.changes[0].can_wait:
+            return Urgency.BARE_SLICE
+        return Urgency.REPEAT if self.once_more or self.again else Urgency.ORDINARY
+
+
+@dataclass(frozen=True)
+class Budget:
+    """Lines that a message may have, head included, all proxies together, but for `riding`: lines at each.
+
+    `usual`: with ordinary sends. `limit`: with what waits. `prompt`: a withdrawal right behind it is still kept.
+    `riding`: so many go with a repeat whatever is usual.
+    """
+
+    usual: float
+    limit: float
+    prompt: float
+    riding: float
+
+
 class Worker:
     """One worker as far as this manager knows it."""
 
@@ -85,7 +156,8 @@
         self.linger, self.asked_for, self.since, self.heard_at, self.mean = {}, {}, {}, {}, 0.0
         self.demand = {item: Ring(WINDOW_US, WINDOWS + 1, 1) for item in self.slices}
         self.urgent, self.window_at, self.tick_at, self.judged_at, self.within = True, 0, 0, 0, frozenset()
-        self.books, self.spoken, self.greet, self.answered = ChannelBooks(setup), False, False, 1.0
+        self.schedule = ChannelSchedule(setup)
+        self.spoken, self.greet, self.answered = False, False, 1.0
         self.list_heard = False  # whether a list has been heard
         self.pace, self.calm = 0.0, 1.0  # mean time to answer, by the quoted time; the least
         self.taken, self.at_ease = 1.0, True  # of the tries that the levels should let in
@@ -93,9 +165,12 @@
         self.levels_in = 1  # the first message that carries the levels as they are
         self.chosen, self.most = [1.0] * len(setup.classes), [1.0] * len(setup.classes)
         self.asked = Ring(BUCKET_US, BUCKETS, 2 * len(setup.classes))  # by class: came, and of these let in
-        self.messages, self.stalled_at, self.surge = [], None, 0.0
-        # How many withdrawals wait for room in the channel; when this manager is woken for the next repeat.
-        self.withdrawals, self.held_back, self.alarm_at = Withdrawals(setup), 0, 0
+        self.stalled_at, self.surge = None, 0.0
+        # Classes whose levels no message has carried yet; since when proxies have come that may lack levels.
+        self.levels_due, self.newcomers_since = set(), None
+        # How many withdrawals wait for room in the channel; when this manager is woken for the next repeat, and for the
+        # next message, which waits until the channel is about to be free (None: none waits).
+        self.withdrawals, self.held_back, self.alarm_at, self.send_at = Withdrawals(setup), 0, 0, None
 
     # What a manager hears.
 
@@ -105,47 +180,35 @@
             self.begin()
         for name, *values in intake:
             getattr(self, name)(*values)
-        if self.urgent or now >= self.tick_at or self.withdrawals_wait():
+        if self.urgent or now >= self.tick_at or self.message_waits():
             self.decide()
-        self.mind_withdrawals()
+        self.be_woken()
 
-    def withdrawals_wait(self):
-        """Whether one can go now that could not before: a repeat is ripe, or there is room in the channel again."""
+    def message_waits(self):
+        """Whether one can go now that could not before: the channel is about to be free, or has room again, or a repeat
+        is due.
+        """
+        if self.send_at is not None:
+            return self.now >= self.send_at
         if self.held_back:
-            return not self.capped(usual=False) and self.room() >= self.worth_sending(self.held_back)
+            state = self.channel()
+            capped = self.schedule.capped(self.now, state, Urgency.REPEAT)
+            return not capped and self.schedule.lines_worth_sending(state, self.held_back) > 0
         return bool(self.withdrawals.missed) and self.now >= self.withdrawals.ripe_at(self.repeat_leaves_us())
 
-    def room(self):
-        """Lines that a message to all may have and leave the channel within what removals may fill."""
-        unproven, _, count, head, full = self.channel()
-        return int(min((full - unproven) / count, self.longest()) - head)
-
-    def longest(self):
-        """Lines of a message, head included, that the channel holds though it is repeated when all proxies have
-        come.
-        """
-        every = max(1, len(self.proxies), self.setup.proxies if self.setup.slices else 1)
-        # A short message goes all the same, or where proxies are many nothing ever would.
-        return max(self.setup.queue_lines * URGENT_FILL / every, self.channel()[3] + FEW)
-
-    def worth_sending(self, lines):
-        """The least part of so many lines that is no waste of a message's head, or heads would fill the channel."""
-        _, _, count, head, full = self.channel()
-        empty = int(min(full / count, self.longest()) - head)  # there is never more room than in an empty channel
-        return max(1, min(lines, max(head, lines / 2), empty))
-
     def repeat_leaves_us(self):
         """How long the channel takes for what waits in it and for saying again what was missed."""
-        _, waiting, count, head, _ = self.channel()
-        return (waiting + (head + len(self.withdrawals.missed)) * count) / self.books.pace_lines * 1e6
-
-    def mind_withdrawals(self):
-        """Be woken when a repeat is ripe."""
-        if not self.withdrawals.missed or self.held_back:
-            return
-        ripe_at = int(self.withdrawals.ripe_at(self.repeat_leaves_us()))
-        if not self.now < self.alarm_at <= ripe_at:
-            self.alarm_at = max(ripe_at, self.now + 1)
+        return self.schedule.leaves_us(self.channel(), len(self.withdrawals.missed))
+
+    def be_woken(self):
+        """When the message that waits may go, or what is said again is due."""
+        at = self.send_at
+        if at is None:
+            if not self.withdrawals.missed or self.held_back:
+                return
+            at = int(self.withdrawals.ripe_at(self.repeat_leaves_us()))
+        if not self.now < self.alarm_at <= at:
+            self.alarm_at = max(at, self.now + 1)
             self.orders.wake(self.alarm_at - self.now, 0)
 
     def begin(self):
@@ -187,7 +250,9 @@
         self.proxies.add(proxy)
         restarted = {w for w, row in self.workers.items() if row.started is not None}
         # Any message carries the present levels: who has answered one since they were set has them.
-        self.greet |= self.withdrawals.proxy_joined(self.now, proxy, fresh, restarted) < self.levels_in
+        answered = self.withdrawals.proxy_joined(self.now, proxy, fresh, restarted)
+        if answered < self.levels_in:
+            self.newcomers_since = self.now if self.newcomers_since is None else self.newcomers_since
         if not self.setup.slices:
             self.orders.bind(proxy, 0, 0)
 
@@ -277,7 +342,7 @@
 
     def applied(self, proxy, number, delay):
         self.withdrawals.answered(proxy, self.number_of_message(number))
-        self.books.answered(number, delay)
+        self.schedule.books.answered(number, delay)
 
     def number_of_message(self, mark):
         """Which message it was that carried this mark; marks wrap around."""
@@ -287,7 +352,7 @@
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
-        self.books.stalled(self.now, taken, len(self.proxies))
+        self.schedule.books.stalled(self.now, taken, len(self.proxies))
 
     # What is made of it.
 
@@ -410,7 +475,7 @@
         ease: soon up to the last jam or while answers are as quick as ever, else by inches.
         """
         ready = self.ready()
-        if not ready or self.now < self.level_at or self.capped(usual=True):
+        if not ready or self.now < self.level_at or self.schedule.capped(self.now, self.channel(), Urgency.ORDINARY):
             return
         self.level_at = self.now + LEVEL_US
         rows = [self.workers[w] for w in ready]
@@ -446,7 +511,7 @@
         for k in range(len(levels)):
             if abs(levels[k] - self.levels.get(k, -1.0)) > (STEP if 0.0 < levels[k] < 1.0 else 0.0):
                 self.levels[k], self.greet, self.levels_in = levels[k], True, self.withdrawals.messages + 1
-                self.orders.level(ALL_TABLES, 1 << k, levels[k], RETRY)
+                self.levels_due.add(k)
 
     def probe(self):
         ready = self.ready()
@@ -569,26 +634,15 @@
             lines.setdefault(self.linger[item], LINGER)
         return lines
 
-    def capped(self, usual):
-        """Whether the channel, or a cap on messages, leaves no room: half of the cap is kept for removals."""
-        unproven, _, count, head, full = self.channel()
-        self.messages = [at for at in self.messages if self.now - at < self.setup.messages_over_us]
-        most = self.setup.messages_most * (0.5 if usual else 1.0) or len(self.messages) + 2
-        return len(self.messages) + 2 > most or unproven + head * count > full
-
     def channel(self):
-        """Lines not proven to have left; of these not yet due to; proxies; a message's head; the limit."""
-        self.books.forget_old(self.now)
-        count, full = max(1, len(self.proxies)), self.setup.queue_lines * URGENT_FILL
-        # Those heard of just now are the first of a handful: who joins meanwhile gets what is ordered now, unheard of.
-        if self.setup.slices and self.withdrawals.may_be_joining(self.now):
-            count = max(count, self.setup.proxies)
-        unproven, waiting = self.books.unproven_and_waiting(self.now, count, self.withdrawals.together_us)
-        head = self.setup.message_head + 1 + len(self.setup.classes)
-        if self.stalled_at == self.now:  # all who join until then will get what waits
-            count = max(count, self.setup.proxies)
-            unproven = waiting = max(unproven, count * self.books.lines_at_each())
-        return unproven, waiting, count, head, full
+        """What may still be in the channel, and what fits."""
+        return self.schedule.state(
+            self.now,
+            len(self.proxies),
+            self.withdrawals.may_be_joining(self.now),
+            self.withdrawals.together_us,
+            stalled=self.stalled_at == self.now,
+        )
 
     def send(self, sizes):
         """What changed, as far as the channel drains it: withheld servers first, then the largest change.
@@ -596,110 +650,176 @@
         One line a proxy withholds a lost server from all tables: rewriting them outlasts the drain grace
         where proxies are many. What it had goes on at the slices' other lines.
         """
-        changes, lost, tables = [], set(), self.tables
-        wanted, repeated = {item: self.wanted(item) for item in sorted(self.own)}, self.withdrawals.missed.keys()
+        self.send_at, agenda, state = None, self.agenda(sizes), self.channel()
+        self.withdrawals.keep(agenda.lost)
+        idle = bool(agenda.changes) and state.waiting < 0.1 * state.shortest_worthwhile
+        agenda.at_once, agenda.once_more = self.withdrawals.due(
+            self.now, agenda.lost, self.repeat_leaves_us(), state.head, idle
+        )
+        agenda.levels_changed = self.greet
+        due, urgency, greet = len(agenda.out), agenda.urgency, self.greet or self.newcomers_are_due(state)
+        self.held_back = due
+        if not (agenda.anything or greet):
+            return
+        # A repeat that is to come soon takes all that is not urgent with it: heads of messages would fill the channel.
+        if self.withdrawals.missed and urgency is Urgency.ORDINARY:
+            return
+        if self.waits_for_channel(state, urgency) or self.schedule.capped(self.now, state, urgency):
+            return
+        out = agenda.out[: self.schedule.lines_worth_sending(state, due)]
+        self.held_back = due - len(out)
+        if due and not out:
+            return  # a message of anything else would take the room that these wait for
+        self.write_message(agenda, state, out, greet)
+
+    def waits_for_channel(self, state, urgency):
+        """Whether a message has to wait until the channel is about to be free; if so, be woken then."""
+        at = self.schedule.may_send_at(self.now, state, urgency)
+        # What a channel that takes nothing is to be told of first is gathered where it waits.
+        if self.now >= at or urgency is Urgency.WITHDRAWAL and self.stalled_at == self.now:
+            return False
+        self.send_at = at
+        return True
+
+    def newcomers_are_due(self, state):
+        """Whether proxies that may lack the levels get a message of their own, as any message carries those.
+
+        Not while more proxies are expected, or a repeat is due that will go to them anyway; and where a head at each is
+        more than may usually wait, not until they have waited for the drain grace.
+        """
+        since = self.newcomers_since
+        if since is None or self.withdrawals.missed or self.now < self.withdrawals.settled_at(since):
+            return False
+        alone = state.waiting + state.head * state.receivers
+        return (
+            alone <= self.schedule.usual_lines(state) or state.waiting <= 0 and self.now >= since + self.setup.grace_us
+        )
+
+    def agenda(self, sizes):
+        """What is due, apart from withdrawals. `sizes`: capacities of the servers that may hold slices."""
+        wanted, tables = {item: self.wanted(item) for item in sorted(self.own)}, self.tables
         # Whom no table names is let in with its first line: else the first one let in would get all.
         named = {w for item in self.own for w in tables[item]}
         usable = sizes.keys() - (self.withdrawals.barred & named)
         warm = {w for w in usable if self.warmth(w) == 1.0} or usable
-        for item, lines in wanted.items():
-            table = tables[item]
-            gone = table.keys() - usable
-            lost |= table.keys() - sizes.keys()
-            left, cold = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, usable - warm))
-            # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first. But while
-            # a withdrawal is said again and again, taking the worker out of its tables is what ends that.
-            change = sum(
-                abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes or w in repeated else LINGER)
-                for w in sorted(table.keys() | lines.keys())
-            )
-            if change > 1e-6:
-                load, kept = self.asked_for.get(item, 1.0), left >= 0.5 * sum(table.values())
-                # Left mostly to cold servers, whose small part is now the whole, it is as urgent as none.
-                some = len(gone) < len(table) and (kept or cold <= 0.5 * left or load <= self.mean)
-                changes.append((some, kept, -change * load, item))
-        changes.sort()
-        changes += [(True, True, *rest) for later, kept, *rest in changes if not (later and kept)]
-        self.withdrawals.keep(lost)
-        unproven, waiting, count, head, full = self.channel()
-        idle = bool(changes) and waiting < 0.1 * (head + FEW) * count
-        at_once, again_out = self.withdrawals.due(self.now, lost, self.repeat_leaves_us(), head, idle)
-        out = at_once + again_out
         due_back = self.withdrawals.due_back(self.now, usable) if self.own else set()  # no table, nobody to reach
         # Whom tables name and some proxy holds out is missing where its slices are: it does not wait for ordinary
         # sends.
         again = sorted(sizes.keys() & (self.withdrawals.barred | due_back & named))
-        urgent, self.held_back = out or again or changes and not changes[0][0], len(out)
-        # A repeat that is to come soon takes all that is not urgent with it: heads of messages would fill the channel.
-        if self.withdrawals.missed and not urgent:
-            return
-        if self.capped(usual=not urgent) or not (changes or urgent or due_back or self.greet):
-            return
-        # Behind a long queue a removal comes too late: what usually waits must leave in part of the grace.
-        usual = min(self.setup.queue_lines * USUAL_FILL, self.books.pace_lines * self.setup.grace_us / 1e6 * SOON)
-        # Where proxies are many the shortest message is more than that, and no table would ever change. It
-        # goes alone, if a removal behind it, which waits until enough is proven, still keeps the grace.
-        few, after = min((head + FEW) * count, UNPROVEN * full), (head + 1) * count
-        soon = (max(0.0, few + after - full) + after) / self.books.pace_lines * 1e6 + 2 * self.setup.transit_most_us
-        if usual < few and waiting < 0.1 * few and soon < self.setup.grace_us:
-            usual = few
-        room = self.room()
-        # What the list causes goes as far as there is room, what is said again once enough of it fits.
-        due = len(out)
-        out = (out if room >= self.worth_sending(due) else at_once)[: max(0, room)]
-        self.held_back = due - len(out)
-        # Room for what will be said again, as soon as it is ripe, is not given away before that; but while proxies
-        # come and go without an end, the lost are still to be tidied out of the tables.
-        if later_out := len(self.withdrawals.missed.keys() - set(out)):
-            kept_free = (head + later_out) * count
-            full, usual = full - kept_free, max(usual / 2, usual - kept_free, few if waiting < 0.1 * few else 0.0)
+        lost = named - sizes.keys()
+        agenda = Agenda(wanted, usable, warm, lost, again, sorted(due_back - named))
+        agenda.changes = self.table_changes(agenda, sizes)
+        return agenda
+
+    def table_changes(self, agenda, sizes):
+        """The most urgent first."""
+        outstaying = self.withdrawals.outstaying(self.now) & agenda.lost
+        changes = [self.table_change(item, agenda, sizes, outstaying) for item in agenda.wanted]
+        changes = sorted((change for change in changes if change), key=lambda change: change.order)
+        # Where little is left one line goes first, where a lost server outstays its removal; then the whole tables.
+        partly = [change for change in changes if change.outstays or not change.settled]
+        return changes + [replace(change, can_wait=True, kept=True, outstays=False) for change in partly]
+
+    def table_change(self, item, agenda, sizes, outstaying):
+        """What is to change in the table of a slice; None for nothing."""
+        table, lines = self.tables[item], agenda.wanted[item]
+        usable, cold_ones = agenda.usable, agenda.usable - agenda.warm
+        left, cold = (sum(table[w] for w in sorted(table.keys() & of)) for of in (usable, cold_ones))
+        # Lines of the lost are withheld and only tidied up; who had most of a slice is replaced first.
+        change = sum(
+            abs(lines.get(w, 0) - table.get(w, 0)) * (1.0 if w in sizes else LINGER)
+            for w in sorted(table.keys() | lines.keys())
+        )
+        if change <= 1e-6:
+            return None
+        load, kept = self.asked_for.get(item, 1.0), left >= 0.5 * sum(table.values())
+        # Left mostly to cold servers, whose small part is now the whole, it is as urgent as none.
+        some = bool(table.keys() & usable) and (kept or cold <= 0.5 * left or load <= self.mean)
+        # While a withdrawal is said again and again, taking the worker out of its tables is what ends that.
+        return TableChange(item, change * load, some, kept, bool(table.keys() & outstaying))
+
+    def write_message(self, agenda, state, out, greet):
+        """One message to all proxies: who is withdrawn, tables, who is let in, the levels and a mark."""
+        budget = self.budget(agenda, state, out)
         # Whom some proxy may have missed being let in goes with ordinary sends: joins come by the dozen.
-        back = sorted(due_back - named)[: max(0, int((usual - waiting) / count - head - len(out)))]
-        each, spare, longest = len(out) + len(back), head + len(again), self.longest()
-        # A repeat that goes anyway takes as many lines of tables with it: were they to wait for a channel that repeats
-        # keep busy, they would wait as long as proxies come and go.
-        riding = 2 * each + head if again_out and not at_once else 0
+        back = agenda.back[: max(0, int((budget.usual - state.waiting) / state.receivers - state.head - len(out)))]
         for w in out:
             self.orders.withhold(w, True)
-        for later, kept, _, item in changes:
-            table, lines = tables[item], wanted[item]
-            if not (later and kept) and usable and not self.setup.single_owner:
-                # Little is left to pick: one line now, for as many such slices as can be; the rest follows.
-                some = {w: lines[w] for w in lines if w in usable} or {hashed(item, warm): 1.0}
-                best = max(
-                    some, key=lambda w: (some[w] > table.get(w, 0.0), w in warm and some[w] > LINGER, some[w], -w)
-                )
-                lines = table | {best: some[best]}
-            new = [w for w in sorted(lines) if abs(lines[w] - table.get(w, 0.0)) > 1e-6]
-            old = [w for w in sorted(table) if w not in lines]
-            more = len(new) + len(old)
-            cost = (spare + each + more) * count
-            waits_long = later and waiting + cost > usual and each + more > riding
-            overfills = unproven + cost > (UNPROVEN * full if later else full)
-            too_long = each and spare + each + more > longest
-            if waits_long or overfills or too_long:
-                break
-            each += more
-            for w in new:
-                self.orders.line(item, w, lines[w])
-            if not self.setup.single_owner:
-                for w in old:
-                    self.orders.line(item, w, 0)
-            tables[item] = lines
+        lines = self.write_tables(agenda, state, budget, len(out) + len(back))
         # Let in again only once no table holds more of it than it is to have: it may have come back cold.
         heavy = {
-            w for item, due in wanted.items() for w, weight in tables[item].items() if weight > due.get(w, 0.0) + 1e-6
+            w
+            for item, due in agenda.wanted.items()
+            for w, weight in self.tables[item].items()
+            if weight > due.get(w, 0.0) + 1e-6
         }
-        again = [w for w in again[: max(0, int((full - unproven) / count - head) - each)] if w not in heavy]
-        back, each = back + again, each + len(again)
-        for w in back:
+        room = int((budget.limit - state.unproven) / state.receivers - state.head) - lines
+        again = [w for w in agenda.again[: max(0, room)] if w not in heavy]
+        for w in back + again:
             self.orders.withhold(w, False)
-        if each or self.greet:
-            self.withdrawals.ordered(self.now, out, back)
+        lines += len(again)
+        if lines or greet:
+            self.write_levels()
+            self.withdrawals.ordered(self.now, out, back + again)
             # To all: who joined may hold levels of before a restart, and any message carries the present
             # ones; and a line that concerns no proxy would never be answered, and wait in the books for long.
             mark = self.withdrawals.messages % MARKS
             self.orders.mark(mark, True)
-            self.greet = False
-            self.books.send(self.now, mark, head + each, waiting, max(1, len(self.proxies)))
-            self.messages.append(self.now)
+            self.schedule.sent(self.now, state, mark, state.head + lines, max(1, len(self.proxies)))
+
+    def write_levels(self):
+        for k in sorted(self.levels_due):
+            self.orders.level(ALL_TABLES, 1 << k, self.levels[k], RETRY)
+        self.levels_due, self.greet, self.newcomers_since = set(), False, None
+
+    def budget(self, agenda, state, out):
+        """How long the next message may be, which withdraws `out`."""
+        usual, limit = self.schedule.usual_lines(state), state.limit
+        # Room for what will be said again, as soon as it is due, is not given away before that; but while proxies
+        # come and go without an end, the lost are still to be tidied out of the tables.
+        if later_out := len(self.withdrawals.missed.keys() - set(out)):
+            kept_free = (state.head + later_out) * state.receivers
+            alone = state.shortest_worthwhile if state.waiting < 0.1 * state.shortest_worthwhile else 0.0
+            limit, usual = limit - kept_free, max(usual / 2, usual - kept_free, min(alone, UNPROVEN * state.limit))
+        # A repeat that goes anyway takes as many lines of tables with it: were they to wait for a channel that repeats
+        # keep busy, they would wait as long as proxies come and go.
+        riding = 2 * len(out) + state.head if agenda.once_more and not agenda.at_once else 0
+        return Budget(usual, limit, self.schedule.prompt_lines(state), riding)
+
+    def write_tables(self, agenda, state, budget, lines):
+        """Changes of tables, the most urgent first, into a message that has `lines` at each proxy. Returns the lines
+        that it has then.
+        """
+        for change in agenda.changes:
+            table, rows = self.tables[change.table], agenda.wanted[change.table]
+            if not change.settled and agenda.usable and not self.setup.single_owner:
+                rows = self.with_one_line(change.table, rows, agenda)
+            elif change.outstays and not self.setup.single_owner:
+                rows = {w: weight for w, weight in table.items() if w not in agenda.lost} or rows
+            new = [w for w in sorted(rows) if abs(rows[w] - table.get(w, 0.0)) > 1e-6]
+            old = [w for w in sorted(table) if w not in rows]
+            longer = lines + len(new) + len(old)
+            cost = (state.head + longer) * state.receivers
+            waits_long = change.can_wait and state.waiting + cost > budget.usual and longer > budget.riding
+            overfills = state.unproven + cost > (UNPROVEN * budget.limit if change.can_wait else budget.limit)
+            too_long = lines and state.head + longer > state.longest or state.waiting + cost > budget.prompt
+            if waits_long or overfills or too_long:
+                break
+            lines = longer
+            for w in new:
+                self.orders.line(change.table, w, rows[w])
+            if not self.setup.single_owner:
+                for w in old:
+                    self.orders.line(change.table, w, 0)
+            self.tables[change.table] = rows
+        return lines
+
+    def with_one_line(self, item, rows, agenda):
+        """Little is left to pick: one line now, for as many such slices as can be; the rest follows."""
+        table = self.tables[item]
+        some = {w: rows[w] for w in rows if w in agenda.usable} or {hashed(item, agenda.warm): 1.0}
+        best = max(
+            some,
+            key=lambda w: (some[w] > table.get(w, 0.0), w in agenda.warm and some[w] > LINGER, some[w], -w),
+        )
+        return table | {best: some[best]}
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -39,10 +39,12 @@
     """State by worker index. Times are whole microseconds.
 
     `said_in`: the messages that withdrew a worker, or let it in, since that last changed; a repeat is one more.
-    `proofs`: what each proxy holds, by its index. `known`: all joined proxies were ordered not to send there. `missed`:
-    since when some proxy, or the table of some slice, may have missed that order. `barred`: withdrawn and not let in
-    since. `freed`: let in again since this manager began. `doubted`: some proxy may still hold a withdrawal that is
-    over. `unremembered`: some proxy may hold one of which this life of the manager does not know.
+    `proofs`: what each proxy holds, by its index; `unproven`: proxies of which that is not sure until they are heard of
+    again. `known`: all joined proxies were ordered not to send there. `missed`: since when some proxy, or the table of
+    some slice, may have missed that order. `due_first`: the list has just ended them, and nobody was told yet.
+    `barred`: withdrawn and not let in since; `withdrawn_at`: when first. `freed`: let in again since this manager
+    began, and not withdrawn since. `doubted`: some proxy may still hold a withdrawal that is over. `unremembered`: some
+    proxy may hold one of which this life of the manager does not know.
     """
 
     def __init__(self, setup):
@@ -53,6 +55,7 @@
         self.doubted_since = None
         self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
         self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
+        self.withdrawn_at = {}
 
     def proxy_joined(self, now, proxy, fresh, restarted):
         """`fresh`: it was started anew. `restarted`: workers that an earlier life of this manager may have withdrawn.
@@ -114,6 +117,10 @@
         latest = since + self.grace_us - self.transit_most_us - leave_us
         return min(self._settled_at(self.repeated_at), since + self.together_us, latest)
 
+    def settled_at(self, since):
+        """When no more proxies are expected behind those that came `since`; they wait for `together_us` at most."""
+        return min(self.came_at + self.settled_us, since + self.together_us)
+
     def _settled_at(self, last_at):
         """When no more proxies are expected; while some come all the time, so long after the last such repeat."""
         return max(self.came_at + self.settled_us, last_at + self.together_us)
@@ -122,6 +129,13 @@
         """What no table names any more, or is ready, need not be said again."""
         self.missed = {worker: since for worker, since in self.missed.items() if worker in lost}
 
+    def outstaying(self, now):
+        """Workers withdrawn some time ago, while withdrawals are said again: tables that name them are why."""
+        if not self.missed and now - self.repeated_at > self.grace_us:
+            return set()
+        long_ago = now - self.together_us
+        return {worker for worker, at in self.withdrawn_at.items() if at < long_ago}
+
     def due(self, now, lost, leave_us, few, idle):
         """Workers to withdraw now: whom the list caused to be, and whom to withdraw once more, the longest missed
         first.
@@ -155,6 +169,9 @@
             self.said_in[worker] = [*before[:1], *before[1:][-REPEATS_KEPT:], self.messages]
         for worker in out:
             self.missed.pop(worker, None)
+            self.withdrawn_at.setdefault(worker, now)
+        for worker in back:
+            self.withdrawn_at.pop(worker, None)
         self.known = (self.known | set(out)) - set(back)
         self.barred = (self.barred | set(out)) - set(back)
         self.freed, self.doubted = self.freed | set(back), self.doubted - set(back)
@@ -165,5 +182,6 @@
         self.unremembered |= worker in self.barred
         self.missed.pop(worker, None)
         self.said_in.pop(worker, None)
+        self.withdrawn_at.pop(worker, None)
         for group in (self.known, self.barred, self.freed, self.doubted):
             group.discard(worker)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -82,8 +82,10 @@
 class Stand:
     """A manager in the middle of its day, with `workers` ready and every slice on one of them."""
 
-    def __init__(self, workers=4, proxies=4, seed=1, start=100 * SECOND, tables=None, entries=None, **other):
-        self.setup, self.sheet, self.now = deployment(**other), Sheet(), start
+    def __init__(
+        self, workers=4, proxies=4, proxies_in_all=4, seed=1, start=100 * SECOND, tables=None, entries=None, **other
+    ):
+        self.setup, self.sheet, self.now = deployment(proxies=proxies_in_all, **other), Sheet(), start
         self.manager = Manager(self.setup, seed)
         intake = [("listed", True, entries or [entry(w) for w in range(workers)])]
         for item in range(self.setup.slices):
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -1,11 +1,11 @@
 """What a manager does, fed by hand: each rule's guard, each kind of trouble, each gap in what it knows."""
 
 import unittest
-from dataclasses import replace
 from unittest.mock import patch
 
 from ospreyrouter import policy
 from ospreyrouter.channel_books import SentMessage
+from ospreyrouter.channel_schedule import URGENT_FILL
 from ospreyrouter.interface import LevelKind, Outcome, Repeat, Retry
 from ospreyrouter.ring import Ring
 from tests.helper import DRAINING, GONE, READY, SECOND, Stand, entry, kind
@@ -439,7 +439,7 @@
         stand = Stand(slices=40, proxies=10, lines_per_s=2000.0, queue_lines=4000.0)
         stand.run(6, demand=demand, met=WELL)
         del stand.sheet.orders[:]
-        stand.manager.books.sent = [SentMessage(*row[:3], stand.now - row[3], row[4], 10) for row in sent]
+        stand.manager.schedule.books.sent = [SentMessage(*row[:3], stand.now - row[3], row[4], 10) for row in sent]
         stand.manager.linger = {item: 3 if one != 3 else 2 for item, one in stand.manager.linger.items()}
         stand.manager.send(stand.manager.capacities())
         return [item for item, _, _ in stand.sheet.all("line")]
@@ -454,7 +454,8 @@
                 after=0.5,
             )
             self.assertLessEqual(
-                sum(message.unproven for message in stand.manager.books.sent), 2000 * policy.URGENT_FILL
+                sum(message.unproven for message in stand.manager.schedule.books.sent),
+                2000 * URGENT_FILL,
             )
         lines = len(stand.sheet.all("line")) + len(stand.sheet.all("withhold")) + 9 * len(stand.sheet.all("mark"))
         self.assertLessEqual(lines * 10, 2000)
@@ -491,14 +492,13 @@
             stand.run(12, demand=EVEN, met=WELL | {1: (40, 38, 0.1)})
             self.assertEqual(bool(stand.sheet.all("line")), goes)
             self.assertLessEqual(
-                max((message.unproven for message in stand.manager.books.sent), default=0), 0.85 * 10000
+                max((message.unproven for message in stand.manager.schedule.books.sent), default=0), 0.85 * 10000
             )
 
     def test_what_waits_for_the_channel_will_go_to_all_who_join_until_then(self):
         # Nor is a call that was never taken, and is repeated when all have come, more than the channel holds.
         for stalled in ([("stalled", None)], []):
-            stand = Stand(workers=12, slices=60, proxies=2, queue_lines=2000.0)
-            stand.setup = stand.manager.setup = replace(stand.setup, proxies=40)
+            stand = Stand(workers=12, slices=60, proxies=2, proxies_in_all=40, queue_lines=2000.0)
             stand.manager.applied = lambda *_: None
             del stand.sheet.orders[:]
             stand.round(*stalled, ("listed", False, [entry(w, DRAINING) for w in range(6)]), after=1.0)
@@ -578,7 +578,8 @@
         for turn in range(12):
             stand.round(*(("joined", 6 * turn + n, 0, 1.0, False) for n in range(6)), after=0.05)
             self.assertLessEqual(
-                sum(message.unproven for message in stand.manager.books.sent), 2000 * policy.URGENT_FILL
+                sum(message.unproven for message in stand.manager.schedule.books.sent),
+                2000 * URGENT_FILL,
             )
 
     def test_bare_slices_get_one_line_each_before_any_is_written_whole(self):
@@ -602,9 +603,9 @@
         for delay, pace in [(0.3, 2000.0), (5.0, 1000 / 4.8)]:
             stand = Stand(slices=40, proxies=10)
             manager = stand.manager
-            manager.books.sent = [SentMessage(7, 300, 100, stand.now, 1000, 10)]
+            manager.schedule.books.sent = [SentMessage(7, 300, 100, stand.now, 1000, 10)]
             manager.applied(0, 7, int(delay * SECOND))
-            self.assertAlmostEqual(manager.books.pace_lines, pace)
+            self.assertAlmostEqual(manager.schedule.books.pace_lines, pace)
 
     def test_a_cap_on_messages_is_kept(self):
         stand = Stand(messages_most=6)
