A server that drains again after a return is withdrawn from proxies that start anew

Cause: `freed`, the servers that were let in, kept those that were withdrawn again, and what is in `freed` is not told to a proxy that was started anew. It is what was let in and not withdrawn since now.

--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -174,7 +174,7 @@
             self.withdrawn_at.pop(worker, None)
         self.known = (self.known | set(out)) - set(back)
         self.barred = (self.barred | set(out)) - set(back)
-        self.freed, self.doubted = self.freed | set(back), self.doubted - set(back)
+        self.freed, self.doubted = (self.freed | set(back)) - set(out), self.doubted - set(back)
         self.doubted_since = self.doubted_since if self.doubted else None
 
     def forget(self, worker):
