A withdrawal that nobody was told of yet does not become a repeat by a slice that is given

Cause: a given row put the server among those to be said again, which wait up to 0.4 of the grace. The ones that the list has just ended are kept apart until a message withdraws them.

--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -55,7 +55,7 @@
         self.doubted_since = None
         self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
         self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
-        self.withdrawn_at = {}
+        self.withdrawn_at, self.due_first = {}, set()
 
     def proxy_joined(self, now, proxy, fresh, restarted):
         """`fresh`: it was started anew. `restarted`: workers that an earlier life of this manager may have withdrawn.
@@ -92,6 +92,7 @@
 
     def came_back(self, now, worker):
         """The list has it as ready, and had it not: an earlier life of this manager may have withdrawn it."""
+        self.due_first.discard(worker)
         if self.unremembered and worker not in self.said_in:
             self._doubt(now, {worker})
 
@@ -102,6 +103,8 @@
     def row_given(self, now, worker):
         """A slice came into charge whose table names that worker."""
         self.came_at = now
+        if worker in self.due_first:
+            return  # nobody has been told yet, and all are to be at once
         self.known.discard(worker)
         self.missed.setdefault(worker, now)
 
@@ -109,6 +112,7 @@
         """The list has it as ready no longer."""
         self.known.discard(worker)
         self.missed.pop(worker, None)
+        self.due_first.add(worker)
 
     def ripe_at(self, leave_us):
         """When what was missed is to be said again. `leave_us`: how long the channel takes for what waits in it and
@@ -170,8 +174,10 @@
         for worker in out:
             self.missed.pop(worker, None)
             self.withdrawn_at.setdefault(worker, now)
+            self.due_first.discard(worker)
         for worker in back:
             self.withdrawn_at.pop(worker, None)
+            self.due_first.discard(worker)
         self.known = (self.known | set(out)) - set(back)
         self.barred = (self.barred | set(out)) - set(back)
         self.freed, self.doubted = (self.freed | set(back)) - set(out), self.doubted - set(back)
@@ -183,5 +189,5 @@
         self.missed.pop(worker, None)
         self.said_in.pop(worker, None)
         self.withdrawn_at.pop(worker, None)
-        for group in (self.known, self.barred, self.freed, self.doubted):
+        for group in (self.known, self.barred, self.freed, self.doubted, self.due_first):
             group.discard(worker)
