Calls that merge count as one message; a call in doubt waits for what is ahead of it

Change: the decisions hear of marks that merged; the hold of a call in doubt counts what was written before it, as far as a withdrawal behind it is still kept. A short answer counts no fewer lines.

--- a/ospreyrouter/channel_books.py
+++ b/ospreyrouter/channel_books.py
@@ -61,6 +61,18 @@
             self.pace_lines = min(full, message.ahead / slow * 1_000_000) if late else full
             message.ahead = 0
 
+    def merged(self, earlier, later):
+        """Two messages went as one call, which carries the later mark: one message, with one head."""
+        place, into = self._place(earlier), self._place(later)
+        if place is None or into is None:
+            return
+        first, second = self.sent[place], self.sent[into]
+        head = self.setup.message_head
+        second.lines += first.lines - head
+        second.unproven += max(0.0, first.unproven - head * first.proxies)
+        second.ahead += first.lines * first.proxies / 2
+        del self.sent[place]
+
     def stalled(self, now, taken, proxies):
         """What was sent after the mark `taken` comes to the channel only now, for so many proxies."""
         place = self._place(taken)
--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -22,6 +22,8 @@
 from ..interface import ALL_TABLES
 from . import relay_lines
 
+MARK = ("mark",)  # what an order for an answer sets
+
 
 def mark_in(text):
     return int(text.split(",")[1])
@@ -36,17 +38,22 @@
         self.door, self.counts, self.tables = door, counts, tables
         self.waiting = {}  # order by what it sets: its text, in the order written
         self.in_flight = []  # (what it sets, text) of the call in flight, in order
+        # When the channel would have sent all that has been written; the same without the call in flight.
+        self.channel_free_at = self.free_before = 0
         self.taken = None  # the last mark in a call that was taken
         self.most = None  # orders in a call, while one of them makes calls unreadable
         self.doubted, self.doubted_mark = set(), None  # of the call in doubt: what was not set anew since; its mark
         self.seen_mark = None  # the last that a proxy has answered
+        self.merged = []  # pairs of marks: what was to go with the first goes with the second, in one call
         self.void = set()  # slices that have changed hands since the call in flight was written
 
     # The writer.
 
     def _put(self, key, text):
         # What is set anew moves to the end: a mark stays behind all that was ordered before it.
-        self.waiting.pop(key, None)
+        before = self.waiting.pop(key, None)
+        if key == MARK and before is not None:
+            self.merged.append((mark_in(before), mark_in(text)))
         self.doubted.discard(key)
         self.waiting[key] = text
 
@@ -66,7 +73,7 @@
         self._put(("level", table, classes), text)
 
     def mark(self, number, everyone):
-        self._put(("mark",), relay_lines.mark(number, everyone))
+        self._put(MARK, relay_lines.mark(number, everyone))
 
     # The calls.
 
@@ -106,7 +113,7 @@
 
     @property
     def mark_in_flight(self):
-        return next((mark_in(text) for key, text in self.in_flight if key == ("mark",)), None)
+        return next((mark_in(text) for key, text in self.in_flight if key == MARK), None)
 
     def answered(self, taken):
         """So many orders were taken: the one after them is dropped and the rest goes on. None: cannot be."""
@@ -115,7 +122,7 @@
         done, refused, rest = self.in_flight[:taken], self.in_flight[taken : taken + 1], self.in_flight[taken + 1 :]
         self.in_flight, self.most = [], None
         self._again(rest, done)
-        self.taken = next((mark_in(text) for key, text in done if key == ("mark",)), self.taken)
+        self.taken = next((mark_in(text) for key, text in done if key == MARK), self.taken)
         self.counts["orders refused"] += len(refused)
         return [key for key, _ in done], [text for _, text in refused]
 
@@ -145,6 +152,13 @@
             self.waiting.pop(key, None)
         self.doubted, self.doubted_mark, self.taken = set(), None, number
 
+    def hold_us(self, now, proxies):
+        """How long a call in doubt is held: until its lines and those ahead of them would have left, if it was carried
+        out; for the latter no longer than leaves a withdrawal behind it its time."""
+        setup = self.door.setup
+        ahead_most_us = (setup.grace_us - setup.transit_most_us) // 2
+        return min(max(0, self.channel_free_at - now), self.channel_us(proxies) + ahead_most_us)
+
     def channel_us(self, proxies):
         """How long the channel takes for what is in flight, sent to so many proxies; it holds no more than its
         limit.
@@ -153,9 +167,22 @@
         lines = min(setup.queue_lines, (setup.message_head + len(self.in_flight)) * proxies)
         return int(lines / setup.lines_per_s * 1_000_000)
 
+    def not_carried_out(self):
+        """What the call in flight was to bring did not come to the channel."""
+        self.channel_free_at = self.free_before
+
+    def written(self, now, proxies):
+        """The call in flight has been written; its lines go behind those that still wait in the channel."""
+        self.free_before = self.channel_free_at
+        most_us = int(self.door.setup.queue_lines / self.door.setup.lines_per_s * 1_000_000)
+        free_at = max(self.channel_free_at, now) + self.channel_us(proxies)
+        self.channel_free_at = min(free_at, now + most_us)
+
     def _again(self, orders, done=()):
         """Ahead of what waits; where that sets the same, the later value stands."""
         later, void, self.void = self.waiting, self.void, set()
+        if MARK in later:
+            self.merged += [(mark_in(text), mark_in(later[MARK])) for key, text in orders if key == MARK]
         self.waiting = {key: text for key, text in orders if key not in later and _table_of(key) not in void} | later
         for key, _ in [*done, *orders]:
             if key[0] == "line" and key[1] in void and key not in self.waiting:
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -173,6 +173,7 @@
         elif link.usable:  # else its end is told this turn, and what is written now would be in doubt for nothing
             self.used_at = self.loop.now()
             link.stream.write(self.calls.take())
+            self.calls.written(self.loop.now(), len(self.news.joined))
             if summary := self.calls.summary():
                 self.log("call", **summary)
             link.bound(ANSWER_US, "no answer")
@@ -219,6 +220,7 @@
     def _refused(self, why):
         """The call was not carried out: it is sent again a little later, in halves if it could not be read."""
         self.counts[f"calls {why}"] += 1
+        self.calls.not_carried_out()
         if why == "invalid":
             if len(self.calls.in_flight) == 1:
                 return self.calls.answered(0)
@@ -235,8 +237,8 @@
         if self.calls.in_flight:
             self.counts[f"call in doubt: {reason}"] += 1
             # If it was carried out, its lines wait in the channel: repeated at once, it would fill that twice over. So
-            # it is not before they would have left, unless an answer to its mark tells that it need not be.
-            channel_us = self.calls.channel_us(len(self.news.joined))
+            # it waits until they and what was ahead of them would have left, unless an answer to its mark comes.
+            channel_us = self.calls.hold_us(self.loop.now(), len(self.news.joined))
             in_doubt = self.calls.unsettled()
             self.log("call in doubt", reason=reason, proven=not in_doubt, hold_ms=channel_us // 1000 if in_doubt else 0)
             if in_doubt:
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -76,6 +76,8 @@
         intake, self.intake = self.intake, []
         if not intake or self.closing:
             return
+        intake[:0] = [("merged", *marks) for marks in self.merged]
+        self.merged.clear()
         if self.relay.stalled or self.taken is None:  # nor is it known to be open before it has taken anything
             intake.insert(0, ("stalled", self.taken))
         began = self.loop.now()
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -349,6 +349,10 @@
         sent = self.withdrawals.messages
         return sent - (sent - mark) % MARKS
 
+    def merged(self, earlier, later):
+        """The message with the earlier mark went in one call with the later one."""
+        self.schedule.books.merged(earlier, later)
+
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
