Answers that cannot come any more are not waited for; a gap in the news proves nothing

Callers: a drain 6.8 to 9.3 s late after all streams broke or the news fell silent behind a large message (`held_back=14`, 7,650 of 8,330 lines unproven): lines were kept for eight times the queue. They count until they would have left by the pace now.

A proxy that was started anew and lost its stream within a gap of the news is told of as one that holds what it had, and was never told again (6.0 s, to the end of the test): after a gap each proxy's proof begins anew.

--- a/ospreyrouter/channel_books.py
+++ b/ospreyrouter/channel_books.py
@@ -14,7 +14,7 @@
 
     `unproven`: lines not proven to have left. `lines`: at each proxy, head included. `ahead`: lines that were ahead of
     it in the channel, half of its own among them; 0 once a proxy has answered its mark. `proxies`: joined when it was
-    sent.
+    sent. `forgotten_at`: when it is taken to have left though nobody answers; None while answers are awaited.
     """
 
     mark: int
@@ -23,6 +23,7 @@
     sent_at: int
     ahead: float
     proxies: int
+    forgotten_at: int | None = None
 
 
 class ChannelBooks:
@@ -73,6 +74,13 @@
         second.ahead += first.lines * first.proxies / 2
         del self.sent[place]
 
+    def answers_are_lost(self, now):
+        """What has been sent will not be answered any more: it counts until it would have left by the pace."""
+        for message in self.sent:
+            own = message.lines * message.proxies
+            leaves_us = max(message.ahead + own / 2, own) / self.pace_lines * 1_000_000
+            message.forgotten_at = max(now, message.sent_at + int(leaves_us))
+
     def stalled(self, now, taken, proxies):
         """What was sent after the mark `taken` comes to the channel only now, for so many proxies."""
         place = self._place(taken)
@@ -81,14 +89,14 @@
         self.free_at = max(now, self.free_at - int(lines / self.setup.lines_per_s * 1_000_000))
         for message in untaken:
             message.unproven = max(message.unproven, message.lines * proxies)
-            message.sent_at, message.proxies = now, proxies
+            message.sent_at, message.proxies, message.forgotten_at = now, proxies, None
             self._take(now, message.lines * proxies)
 
     def forget_old(self, now):
         """What the slowest channel would have sent by now is no longer waited for."""
         slowest_us = self.setup.queue_lines / self.setup.lines_per_s * SLOWEST * 1_000_000
         since = now - slowest_us - self.setup.transit_most_us
-        self.sent = [m for m in self.sent if m.sent_at > since]
+        self.sent = [m for m in self.sent if m.sent_at > since and (m.forgotten_at is None or now < m.forgotten_at)]
 
     def unproven_and_waiting(self, now, count, recent_us):
         """Lines not proven to have left, and of these the ones that are not yet due to have.
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -118,6 +118,7 @@
             old, self.news_link, self.next_link = self.news_link, link, None
             old.close()
         self.news.snapshot_begins()
+        self.heard([("answers_lost",)])
 
     def _quiet(self, link):
         if self.quiet_timer is not None:
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -258,6 +258,8 @@
 
     def left(self, proxy):
         self.proxies.discard(proxy)
+        if not self.proxies:
+            self.schedule.books.answers_are_lost(self.now)
 
     def charged(self, item, given):
         if item not in self.tables:
@@ -353,6 +355,11 @@
         """The message with the earlier mark went in one call with the later one."""
         self.schedule.books.merged(earlier, later)
 
+    def answers_lost(self):
+        """What has been sent will not be answered: the news that would have told of it is gone."""
+        self.schedule.books.answers_are_lost(self.now)
+        self.withdrawals.news_was_away()
+
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -55,7 +55,7 @@
         self.doubted_since = None
         self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
         self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
-        self.withdrawn_at, self.due_first = {}, set()
+        self.withdrawn_at, self.due_first, self.unproven = {}, set(), set()
 
     def proxy_joined(self, now, proxy, fresh, restarted):
         """`fresh`: it was started anew. `restarted`: workers that an earlier life of this manager may have withdrawn.
@@ -67,6 +67,9 @@
         # channel, and tables would wait behind it.
         proof = None if fresh else self.proofs.get(proxy)
         unsure = not fresh if proof is None else proof.unsure
+        if proxy in self.unproven:  # it may have been started anew while there was no news
+            self.unproven.discard(proxy)
+            proof = None
         lacks = {w for w, messages in self.said_in.items() if proof is None or not proof.has(w, messages)}
         if fresh:
             lacks -= self.freed
@@ -84,6 +87,10 @@
         if self.doubted and self.doubted_since is None:
             self.doubted_since = now
 
+    def news_was_away(self):
+        """Proxies may have been started anew meanwhile, and have come back since: nothing is proven of any."""
+        self.unproven = set(self.proofs)
+
     def answered(self, proxy, message):
         """The proxy has all that was sent to it up to that message."""
         proof = self.proofs.get(proxy)
