A withdrawal that the relay refuses is ordered again, and answers behind it prove nothing

It is said again, three times at most; the number of the refused message leaves the proof, or a stream that broke between them would hide the repeat (4.0 s, seen on reading the change).

--- a/ospreyrouter/node/calls.py
+++ b/ospreyrouter/node/calls.py
@@ -44,6 +44,7 @@
         self.most = None  # orders in a call, while one of them makes calls unreadable
         self.doubted, self.doubted_mark = set(), None  # of the call in doubt: what was not set anew since; its mark
         self.seen_mark = None  # the last that a proxy has answered
+        self.refused = []  # workers whose withdrawal the relay did not carry out
         self.merged = []  # pairs of marks: what was to go with the first goes with the second, in one call
         self.void = set()  # slices that have changed hands since the call in flight was written
 
@@ -124,6 +125,7 @@
         self._again(rest, done)
         self.taken = next((mark_in(text) for key, text in done if key == MARK), self.taken)
         self.counts["orders refused"] += len(refused)
+        self.refused += [key[1] for key, text in refused if key[0] == "out" and text.startswith("withdraw")]
         return [key for key, _ in done], [text for _, text in refused]
 
     def again(self):
--- a/ospreyrouter/node/relay.py
+++ b/ospreyrouter/node/relay.py
@@ -216,6 +216,8 @@
             self.waits_since = self.loop.now() if self.calls.waiting else None
             for text in settled[1]:
                 self.log("order refused", order=text)
+            if settled[1]:
+                self.heard([("woke", 0)])  # a round: what was refused may have to be ordered again
         self._after_call()
 
     def _refused(self, why):
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -77,7 +77,9 @@
         if not intake or self.closing:
             return
         intake[:0] = [("merged", *marks) for marks in self.merged]
+        intake += [("refused", worker) for worker in self.refused]
         self.merged.clear()
+        self.refused.clear()
         if self.relay.stalled or self.taken is None:  # nor is it known to be open before it has taken anything
             intake.insert(0, ("stalled", self.taken))
         began = self.loop.now()
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -360,6 +360,10 @@
         self.schedule.books.answers_are_lost(self.now)
         self.withdrawals.news_was_away()
 
+    def refused(self, worker):
+        """The order to withdraw that worker was not carried out."""
+        self.withdrawals.refused(self.now, worker)
+
     def stalled(self, taken):
         """What was ordered after that mark only comes to the channel now, for all who have joined by now."""
         self.stalled_at = self.now
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -7,10 +7,12 @@
 that the channel could not bring it within the grace, which begins for these proxies and slices when they come.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 SETTLED = 0.05  # part of the drain grace without a join or a given slice after which no more are expected
 TOGETHER = 0.4  # part of the drain grace that what is said again waits at most for more of its kind
+REFUSALS_MOST = 3  # of one order, before it is given up
 REPEATS_KEPT = 16  # of the messages that said the same: an answer to any of them is proof
 
 
@@ -56,6 +58,7 @@
         self.repeated_at = self.let_in_again_at = -setup.grace_us  # the last withdrawal, or letting in, once more
         self.messages, self.said_in, self.proofs, self.unremembered = 0, {}, {}, False
         self.withdrawn_at, self.due_first, self.unproven = {}, set(), set()
+        self.refusals = Counter()  # of the order to withdraw a worker, since it last was ready
 
     def proxy_joined(self, now, proxy, fresh, restarted):
         """`fresh`: it was started anew. `restarted`: workers that an earlier life of this manager may have withdrawn.
@@ -91,6 +94,20 @@
         """Proxies may have been started anew meanwhile, and have come back since: nothing is proven of any."""
         self.unproven = set(self.proofs)
 
+    def refused(self, now, worker):
+        """The order to withdraw it was not carried out: whoever answers that message does not hold it."""
+        self.refusals[worker] += 1
+        if self.refusals[worker] > REFUSALS_MOST:
+            return  # it would be refused each time
+        messages = self.said_in.get(worker, [])
+        del messages[-1:]
+        if not messages:
+            self.said_in.pop(worker, None)
+            self.withdrawn_at.pop(worker, None)
+            self.barred.discard(worker)
+        self.known.discard(worker)
+        self.missed.setdefault(worker, now)
+
     def answered(self, proxy, message):
         """The proxy has all that was sent to it up to that message."""
         proof = self.proofs.get(proxy)
@@ -100,6 +117,7 @@
     def came_back(self, now, worker):
         """The list has it as ready, and had it not: an earlier life of this manager may have withdrawn it."""
         self.due_first.discard(worker)
+        del self.refusals[worker]
         if self.unremembered and worker not in self.said_in:
             self._doubt(now, {worker})
 
@@ -196,5 +214,6 @@
         self.missed.pop(worker, None)
         self.said_in.pop(worker, None)
         self.withdrawn_at.pop(worker, None)
+        del self.refusals[worker]
         for group in (self.known, self.barred, self.freed, self.doubted, self.due_first):
             group.discard(worker)
