A list older than what is known of a server does not undo its drain

After an older whole list (38) a change (39) that had the server as active was taken though 41 was known: `restore=1`, 5.99 s. The version is kept by server now, also of those that a whole list lacks; the newest of several doubted rows counts.

--- a/ospreyrouter/node/watch.py
+++ b/ospreyrouter/node/watch.py
@@ -43,7 +43,8 @@
         self.loop, self.address, self.door, self.counts, self.log = loop, address, door, counts, log
         self.heard, self.chance, self.clock_ms = heard, chance, clock_ms
         self.seq, self.addresses, self.started = 0, {}, {}
-        self.known, self.doubted = {}, {}  # by worker: entry and start as known; fields of an older list
+        self.known, self.doubted = {}, {}  # by worker: entry and start as known; fields of an older list, its version
+        self.known_in = {}  # by worker: the newest version of the list that spoke of it
         self.heard_at = None  # when the last line could be read: what started long before that was known by then
         self.client, self.next, self.backoff_us, self.closed, self.dials = None, None, BACKOFF_US, False, 0
 
@@ -117,13 +118,14 @@
         entries, doubted = [], []
         for row in rows:
             try:
-                entries.append(self._read(listing.entry(row), older, doubted))
+                entries.append(self._read(listing.entry(row), seq, doubted))
             except Malformed as problem:
                 self.counts[f"entry spoilt: {problem.cause}"] += 1
         if whole:
             for worker in self.known.keys() - {entry.worker for entry in entries}:
                 entry, born_ms = self.known[worker]
                 self._know(replace(entry, state=State.GONE), born_ms, None)
+                self.known_in[worker] = max(seq, self.known_in.get(worker, 0))
         self._log_list(seq, whole, older, entries)
         self.heard([("listed", whole, entries)])
         if doubted:
@@ -134,15 +136,18 @@
             states = Counter(entry.state.name.lower() for entry in entries)
             self.log("list", seq=seq, **{"whole": True} if whole else {}, **{"older": True} if older else {}, **states)
 
-    def _read(self, fields, older, doubted):
+    def _read(self, fields, seq, doubted):
         name, _, zone, _, _, state, _, born_ms = fields
         self.door.zone(zone)  # before the name gets an index
         worker = self.door.worker(name)
-        if older and worker in self.known:
+        if seq < self.known_in.get(worker, 0) and worker in self.known:
             known, life = self.known[worker]
             if (born_ms, state) < (life, known.state):
-                doubted.append((worker, self.doubted.setdefault(worker, fields)))
+                if worker not in self.doubted or seq > self.doubted[worker][0]:
+                    self.doubted[worker] = seq, fields
+                doubted.append((worker, self.doubted[worker]))
                 return known
+        self.known_in[worker] = max(seq, self.known_in.get(worker, 0))
         return self._entry(*fields)
 
     def _entry(self, name, dial, zone, kind, cell, state, weight, born_ms):
@@ -161,7 +166,11 @@
 
     def _believe(self, doubted):
         """What nothing newer has spoken of since is no lag: the list did start over."""
-        sure = [self._entry(*fields) for worker, fields in doubted if self.doubted.get(worker) is fields]
+        sure = []
+        for worker, found in doubted:
+            if self.doubted.get(worker) is found:
+                self.known_in[worker], fields = found
+                sure.append(self._entry(*fields))
         if sure:
             self.heard([("listed", False, sure)])
 
@@ -186,7 +195,7 @@
         return known[1]
 
     def forget(self, worker):
-        for table in (self.started, self.addresses, self.known, self.doubted):
+        for table in (self.started, self.addresses, self.known, self.known_in, self.doubted):
             table.pop(worker, None)
 
     def move(self, address):
--- a/tests/test_drain_crossings.py
+++ b/tests/test_drain_crossings.py
@@ -210,6 +210,37 @@
         fleet.run(6)
         self.kept(fleet)
 
+    def test_streams_that_break_between_a_refused_withdrawal_and_its_repeat(self):
+        """They have answered the mark behind the order that was refused, which proves nothing of it."""
+        for leave_s in (0.75, 0.9, 1.05):
+            with self.subTest(leave_s=leave_s):
+                fleet = Fleet(**SLOW_TABLES)
+                fleet.run(1)
+                fleet.relay.fates = [0]
+                fleet.drain(1, 2, 3, 4)
+                fleet.run(leave_s)
+                away = range(0, 60, 6)
+                for proxy in away:
+                    fleet.relay.leave(proxy)
+                fleet.run(0.02)
+                for proxy in away:
+                    fleet.relay.come_back(proxy)
+                fleet.run(5)
+                self.kept(fleet)
+
+    def test_throttled_calls_do_not_lengthen_the_hold_of_one_in_doubt(self):
+        """They never came to the channel; each throttling itself takes a tenth of a second."""
+        for throttled in (0, 3, 8):
+            with self.subTest(throttled=throttled):
+                fleet = Fleet(**LONG_QUEUE, slices=192)
+                fleet.run(4)
+                fleet.relay.fates = ["throttled"] * throttled + ["lost"]
+                fleet.drain(1, 2, 3)
+                fleet.run(0.02)
+                fleet.drain(4)
+                fleet.run(8)
+                self.kept(fleet, BROKEN_CALL_S + 0.1 * throttled)
+
     def test_a_word_while_a_large_call_is_in_doubt(self):
         """Nothing goes out for as long as the lines of the call in doubt would take."""
         for slices, fates, allowed_s in ((78, ["lost"], BROKEN_CALL_S), (192, ["lost"], BROKEN_CALL_S)):
@@ -483,6 +514,17 @@
                 self.kept(fleet)
                 self.assertEqual(fleet.relay.orders("restore"), [])
 
+    def test_an_older_list_brings_back_no_server_that_a_newer_one_lacks(self):
+        fleet = Fleet(**SLOW_TABLES)
+        rows = [row(number) for number in range(1, 13)]
+        fleet.relay.told(["s-3"])
+        fleet.discovery.say(20, True, *[one for one in rows if one["host"] != "s-3"])
+        fleet.run(0.3)
+        fleet.discovery.say(15, True, *rows)
+        fleet.run(4)
+        self.assertEqual(fleet.relay.orders("restore"), [])
+        self.kept(fleet)
+
     def test_a_word_in_pieces_whose_end_comes_only_with_the_next_watch(self):
         fleet = Fleet()
         word = json.dumps({"seq": 2, "whole": False, "hosts": [row(1, "leaving")]}).encode() + b"\n"
