--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -52,13 +52,19 @@
         stream.start(lambda data: self._data(caller, data), lambda reason: self._closed(caller))
         self.counts["callers"] += 1
         if len(self.strangers) > self.strangers_most:
-            self._show_out(next(iter(self.strangers)), "crowded out")
+            self._show_out_unless_joining(next(iter(self.strangers)), "crowded out")
 
     def _closed(self, caller):
         self.strangers.pop(caller, None)
         if self.collectors.pop(caller, None):
             self.counts["collectors lost"] += 1
 
+    def _show_out_unless_joining(self, caller, why):
+        """What has come by now is answered first: this process may have stood still while it came."""
+        caller.stream.read_now()
+        if caller in self.strangers:
+            self._show_out(caller, why)
+
     def _show_out(self, caller, why):
         self.counts[f"shown out: {why}"] += 1
         self.strangers.pop(caller, None)
@@ -71,7 +77,7 @@
         for caller in list(self.strangers):  # in the order they came
             if caller.since > before:
                 break
-            self._show_out(caller, "did not join")
+            self._show_out_unless_joining(caller, "did not join")
 
     def _data(self, caller, data):
         if caller in self.strangers:
