The log tells of late withdrawals, of the channel's queue at each call, and of broken checks

`withdrawn` told how long a call took; whether a drain was kept had to be worked out by hand. `counts` has withdrawals_answered_late (answers to first withdrawals after the grace) and each check of the channel's schedule that was broken; `call` has queue_ms. Nothing is decided by them.

--- a/ospreyrouter/node/drain_progress.py
+++ b/ospreyrouter/node/drain_progress.py
@@ -1,13 +1,14 @@
 """How far withdrawals have come: from the word of the list to the last proxy's answer. No I/O, decides nothing.
 
-    progress = DrainProgress(log)
+    progress = DrainProgress(log, grace_us)
     progress.listed(now, workers)             # the list has these as draining or gone
     progress.ordered(now, workers, mark)      # a call withdraws these; its last order asks for answers to `mark`
     progress.joined(now, proxy); progress.left(proxy)
     progress.answered(now, proxy, mark)
 
 One line of the log for each call that withdraws, once every proxy that was joined at the call has answered its mark or
-a later one, or once the call has been followed by `CALLS_MOST` others. Times are microseconds on the loop's clock.
+a later one, or once the call has been followed by `CALLS_MOST` others. `late` counts answers to first withdrawals that
+came later than the drain grace after the list's word. Times are microseconds on the loop's clock.
 """
 
 from dataclasses import dataclass, field
@@ -24,12 +25,14 @@
     workers: int
     told_at: int  # when the list first said so of the worker that has waited longest
     sent_at: int
+    first_told_at: int | None  # the earliest of those withdrawn for the first time since; None: all are repeats
     awaited: set = field(default_factory=set)
 
 
 class DrainProgress:
-    def __init__(self, log):
+    def __init__(self, log, grace_us):
         self.log, self.told, self.calls, self.proxies = log, {}, [], {}
+        self.grace_us, self.late = grace_us, 0
         self.withdrawn = set()  # workers of `told` that some call has withdrawn
 
     def left_in(self, now, named):
@@ -57,9 +60,10 @@
             call.awaited.discard(proxy)
 
     def ordered(self, now, workers, mark):
+        first = [self.told[worker] for worker in workers if worker in self.told and worker not in self.withdrawn]
         self.withdrawn.update(workers)
         told = min((self.told.get(worker, now) for worker in workers), default=now)
-        self.calls.append(Withdrawal(mark, len(workers), told, now, set(self.proxies)))
+        self.calls.append(Withdrawal(mark, len(workers), told, now, min(first, default=None), set(self.proxies)))
         if len(self.calls) > CALLS_MOST:
             self._end(now, self.calls.pop(0))
 
@@ -69,6 +73,8 @@
         if place is None:
             return
         for call in self.calls[: place + 1]:
+            if proxy in call.awaited and call.first_told_at is not None:
+                self.late += now - call.first_told_at > self.grace_us
             call.awaited.discard(proxy)
         for call in [call for call in self.calls[: place + 1] if not call.awaited]:
             self.calls.remove(call)
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -46,7 +46,7 @@
         self.watch.begin(station.known)
         news = News(door, self, self.manager.tables, self.counts)
         self.relay = Relay(loop, station.relay, self, news, self.counts, self.hear, chance, log)
-        self.drains = DrainProgress(log)
+        self.drains = DrainProgress(log, door.setup.grace_us)
         self.rounds, self.longest_us, self.busy_us, self.late_us = 0, 0, 0, 0
         self.again_in_flight, self.closing = 0, False
         self.forget_at = loop.now() + FORGET_US
@@ -147,8 +147,12 @@
         return data
 
     def summary(self):
-        """Fields of the log's line for the call in flight; `again` of its withdrawals are repeats."""
+        """Fields of the log's line for the call in flight: `again` of its withdrawals are repeats, and the channel
+        takes `queue_ms` for it and what waits there.
+        """
         fields = super().summary()
+        if fields:
+            fields["queue_ms"] = max(0, self.channel_free_at - self.loop.now()) // 1000
         return fields | {"again": self.again_in_flight} if fields and self.again_in_flight else fields
 
     def _tables_behind(self):
@@ -195,6 +199,8 @@
             strangers=len(self.collectors.strangers),
             collectors=len(self.collectors.collectors),
             **self._tables_behind(),
+            withdrawals_answered_late=self.drains.late,
+            **{f"rule broken here: {rule}": count for rule, count in sorted(self.manager.violations.items())},
             dials=self.relay.news_link.dials + self.relay.call_link.dials,
             watches=self.watch.dials,
             **dict(sorted({**self.counts, **self.loop.counts}.items())),
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -211,6 +211,11 @@
             self.alarm_at = max(at, self.now + 1)
             self.orders.wake(self.alarm_at - self.now, 0)
 
+    @property
+    def violations(self):
+        """How often a message broke a rule of the channel's schedule, by rule."""
+        return self.schedule.violations
+
     def begin(self):
         self.spoken = True
         self.set_levels([1.0] * len(self.setup.classes))
