--- a/tests/judged_relay.py
+++ b/tests/judged_relay.py
@@ -226,9 +226,9 @@
             return
         now, since, empty = self.loop.now(), self.overdue_since(self.blackhole_us + SLACK_US), {}
         for proxy, member in self.members.items():
-            for table, rows in member.rows.items():
-                if rows.keys() <= member.withdrawn:
-                    begun = max(member.joined_at, self.given_at[table], self.floor_at)
+            for table, given_at in self.given_at.items():
+                if member.rows.get(table, {}).keys() <= member.withdrawn:
+                    begun = max(member.joined_at, given_at, self.floor_at)
                     empty[proxy, table] = max(begun, self.empty_since.get((proxy, table), now))
         self.empty_since = empty
         for (proxy, table), at in empty.items():
