A reading that fails for a moment leaves nothing unread where a connection is closed

What lies in the socket is read before a stranger is shown out and at the end of the program, but the first EINTR, ENOBUFS or ENOMEM ended that reading, and the close made a reset of the rest. Three failures in a row end it now.

--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -12,6 +12,8 @@
 READ_AT_ONCE = 256 << 10
 # The system is short of something for a moment: what was asked is asked again, no connection is at fault.
 SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+PASSING = SHORTAGE | {errno.EAGAIN, errno.EINTR}
+READ_TRIES = 3  # of a reading that has to be whole at once, before nothing is taken to be left
 BACKLOG, ACCEPTS_A_TURN = 512, 64
 ACCEPT_RETRY_US, ACCEPT_RETRY_MOST_US = 5_000, 160_000
 
@@ -91,11 +93,19 @@
         self._finish(reason)
 
     def read_now(self):
-        try:
-            while self.open and self.reading and (data := self.sock.recv(READ_AT_ONCE)):
-                self._hand_on(data)
-        except OSError:  # nothing is left, or it was reset
-            pass
+        failures = 0
+        while self.open and self.reading and failures < READ_TRIES:
+            try:
+                data = self.sock.recv(READ_AT_ONCE)
+            except OSError as problem:
+                if problem.errno not in PASSING:
+                    return  # it was reset: the loop tells of that
+                failures += 1  # nothing is left, or the call failed for a moment
+                continue
+            if not data:
+                return
+            failures = 0
+            self._hand_on(data)
 
     def write(self, data):
         if not self.open or self.closing:
