--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -6,9 +6,10 @@
 match (the mechanism), what is heard, what is made of it, the layout, the sends.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 
+from .agenda import Agenda, Budget, TableChange
 from .channel_schedule import UNPROVEN, ChannelSchedule, Urgency
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, Outcome, Retry, State
 from .packing import hashed, match, pack
@@ -52,84 +53,6 @@
 RETRY = Retry.PROVEN  # of every class: what may have run is never tried again, and safe repeats double a jam
 
 
-@dataclass(frozen=True)
-class TableChange:
-    """A table that is not as it is to be. `load`: how much of the demand that moves. `can_wait`: enough is left to pick
-    at warm servers. `kept`: half of its weight is left. `outstays`: it names a worker that has to be withdrawn again
-    because of such tables.
-    """
-
-    table: int
-    load: float
-    can_wait: bool
-    kept: bool
-    outstays: bool
-
-    @property
-    def order(self):
-        """The most urgent first."""
-        return self.can_wait, self.kept, not self.outstays, -self.load, self.table
-
-    @property
-    def settled(self):
-        return self.can_wait and self.kept
-
-
-@dataclass
-class Agenda:
-    """What is due for the proxies.
-
-    `wanted`: rows by table, as they are to be. `usable`, `warm`: servers that can be picked. `named`: servers that are
-    named by tables; `lost`: of these, the ones that are not to be. `again`, `back`: to be let in, at once or with
-    ordinary sends. `changes`: of tables, the most urgent first. `at_once`, `once_more`: to be withdrawn, by the list's
-    word or since some proxy may have missed it.
-    """
-
-    wanted: dict
-    usable: set
-    warm: set
-    named: set
-    lost: set
-    again: list
-    back: list
-    changes: list = field(default_factory=list)
-    at_once: list = field(default_factory=list)
-    once_more: list = field(default_factory=list)
-    levels_changed: bool = False
-
-    @property
-    def out(self):
-        return self.at_once + self.once_more
-
-    @property
-    def anything(self):
-        return bool(self.changes or self.out or self.again or self.back)
-
-    @property
-    def urgency(self):
-        if self.at_once:
-            return Urgency.WITHDRAWAL
-        if self.levels_changed:
-            return Urgency.LEVELS
-        if self.changes and not self.changes[0].can_wait:
-            return Urgency.BARE_SLICE
-        return Urgency.REPEAT if self.once_more or self.again else Urgency.ORDINARY
-
-
-@dataclass(frozen=True)
-class Budget:
-    """Lines that a message may have, head included, all proxies together, but for `riding`: lines at each.
-
-    `usual`: with ordinary sends. `limit`: with what waits. `prompt`: a withdrawal right behind it is still kept.
-    `riding`: so many go with a repeat whatever is usual.
-    """
-
-    usual: float
-    limit: float
-    prompt: float
-    riding: float
-
-
 class Worker:
     """One worker as far as this manager knows it."""
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -30,18 +30,6 @@
     return len(os.listdir("/proc/self/fd"))
 
 
-class FailsOnce:
-    """A socket whose first reading fails."""
-
-    def __init__(self, sock, code):
-        self.sock, self.failures = sock, [OSError(code, os.strerror(code))]
-
-    def recv(self, size):
-        if self.failures:
-            raise self.failures.pop()
-        return self.sock.recv(size)
-
-
 class Full:
     """An address that neither takes nor refuses connections: its backlog is full, as that of a machine that hangs."""
 
@@ -107,9 +95,9 @@
                 heard = []
                 stream.start(heard.append, None)
                 far.sendall(b"PING")
-                with mock.patch.object(stream, "sock", FailsOnce(stream.sock, code)):
-                    stream.read_now()
-                self.assertEqual(heard, [b"PING"])
+                left = self.failing("recv", code)
+                stream.read_now()
+                self.assertEqual((heard, left), ([b"PING"], []))
 
     def test_calls_of_the_system_that_fail_for_a_moment_end_no_connection_and_no_listener(self):
         stream, far = self.pair()
