Answers are written out though a call fails as a connection is ended; who is shown out is heard to its close

`end()` tried each writing once, so an EINTR or ENOBUFS there threw the answers away; and what was still read of a stranger while its NACK could not leave was dropped (by reading the code for both; the traces name only the PINGs). Three failures in a row end it now, and a stranger is answered until its connection is closed.

--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -13,7 +13,7 @@
 # The system is short of something for a moment: what was asked is asked again, no connection is at fault.
 SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 PASSING = SHORTAGE | {errno.EAGAIN, errno.EINTR}
-READ_TRIES = 3  # of a reading that has to be whole at once, before nothing is taken to be left
+TRIES_AT_ONCE = 3  # of a reading or writing that cannot be gone on with later, before nothing more is taken to go
 BACKLOG, ACCEPTS_A_TURN = 512, 64
 ACCEPT_RETRY_US, ACCEPT_RETRY_MOST_US = 5_000, 160_000
 
@@ -94,7 +94,7 @@
 
     def read_now(self):
         failures = 0
-        while self.open and self.reading and failures < READ_TRIES:
+        while self.open and self.reading and failures < TRIES_AT_ONCE:
             try:
                 data = self.sock.recv(READ_AT_ONCE)
             except OSError as problem:
@@ -155,8 +155,11 @@
     def end(self):
         self.read_now()
         self.close()
-        if self.open:
+        failures = 0
+        while self.open and failures < TRIES_AT_ONCE:  # a call that fails for a moment is to lose no answer
+            before = self.out_size
             self._flush()
+            failures = 0 if self.out_size < before else failures + 1
         self._finish("closed here")
 
     def abort(self, reason="aborted"):
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -35,6 +35,7 @@
     def __init__(self, loop, address, door, counts, heard, strangers_most):
         self.loop, self.door, self.counts, self.heard, self.strangers_most = loop, door, counts, heard, strangers_most
         self.strangers, self.collectors = {}, {}
+        self.leaving = None  # who is just being shown out
         self.asked_at = 0  # when somebody last asked for a sign of life
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
@@ -68,8 +69,10 @@
     def _show_out(self, caller, why):
         self.counts[f"shown out: {why}"] += 1
         self.strangers.pop(caller, None)
+        self.leaving = caller
         caller.stream.write(frames.NACK)
-        caller.stream.close()
+        caller.stream.end()
+        self.leaving = None
 
     def _sweep(self):
         self.loop.after(SWEEP_US, self._sweep)
@@ -84,6 +87,18 @@
             self._greeted(caller, data)
         elif caller in self.collectors:
             self._reported(caller, data)
+        elif caller is self.leaving:
+            self._answer_last(caller, data)
+
+    def _answer_last(self, caller, data):
+        """It is being shown out; what was read of it before its connection is closed is answered all the same."""
+        try:
+            messages = caller.reader.feed(data, SHORT_MOST)
+        except Unreadable as problem:
+            messages = problem.before
+        for message in messages:
+            if frames.kind_of(message) == "PING":
+                self._answer_ping(caller)
 
     def _greeted(self, caller, data):
         try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,7 +12,7 @@
 
 from ospreyrouter.interface import Outcome, State
 from ospreyrouter.loop import Refused
-from ospreyrouter.node.frames import frame
+from ospreyrouter.node.frames import NACK, PONG, frame
 from ospreyrouter.policy import Manager
 from ospreyrouter.web.client import Client
 
@@ -99,6 +99,16 @@
                 stream.read_now()
                 self.assertEqual((heard, left), ([b"PING"], []))
 
+    def test_a_writing_that_fails_for_a_moment_loses_no_answer_at_the_end(self):
+        for code in (errno.EINTR, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN):
+            with self.subTest(errno.errorcode[code]):
+                stream, far = self.pair()
+                stream.start(lambda data: None, None)
+                stream.write(b"PONG")
+                left = self.failing("send", code)
+                stream.end()
+                self.assertEqual((far.recv(9), far.recv(9), left), (b"PONG", b"", []))
+
     def test_calls_of_the_system_that_fail_for_a_moment_end_no_connection_and_no_listener(self):
         stream, far = self.pair()
         heard = []
@@ -483,9 +493,21 @@
         self.assertFalse([why for why in scene.counts if "doubt" in why])
 
 
-class Callers(LiveCase):
+class Callers(FailingCalls):
     """Of the manager's address."""
 
+    def test_who_is_shown_out_is_answered_what_came_before_the_close_though_a_call_fails(self):
+        scene = LiveScene(self)
+        collectors = scene.service.collectors
+        with socket.create_connection(collectors.address) as far:
+            self.until(lambda: collectors.strangers)
+            far.sendall(frame({"msg": "PING"}) * 3)  # nothing of it has been read yet
+            self.failing("send", errno.ENOBUFS)
+            collectors._show_out(next(iter(collectors.strangers)), "for a test")
+            far.settimeout(2)
+            got = b"".join(iter(lambda: far.recv(999), b""))
+        self.assertEqual((got.count(PONG), got.count(NACK)), (3, 1))
+
     def caller(self, scene, *messages):
         return Caller(self.loop, scene.service.collectors.address, *messages)
 
