--- a/ospreyrouter/channel_schedule.py
+++ b/ospreyrouter/channel_schedule.py
@@ -1,9 +1,9 @@
 """When the next message to all proxies may go, and how long it may be: the one place that decides so. No I/O.
 
 A channel sends messages one after another. What has been handed to it can be neither merged with what is due later nor
-overtaken by what is more urgent, and each message has a head that costs as much as many lines. So one message at a time
-is handed over, just before the channel is free; until then all that is due gathers for the next one. A repeat is one
-more thing that is due: it never makes a queue of its own.
+overtaken by what is more urgent, and each message has a head that costs as much as many lines. So nothing is handed
+over that would keep a withdrawal right behind it from its grace; that waits until the channel is about to be free, and
+gathers there with all else that is due. So does a repeat always: it never makes a queue of its own.
 
 Times are whole microseconds on the caller's clock. Lines are counted once for each proxy unless said otherwise.
 """
