Log slices without a usable server, readmissions and why messages are sent

The log now has 'slices without server' and 'slices served again' with the time, 'readmitted' with how long the servers waited and how many still do, the reason of each call with withdrawals, and counts by reason, of unserved slices and of those that lasted longer than the limit, which 'started' names. The tables are compared five times a second. No decision changes.

--- a/ospreyrouter/node/__main__.py
+++ b/ospreyrouter/node/__main__.py
@@ -67,6 +67,7 @@
         queue=setup.queue_lines,
         per_s=setup.lines_per_s,
         grace_ms=setup.drain_grace_us // 1000,
+        empty_table_ms=setup.max_empty_table_us // 1000,
         transit_most_ms=setup.max_transit_us // 1000,
     )
     loop.run()
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -20,6 +20,7 @@
 from .news import News
 from .probes import Probes
 from .relay import Relay
+from .table_coverage import TableCoverage
 from .watch import Watch
 
 ROUND_DELAY_US = 5_000  # from the first event to the round that handles it
@@ -59,6 +60,7 @@
         news = News(name_index, self, self.manager.tables, self.counts)
         self.relay = Relay(loop, parameters.relay, self, news, self.counts, self.handle_events, rng, log)
         self.drains = DrainProgress(log, name_index.deployment.drain_grace_us)
+        self.coverage = TableCoverage(log, name_index.deployment.max_empty_table_us)
         self.rounds, self.longest_round_us, self.busy_us, self.max_lateness_us = 0, 0, 0, 0
         self.repeats_in_flight, self.closing = 0, False
         self.next_forget_us = loop.now() + FORGET_INTERVAL_US
@@ -107,6 +109,7 @@
             self.handle_exception(error)
         took = self.loop.now() - began
         self._log_membership(events, took)
+        self._track_coverage()
         self.rounds, self.busy_us, self.longest_round_us = (
             self.rounds + 1,
             self.busy_us + took,
@@ -117,6 +120,17 @@
             self.next_forget_us = began + FORGET_INTERVAL_US
             self._forget_gone_workers()
 
+    def _track_coverage(self):
+        """Pass the tables and the usable workers to the log of slices without a server."""
+        now, manager = self.loop.now(), self.manager
+        if now >= self.coverage.next_update_at:
+            owned = {table: manager.tables[table] for table in self.relay.news.granted}
+            self.coverage.update(now, owned, self._ready_workers(), manager.withdrawals.withdrawn)
+
+    def _ready_workers(self):
+        """The workers that the list has as ready."""
+        return {worker for worker, (entry, _) in self.watch.known.items() if entry.state is WorkerState.READY}
+
     def _log_membership(self, events, took_us):
         """Log one line for a round with changes of proxies or slices; a round of reports alone is not logged."""
         event_counts = Counter(
@@ -177,27 +191,23 @@
         return data
 
     def log_fields(self):
-        """Like `Calls.log_fields`, with two more fields.
+        """Like `Calls.log_fields`, with three more fields.
 
-        `again` is the number of withdrawals that are repeats. `queue_ms` is the time that the channel needs for this
-        call and for what waits in the channel.
+        `reason` is the urgency of the last message in the call. `again` is the number of withdrawals that are repeats.
+        `queue_ms` is the time that the channel needs for this call and for what waits in the channel.
         """
         fields = super().log_fields()
         if fields:
+            fields["reason"] = self.manager.last_urgency.value
             fields["queue_ms"] = max(0, self.channel_free_us - self.loop.now()) // 1000
         return fields | {"again": self.repeats_in_flight} if fields and self.repeats_in_flight else fields
 
     def _stale_table_fields(self):
-        """Log fields: workers that left but are still in tables, and the longest time; ready but withdrawn workers."""
+        """Log fields: workers that left but are still in tables, and the longest time."""
         now, tables = self.loop.now(), self.manager.tables
         in_tables = {worker for table in self.relay.news.granted for worker in tables[table]}
         left, left_us = self.drains.unready_among(now, in_tables)
-        ready = {worker for worker, (entry, _) in self.watch.known.items() if entry.state is WorkerState.READY}
-        return {
-            "left_in_tables": left,
-            "left_in_tables_ms": left_us // 1000,
-            "ready_withdrawn": len(ready & self.manager.withdrawals.withdrawn),
-        }
+        return {"left_in_tables": left, "left_in_tables_ms": left_us // 1000}
 
     def _forget_gone_workers(self):
         """Free the indices of workers that neither the manager nor the list has any more.
@@ -232,7 +242,9 @@
             strangers=len(self.collectors.unidentified),
             collectors=len(self.collectors.collectors),
             **self._stale_table_fields(),
+            **self.coverage.fields(self.loop.now()),
             withdrawals_answered_late=self.drains.late,
+            **{f"messages: {urgency.value}": count for urgency, count in self.manager.message_counts.items()},
             **{f"rule broken here: {rule}": count for rule, count in sorted(self.manager.violations.items())},
             dials=self.relay.news_link.dials + self.relay.call_link.dials,
             watches=self.watch.dials,
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -10,6 +10,7 @@
 repeated are in `withdrawals.py`.
 """
 
+from collections import Counter
 from dataclasses import replace
 from random import Random
 
@@ -139,6 +140,8 @@
         # The number of withdrawals that wait for room in the channel, when the ordered wake-up is due, and when the
         # next message may go, which waits until the channel is about to be free (None: no message waits).
         self.withdrawals, self.deferred_withdrawals, self.wakeup_at, self.send_at = Withdrawals(setup), 0, 0, None
+        # For the log: why the last message was sent, and the number of messages by reason.
+        self.last_urgency, self.message_counts = Urgency.ORDINARY, Counter()
 
     def round(self, now: int, events: list, orders: Orders):
         """Process the events of one round and write the decisions to `orders`."""
@@ -943,6 +946,8 @@
             # The mark goes to every proxy. A proxy that has joined may hold levels of an earlier process of this
             # manager, and any message carries the present ones. A line that concerns no proxy would not be
             # acknowledged, and would count as in the channel for long.
+            self.last_urgency = pending.urgency
+            self.message_counts[pending.urgency] += 1
             mark = self.withdrawals.message_count % MARK_COUNT
             self.orders.send_mark(mark, True)
             self.schedule.record_message(self.now, state, mark, state.head + lines, max(1, len(self.proxies)))
