--- a/tests/test_starved_tables.py
+++ b/tests/test_starved_tables.py
@@ -20,18 +20,10 @@
 """
 
 import signal
-import time
 
-from ospreyrouter.web import Server
+from .peers import SECOND
+from .release_case import SERVERS, ReleaseCase
 
-from .channel import ChannelRelay
-from .peers import SECOND, StandInDiscovery, list_entry, make_settings
-from .program_case import ProgramCase
-
-SERVERS, SLICES, PROXIES = 30, 78, 150  # as in the log above
-LINES_PER_S, MAX_QUEUED_LINES = 9_800.0, 28_700.0
-GRACE_MS = 2_400  # of the settings; 300 ms more are allowed for sockets
-GRACE_US = (GRACE_MS + 300) * 1000
 STEP_S = 0.1
 # Steps between a new server and a draining one, so a server is replaced every 1.6 s. In the log it was every 3 s, with
 # other table changes in between. At a much higher rate, changes of tables alone exceed the channel's capacity.
@@ -40,58 +32,8 @@
 MAX_NAMED_S = 4.0
 
 
-class TableUpdatesUnderReconnects(ProgramCase):
-    """The program with 30 servers, 78 slices and 150 proxies."""
-
-    def setUp(self):
-        super().setUp()
-        server = Server(self.loop, ("127.0.0.1", 0), lambda request: request.respond(200, body=b"{}"))
-        self.worker_address = "{}:{}".format(*server.listener.address)
-        self.config["settings"] = make_settings(
-            slices=2 * SLICES, proxies=PROXIES, EgressPerS=LINES_PER_S, QueueCap=MAX_QUEUED_LINES
-        )
-        self.config["settings"]["Rules"]["DrainGraceS"] = GRACE_MS / 1000
-        self.config["known"] = {
-            "seq": 1,
-            "whole": True,
-            "hosts": [self.list_entry(number) for number in range(SERVERS)],
-        }
-        self.write(self.config)
-        self.seq = 1
-
-    def list_entry(self, number, state="active", born_ms=0):
-        return list_entry(number, state, born_ms, self.worker_address)
-
-    def publish(self, *entries):
-        """Send a change of the list."""
-        self.seq += 1
-        self.discovery.send_list(self.seq, False, *entries)
-
-    @staticmethod
-    def now_ms():
-        """Return the wall-clock time in milliseconds."""
-        return time.time_ns() // 1_000_000
-
-    def start_program_with_relay(self):
-        """Start discovery, relay and program, and wait until it follows both; return the process."""
-        self.discovery = StandInDiscovery(self.loop, self.discovery_address)
-        slices = {table: {f"s-{table % SERVERS}": 1.0} for table in range(SLICES)}
-        self.relay = ChannelRelay(
-            self.loop,
-            self.relay_address,
-            setup=self.config["settings"]["FamilyInfo"],
-            slices=slices,
-            grace_us=GRACE_US,
-            proxies=range(PROXIES),
-        )
-        process = self.start_program()
-        self.wait_until(lambda: self.relay.news_streams and self.discovery.streams)
-        self.run_for(3.0)
-        return process
-
-    def servers_in_tables(self):
-        """Return the names of all servers that a table names."""
-        return {name for rows in self.relay.slices.values() for name in rows}
+class TableUpdatesUnderReconnects(ReleaseCase):
+    """The program with 30 servers, 78 slices and 150 proxies; rate and limit of the channel as in the log above."""
 
     def test_departed_servers_are_removed_from_tables_while_streams_break_and_reconnect(self):
         self.start_program_with_relay()
@@ -115,7 +57,7 @@
             longest_named_us = max([longest_named_us, *(self.loop.now() - draining_at[name] for name in still_named)])
         self.assertLess(longest_named_us / SECOND, MAX_NAMED_S)
         self.assertEqual(self.relay.late_pairs, set())
-        self.assertLessEqual(self.relay.peak_waiting_lines, MAX_QUEUED_LINES)
+        self.assertLessEqual(self.relay.peak_waiting_lines, self.max_queued_lines)
 
     def test_servers_that_return_after_a_manager_restart_are_restored(self):
         process = self.start_program_with_relay()
--- a/tests/wide_days.py
+++ b/tests/wide_days.py
@@ -22,6 +22,7 @@
 from .channel import ChannelRelay, SendRate, SlowSpan
 from .channel_trace import TimedLog, TracedRelay, format_trace
 from .peers import DISCOVERY_ADDRESS, MANAGER_ADDRESS, RELAY_ADDRESS, SECOND, ServiceHarness, list_entry, make_settings
+from .starvation import StarvationMeter
 
 SLACK_S = 0.3  # allowed on sockets beside the limits on drains and on proxies without a selectable worker
 MAX_LIST_DELAY_S = 6.0  # a change of the worker list counts as sent to the manager after this time at the latest
@@ -489,14 +490,8 @@
         if day.calls_accepted_from_s:
             self.relay.accepts_calls_from = self.begun_at + int(day.calls_accepted_from_s * SECOND)
             self.relay.clock.pause(int(day.calls_accepted_from_s * SECOND))
-        self.disconnected, self.starved_since, self.max_starved_us, self.max_starved_pair, self.faults = (
-            [],
-            {},
-            0,
-            None,
-            0,
-        )
-        self.collector, self.samples = None, {}  # proxy: its stream, its change count, slices without selectable worker
+        self.disconnected, self.faults, self.collector = [], 0, None
+        self.starvation = StarvationMeter(self.relay)
 
     def now_ms(self):
         """The virtual time in milliseconds."""
@@ -628,28 +623,9 @@
         end_s = max(FIRST_EVENT_S + self.day.length_s, *(event.at_s for event in self.day.events)) + SETTLE_S
         while self.network.time < self.begun_at + end_s * SECOND:
             self.harness.run(SAMPLE_INTERVAL_S)
-            self.sample_starved()
+            self.starvation.sample(self.has_warm_server())
         return self.broken_rules()
 
-    def sample_starved(self):
-        """Updates since when proxies have had no selectable worker for a slice, and the longest such time."""
-        now, starved = self.relay.clock.now(), {}
-        if not self.has_warm_server():
-            self.starved_since = {}
-            return
-        for proxy, member in self.relay.members.items():
-            sampled_member, change_count, slice_indices = self.samples.get(proxy, (None, 0, []))
-            if sampled_member is not member or change_count != member.change_count:
-                slice_indices = member.starved_slices(self.relay.slices)
-                self.samples[proxy] = member, member.change_count, slice_indices
-            for slice_index in slice_indices:
-                earliest = max(member.joined_at, self.relay.granted_at[slice_index])
-                starved[proxy, slice_index] = max(earliest, self.starved_since.get((proxy, slice_index), now))
-        self.starved_since = starved
-        for pair, since in starved.items():
-            if now - since > self.max_starved_us:
-                self.max_starved_us, self.max_starved_pair = now - since, pair
-
     def has_warm_server(self):
         """Whether the list that the manager has been sent names an active server that is warm."""
         cold_ms = self.manager_settings["Rules"]["ColdS"] * 1000
@@ -675,8 +651,9 @@
             broken.append(f"drain: {len(late_pairs)} times, first of {first}")
         if self.relay.peak_waiting_lines > family["QueueCap"] + 1:
             broken.append(f"queue: {self.relay.peak_waiting_lines:.0f} of {family['QueueCap']:.0f} lines")
-        if self.max_starved_us > (family["BlackholeS"] + SLACK_S) * SECOND:
-            broken.append(f"no worker: {self.max_starved_us / SECOND:.2f} s, proxy and slice {self.max_starved_pair}")
+        if self.starvation.longest_us > (family["BlackholeS"] + SLACK_S) * SECOND:
+            longest_s, pair = self.starvation.longest_us / SECOND, self.starvation.longest_pair
+            broken.append(f"no worker: {longest_s:.2f} s, proxy and slice {pair}")
         if held_out := self.held_out():
             broken.append(f"held out: {len(held_out)} times, {held_out[0]}")
         if faults := self.faults + self.harness.counts["faults"]:
