Slices keep a server that proxies can use: readmissions are planned, not left to the tables

Cause: the plan was taken for the state. A table counted as right once it was as planned, also where every server in it was still withdrawn; nothing was due for that slice then. Rewriting a table removed servers in use for ones that were planned but withdrawn. And a ready server stayed withdrawn until no table gave it more weight than planned, while tables were rewritten by their load: each step of a release added servers and took ever more lines to undo.

Change: coverage.py. A table whose servers are all withdrawn is urgent whatever the plan. Lines of usable servers stay until usable ones carry half of the planned weight. A readmission is a unit of its own: a warm server takes one line, a cold one the lines that bring its load under half of what makes it fail (the settings' multiple), heaviest first; those with the fewest lines go first, ahead of tables that can wait. What is urgent and does not fit keeps the room it waits for.

--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 
-from .channel_schedule import Urgency
+from .channel_schedule import UNCONFIRMED_FILL, ChannelState, Urgency
 
 
 @dataclass(frozen=True)
@@ -82,17 +82,49 @@
         return Urgency.REPEAT if self.withdraw_again or self.readmit_now else Urgency.ORDINARY
 
 
+@dataclass
+class MessageDraft:
+    """A message that is being written.
+
+    `lines`: its lines at each proxy so far, without the head. `readmitted`: workers that it readmits. `full`: something
+    urgent did not fit, so that nothing less urgent may take the room for which it waits.
+    """
+
+    lines: int
+    readmitted: set = field(default_factory=set)
+    full: bool = False
+
+
 @dataclass(frozen=True)
 class MessageBudget:
     """Limits for the length of a message.
 
     Lines are totals over all proxies with heads included, except for `with_repeat`, which counts lines at each proxy
-    without the head. `ordinary`: lines that may be queued behind an ordinary message. `limit`: lines that may be
-    unconfirmed. `prompt`: lines that may be queued so that a withdrawal right behind them is still in time.
-    `with_repeat`: lines that go with a repeat of withdrawals, whatever the limit for ordinary messages.
+    without the head. `state`: the ChannelState that the limits are for. `ordinary`: lines that may be queued behind an
+    ordinary message. `limit`: lines that may be unconfirmed. `prompt`: lines that may be queued so that a withdrawal
+    right behind them is still in time. `with_repeat`: lines that go with a repeat of withdrawals, whatever the limit
+    for ordinary messages.
     """
 
+    state: ChannelState
     ordinary: float
     limit: float
     prompt: float
     with_repeat: float
+
+    def room(self, lines):
+        """Lines at each proxy that may be added to an urgent message that has `lines` so far."""
+        return int((self.limit - self.state.unconfirmed) / self.state.receivers - self.state.head) - lines
+
+    def fits(self, lines, new_lines, can_wait):
+        """Whether a message that has `lines` at each proxy may have `new_lines` instead, because of tables.
+
+        `can_wait`: what is added could also go with a later message.
+        """
+        state = self.state
+        cost = (state.head + new_lines) * state.receivers
+        if can_wait and state.queued + cost > self.ordinary and new_lines > self.with_repeat:
+            return False
+        if state.unconfirmed + cost > self.limit * (UNCONFIRMED_FILL if can_wait else 1.0):
+            return False
+        return not (lines and state.head + new_lines > state.longest) and state.queued + cost <= self.prompt
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -7,7 +7,7 @@
 
 Reading order: constants, events, health and admission, the layout, messages. Packing slices into bins is in
 `packing.py`; when a message may go and how long it may be is in `channel_schedule.py`; withdrawals that have to be
-repeated are in `withdrawals.py`.
+repeated are in `withdrawals.py`; what keeps slices served while tables change is in `coverage.py`.
 """
 
 from collections import Counter
@@ -15,9 +15,10 @@
 from random import Random
 
 from .channel_schedule import UNCONFIRMED_FILL, ChannelSchedule, Urgency
+from .coverage import EPSILON, differs, plan_readmission, safe_target, update_table
 from .interface import ALL_TABLES, Deployment, LevelKind, Orders, ProbeOutcome, RetryPolicy, WorkerState
 from .packing import match_bins, pack_slices, rendezvous_server
-from .pending_updates import MessageBudget, PendingUpdates, TableChange
+from .pending_updates import MessageBudget, MessageDraft, PendingUpdates, TableChange
 from .ring import BucketRing
 from .withdrawals import Withdrawals
 
@@ -891,8 +892,8 @@
 
     def table_change(self, slice_index, pending, capacity, long_withdrawn):
         """How a table differs from the one it is to be, as a TableChange; None if it does not."""
-        table, lines = self.tables[slice_index], pending.target_tables[slice_index]
-        usable, cold_servers = pending.usable, pending.usable - pending.warm
+        table, usable = self.tables[slice_index], pending.usable
+        lines, cold_servers = self.next_target(slice_index, pending), usable - pending.warm
         left, cold = (sum(table[server] for server in sorted(table.keys() & group)) for group in (usable, cold_servers))
         # Lines of lost servers are withdrawn already and only have to be removed, so they count little. Slices that
         # lost most of their weight come first.
@@ -900,7 +901,8 @@
             abs(lines.get(server, 0) - table.get(server, 0)) * (1.0 if server in capacity else LINGER_WEIGHT)
             for server in sorted(table.keys() | lines.keys())
         )
-        if difference <= 1e-6:
+        # A table without a usable server needs one, even if it is as planned.
+        if difference <= EPSILON and (table.keys() & usable or not usable):
             return None
         load, half_left = self.planned_demand.get(slice_index, 1.0), left >= 0.5 * sum(table.values())
         # A slice of which mostly cold servers are left, which were planned for a small part of it, is as urgent as one
@@ -921,28 +923,16 @@
         ]
         for worker in to_withdraw:
             self.orders.set_withheld(worker, True)
-        lines, readmitted_by_tables = self.write_tables(
-            pending, state, budget, len(to_withdraw) + len(readmitted_later)
-        )
-        # A worker may return cold. It is readmitted only once no table gives it more weight than its target table.
-        overweight = {
-            worker
-            for slice_index, target in pending.target_tables.items()
-            for worker, weight in self.tables[slice_index].items()
-            if weight > target.get(worker, 0.0) + 1e-6
-        }
-        room = int((budget.limit - state.unconfirmed) / state.receivers - state.head) - lines
-        others = [
-            worker for worker in pending.readmit_now if worker not in overweight and worker not in readmitted_by_tables
-        ]
-        readmitted = others[: max(0, room)]
-        lines += len(readmitted)
-        readmitted += sorted(readmitted_by_tables)
-        for worker in readmitted_later + readmitted:
+        draft = MessageDraft(len(to_withdraw) + len(readmitted_later))
+        self.write_tables(pending, [change for change in pending.table_changes if not change.can_wait], budget, draft)
+        self.write_readmissions(pending, budget, draft)
+        self.write_tables(pending, [change for change in pending.table_changes if change.can_wait], budget, draft)
+        lines, readmitted = draft.lines, readmitted_later + sorted(draft.readmitted)
+        for worker in readmitted:
             self.orders.set_withheld(worker, False)
         if lines or levels_due:
             self.write_levels()
-            self.withdrawals.record_orders(self.now, to_withdraw, readmitted_later + readmitted)
+            self.withdrawals.record_orders(self.now, to_withdraw, readmitted)
             # The mark goes to every proxy. A proxy that has joined may hold levels of an earlier process of this
             # manager, and any message carries the present ones. A line that concerns no proxy would not be
             # acknowledged, and would count as in the channel for long.
@@ -974,43 +964,106 @@
         # included. On a channel kept busy by repeats the tables would otherwise wait for as long as proxies join and
         # leave.
         with_repeat = 2 * len(to_withdraw) + state.head if pending.withdraw_again and not pending.withdraw_now else 0
-        return MessageBudget(ordinary, limit, self.schedule.max_prompt_lines(state), with_repeat)
+        return MessageBudget(state, ordinary, limit, self.schedule.max_prompt_lines(state), with_repeat)
+
+    def write_readmissions(self, pending, budget, draft):
+        """Readmit ready servers, those first that take the fewest lines.
+
+        A server that has just started and would get too much load is readmitted together with the lines that reduce it.
+        Otherwise it would wait for tables whose order has nothing to do with it, while more servers are withdrawn.
+        """
+        slices_by_server = {server: [] for server in pending.readmit_now}
+        for slice_index in pending.target_tables:
+            for server in self.tables[slice_index].keys() & slices_by_server.keys():
+                slices_by_server[server].append(slice_index)
+
+        def plan(server):
+            tables = {slice_index: self.tables[slice_index] for slice_index in slices_by_server[server]}
+            targets = {slice_index: self.next_target(slice_index, pending, {server}) for slice_index in tables}
+            usable = (pending.usable - self.withdrawals.withdrawn) | draft.readmitted
+            # Without any usable server, nothing can take load from this one.
+            max_load = self.max_readmitted_load(server) if usable else float("inf")
+            return plan_readmission(server, tables, targets, usable, self.planned_demand, max_load)
+
+        for server in sorted(
+            slices_by_server.keys() - draft.readmitted, key=lambda server: (plan(server).cost, server)
+        ):
+            if draft.full:
+                return
+            self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
 
-    def write_tables(self, pending, state, budget, lines):
-        """Write changes of tables, the most urgent first, to a message that has `lines` at each proxy so far.
+    def max_readmitted_load(self, server):
+        """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
 
-        Returns the number of lines that it has then, and the servers that it readmits because it gives them their first
-        line: a table that names only withdrawn servers leaves its proxies without any.
+        It is half of the load that makes a cold server fail, if the fleet is fully loaded.
         """
-        withdrawn, readmitted = set(pending.readmit_now) - pending.named, set()
-        for change in pending.table_changes:
-            table, target = self.tables[change.table], pending.target_tables[change.table]
-            if not change.well_served and pending.usable and not self.setup.single_owner:
-                target = self.with_one_line(change.table, target, pending)
-            elif change.names_long_withdrawn and not self.setup.single_owner:
-                target = {server: weight for server, weight in table.items() if server not in pending.lost} or target
-            written = [server for server in sorted(target) if abs(target[server] - table.get(server, 0.0)) > 1e-6]
+        warmth = self.warmth(server)
+        if warmth == 1.0:
+            return float("inf")
+        ready_weight = sum(self.workers[worker].weight for worker in self.ready_workers())
+        part = warmth * self.workers[server].weight / ready_weight
+        return 0.5 * self.setup.overload_multiple * part * sum(self.planned_demand.values())
+
+    def write_readmission(self, readmission, budget, draft):
+        """Readmit one server, or write as many of the lines that have to precede that as fit."""
+        if not readmission.lines:
+            draft.full = budget.room(draft.lines) <= 0
+        for slice_index, weights in readmission.lines.items():
+            new_lines = draft.lines + len(weights)
+            draft.full = draft.full or not budget.fits(draft.lines, new_lines + 1, can_wait=True)
+            if not draft.full:
+                draft.lines = new_lines
+                self.write_lines(slice_index, weights)
+        if not draft.full:
+            draft.lines += 1
+            draft.readmitted.add(readmission.server)
+
+    def write_lines(self, slice_index, lines):
+        """Order these lines of a table, {server: weight}; a weight of 0 removes one."""
+        for server, weight in lines.items():
+            if weight > 0 or not self.setup.single_owner:
+                self.orders.set_weight(slice_index, server, weight)
+        self.tables[slice_index] = update_table(self.tables[slice_index], lines)
+
+    def write_tables(self, pending, changes, budget, draft):
+        """Write these changes of tables, the most urgent first.
+
+        A withdrawn server that no table names is readmitted with its first line: a table that names only withdrawn
+        servers leaves its proxies without any.
+        """
+        unnamed = set(pending.readmit_now) - pending.named
+        for change in changes:
+            table, target = self.tables[change.table], self.next_table(change, pending)
+            written = [server for server in sorted(target) if differs(table, target, server)]
             removed = [server for server in sorted(table) if server not in target]
-            first_lines = withdrawn.intersection(written) - readmitted
-            new_lines = lines + len(written) + len(removed) + len(first_lines)
-            cost = (state.head + new_lines) * state.receivers
-            exceeds_ordinary = (
-                change.can_wait and state.queued + cost > budget.ordinary and new_lines > budget.with_repeat
-            )
-            exceeds_limit = state.unconfirmed + cost > (
-                UNCONFIRMED_FILL * budget.limit if change.can_wait else budget.limit
-            )
-            too_long = lines and state.head + new_lines > state.longest or state.queued + cost > budget.prompt
-            if exceeds_ordinary or exceeds_limit or too_long:
-                break
-            lines, readmitted = new_lines, readmitted | first_lines
-            for server in written:
-                self.orders.set_weight(change.table, server, target[server])
-            if not self.setup.single_owner:
-                for server in removed:
-                    self.orders.set_weight(change.table, server, 0)
-            self.tables[change.table] = target
-        return lines, readmitted
+            first_lines = unnamed.intersection(written) - draft.readmitted
+            new_lines = draft.lines + len(written) + len(removed) + len(first_lines)
+            draft.full = draft.full or not budget.fits(draft.lines, new_lines, change.can_wait)
+            if draft.full:
+                return
+            draft.lines, draft.readmitted = new_lines, draft.readmitted | first_lines
+            self.write_lines(change.table, {server: target[server] for server in written} | dict.fromkeys(removed, 0))
+
+    def next_target(self, slice_index, pending, readmitted=frozenset()):
+        """The table that a slice may have next on the way to its target, without a loss of usable servers.
+
+        `readmitted`: servers that are readmitted with the same message.
+        """
+        table, target = self.tables[slice_index], pending.target_tables[slice_index]
+        if not self.setup.single_owner:
+            return safe_target(table, target, pending.usable, readmitted)
+        return table if table.keys() & pending.usable and not target.keys() & pending.usable else target
+
+    def next_table(self, change, pending):
+        """The table to write for a change, which may be only a part of it."""
+        table, target = self.tables[change.table], self.next_target(change.table, pending)
+        if self.setup.single_owner:
+            return target
+        if not change.well_served and pending.usable:
+            return self.with_one_line(change.table, target, pending)
+        if change.names_long_withdrawn:
+            return {server: weight for server, weight in table.items() if server not in pending.lost} or target
+        return target
 
     def with_one_line(self, slice_index, target, pending):
         """The present table with one line added or raised, for a slice with few usable servers left.
