--- a/tests/wide_days.py
+++ b/tests/wide_days.py
@@ -682,11 +682,11 @@
         print("\n".join(format_trace(day, proxy, worker)))
 
 
-def main(seeds):
+def main(seeds, day_type=WideDay):
     """Plays the days of these seeds and prints the rules that they broke; returns the exit code."""
     failed = 0
     for seed in seeds:
-        day = WideDay(seed)
+        day = day_type(seed)
         if broken := day.play():
             failed += 1
             print(f"seed {seed}: {'; '.join(broken)} ({day.figures()})", flush=True)
