--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -86,7 +86,8 @@
         # the channel and delay tables.
         state = None if fresh else self.proxy_states.get(proxy)
         may_hold_unknown = not fresh if state is None else state.may_hold_unknown
-        if proxy in self.unverified:  # it may have been started anew while no events arrived
+        is_unverified = proxy in self.unverified
+        if is_unverified:  # it may have been started anew while no events arrived, or still be on the same stream
             self.unverified.discard(proxy)
             state = None
         missing = {
@@ -94,7 +95,7 @@
             for ordered, messages in self.messages_by_worker.items()
             if state is None or not state.holds(ordered, messages)
         }
-        if fresh:
+        if fresh and not is_unverified:  # it holds no withdrawal
             missing -= self.readmitted
         last_acknowledged = state.last_acknowledged if state is not None else 0
         self.proxy_states[proxy] = ProxyState(
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -9,7 +9,8 @@
 # Name, events for one proxy and one worker, whether the withdrawal counts as missed, whether it counts as stale.
 # Events: "start" (the proxy joins, started anew), "join" (it joins again after its stream broke), "out", "back", "else"
 # (a message withdraws the worker, readmits it, carries something else), "returns" (the list has the worker as ready
-# again), "forget" (the manager forgets the worker). With "!" the proxy acknowledges the message.
+# again), "forget" (the manager forgets the worker), "lost" (news were lost). With "!" the proxy acknowledges the
+# message.
 CASES = [
     ("holds what it acknowledged", "start out! join", False, False),
     ("repeats for another proxy that did not reach it", "start out! join out join out join", False, False),
@@ -25,6 +26,7 @@
     ("withdrawn by an earlier process, readmitted once", "join back! join returns", False, False),
     ("worker not ready when this process began", "join else! returns", False, True),
     ("all proxies began with this process", "start returns", False, False),
+    ("on the same stream as before, after news were lost", "start out! back lost start", False, True),
     ("worker forgotten while withdrawn", "start out! forget returns", False, True),
 ]
 
@@ -45,6 +47,8 @@
             withdrawals.record_proxy_join(0, 0, name == "start", {WORKER} if name == "join" else set())
         elif name == "returns":
             withdrawals.worker_ready(0, WORKER)
+        elif name == "lost":
+            withdrawals.mark_all_unverified()
         elif name == "forget":
             withdrawals.forget(WORKER)
         else:
