Lines for slices without a server, repeats and readmissions share a message by their deadlines

Cause: three orders wait for one message, and each had its own test of whether it fits.

Change: lines for slices that need a server come first, unless a repeat could not be in time behind them; repeats ride with them; no message is longer than the deadline of what is in it and behind it allows; the lines of a readmission are written one by one, and a single line where other servers have enough weight in the table.

--- a/ospreyrouter/coverage.py
+++ b/ospreyrouter/coverage.py
@@ -30,20 +30,29 @@
     return target | kept
 
 
+@dataclass(frozen=True)
+class TableLine:
+    """A line of a table to be written; a weight of 0 removes it."""
+
+    table: int
+    server: int
+    weight: float
+
+
 @dataclass(frozen=True)
 class Readmission:
-    """A withdrawn server that is ready, and the lines to be written before proxies use it again.
+    """A withdrawn server that is ready, and the lines that limit its load, to be written before proxies use it again.
 
-    `lines`: {slice: {server: weight}}, which limit its load; a weight of 0 removes a line.
+    The lines may be written in several messages, in this order.
     """
 
     server: int
-    lines: dict
+    lines: list
 
     @property
     def cost(self):
         """Lines at each proxy, the order that readmits the server included."""
-        return 1 + sum(len(weights) for weights in self.lines.values())
+        return 1 + len(self.lines)
 
 
 def load_share(server, table, usable):
@@ -58,22 +67,33 @@
 
     `tables`: {slice: table} of the tables that name it; `targets`: these as planned; `demand`: the load of each slice,
     in the unit of `max_load`. Tables that give it more weight than planned are changed, those with the most load first.
-    Besides its own lines, only those of usable servers are written: they take the load that it is not to have.
     """
     loads = {index: demand.get(index, 1.0) * load_share(server, table, usable) for index, table in tables.items()}
-    load, lines = sum(loads.values()), {}
+    load, lines = sum(loads.values()), []
     for index in sorted(loads, key=lambda index: (-loads[index], index)):
-        table, target = tables[index], targets[index]
         if load <= max_load:
             break
+        table, target = tables[index], targets[index]
         if table[server] > target.get(server, 0.0) + EPSILON:
-            changed = {other for other in target if other in usable and differs(table, target, other)}
-            lines[index] = {other: target.get(other, 0.0) for other in sorted(changed | {server})}
-            table_after = update_table(table, lines[index])
-            load += demand.get(index, 1.0) * load_share(server, table_after, usable) - loads[index]
+            reduced = _reduced_lines(server, table, target, usable)
+            lines += [TableLine(index, other, weight) for other, weight in reduced.items()]
+            load += demand.get(index, 1.0) * load_share(server, update_table(table, reduced), usable) - loads[index]
     return Readmission(server, lines)
 
 
+def _reduced_lines(server, table, target, usable):
+    """The lines, {server: weight}, that reduce a server's part of a slice to the planned one.
+
+    Its own line is enough if other usable servers have enough weight in the table already. Otherwise those that are
+    planned take the load.
+    """
+    own_line = {server: target.get(server, 0.0)}
+    if load_share(server, update_table(table, own_line), usable) <= load_share(server, target, target.keys()) + EPSILON:
+        return own_line
+    others = sorted(other for other in target if other in usable and differs(table, target, other))
+    return {other: target[other] for other in others if other != server} | own_line
+
+
 def update_table(table, lines):
     """The table after these lines were written; lines of weight 0 are removed."""
     return {server: weight for server, weight in (table | lines).items() if weight > 0}
--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -65,6 +65,11 @@
         """All workers to withdraw, first those that the list demands."""
         return self.withdraw_now + self.withdraw_again
 
+    @property
+    def slices_unserved(self):
+        """The number of slices that need a server at once, for which a message has to have a line each."""
+        return sum(not change.can_wait for change in self.table_changes)
+
     @property
     def lines_due(self):
         """Lines at each proxy that the next message must have room for.
@@ -73,8 +78,17 @@
         each slice that needs a server, or the heads of repeats would take the room that these lines wait for.
         """
         if self.withdraw_now or not self.withdraw_again:
-            return len(self.to_withdraw)
-        return len(self.withdraw_again) + sum(not change.can_wait for change in self.table_changes)
+            return len(self.withdraw_now)
+        return len(self.withdraw_again) + self.slices_unserved
+
+    def withdrawals_that_fit(self, room, repeats_overdue):
+        """The workers to withdraw in a message with room for so many lines at each proxy.
+
+        Slices that need a server come before withdrawals that are only repeated, unless these can wait no longer.
+        """
+        first = self.withdraw_now[:room]
+        room_for_repeats = room - len(first) - (0 if repeats_overdue else self.slices_unserved)
+        return first + self.withdraw_again[: max(0, room_for_repeats)]
 
     @property
     def has_updates(self):
@@ -112,30 +126,32 @@
 
     Lines are totals over all proxies with heads included, except for `with_repeat`, which counts lines at each proxy
     without the head. `state`: the ChannelState that the limits are for. `ordinary`: lines that may be queued behind an
-    ordinary message. `limit`: lines that may be unconfirmed. `prompt`: lines that may be queued so that a withdrawal
-    right behind them is still in time. `with_repeat`: lines that go with a repeat of withdrawals, whatever the limit
-    for ordinary messages.
+    ordinary message. `later_limit`: lines that may be unconfirmed if no slice needs them at once.
+    `prompt`: lines that may be queued so that a withdrawal right behind them is still in time. `with_repeat`: lines
+    that go with a repeat of withdrawals, whatever the limit for ordinary messages.
     """
 
     state: ChannelState
     ordinary: float
-    limit: float
+    later_limit: float
     prompt: float
     with_repeat: float
 
     def room(self, lines):
-        """Lines at each proxy that may be added to an urgent message that has `lines` so far."""
-        return int((self.limit - self.state.unconfirmed) / self.state.receivers - self.state.head) - lines
+        """Lines at each proxy by which a message that has `lines` so far may be longer, for readmissions."""
+        return int((self.later_limit - self.state.unconfirmed) / self.state.receivers - self.state.head) - lines
 
-    def fits(self, lines, new_lines, can_wait):
-        """Whether a message that has `lines` at each proxy may have `new_lines` instead, because of tables.
+    def fits(self, lines, new_lines, urgent):
+        """Whether a message that has `lines` at each proxy may have `new_lines` instead.
 
-        `can_wait`: what is added could also go with a later message.
+        `urgent`: a slice needs what is added at once.
         """
         state = self.state
         cost = (state.head + new_lines) * state.receivers
-        if can_wait and state.queued + cost > self.ordinary and new_lines > self.with_repeat:
+        if lines and state.head + new_lines > state.longest or state.queued + cost > self.prompt:
             return False
-        if state.unconfirmed + cost > self.limit * (UNCONFIRMED_FILL if can_wait else 1.0):
+        if urgent:
+            return state.unconfirmed + cost <= state.limit
+        if state.unconfirmed + cost > UNCONFIRMED_FILL * self.later_limit:
             return False
-        return not (lines and state.head + new_lines > state.longest) and state.queued + cost <= self.prompt
+        return state.queued + cost <= self.ordinary or new_lines <= self.with_repeat
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -170,9 +170,12 @@
             self.repeat_drain_time_us()
         )
 
-    def repeat_drain_time_us(self):
-        """How long the channel takes for its queue and for a repeat of all withdrawals that may have been missed."""
-        return self.schedule.drain_time_us(self.channel_state(), len(self.withdrawals.missed_since))
+    def repeat_drain_time_us(self, lines_before=0):
+        """How long the channel takes for its queue and for a repeat of all withdrawals that may have been missed.
+
+        `lines_before`: lines at each proxy of a message that goes before it, its head included.
+        """
+        return self.schedule.drain_time_us(self.channel_state(), lines_before + len(self.withdrawals.missed_since))
 
     def order_wakeup(self):
         """Order a wake-up for when the waiting message may go or the repeat of withdrawals is due."""
@@ -805,8 +808,10 @@
         self.send_at, pending, state = None, self.pending_updates(capacity), self.channel_state()
         self.withdrawals.retain_missed(pending.lost)
         idle = bool(pending.table_changes) and state.queued < 0.1 * state.shortest_worthwhile
+        # Without the repeats in it, a message for slices that need a server goes before them.
+        drain_time_us = self.repeat_drain_time_us(pending.slices_unserved and pending.slices_unserved + state.head)
         pending.withdraw_now, pending.withdraw_again = self.withdrawals.due_withdrawals(
-            self.now, pending.lost, self.repeat_drain_time_us(), state.head, idle
+            self.now, pending.lost, self.repeat_drain_time_us(), state.head, idle or pending.slices_unserved > 0
         )
         pending.levels_changed = self.levels_message_due
         due, urgency = pending.lines_due, pending.urgency
@@ -820,11 +825,12 @@
             return
         if self.waits_for_channel(state, urgency) or self.schedule.is_capped(self.now, state, urgency):
             return
-        lines = self.schedule.lines_worth_sending(state, due)
-        self.deferred_lines = due - lines
-        if due and not lines:
+        if due and not self.schedule.lines_worth_sending(state, due):
             return  # a message without the lines that are due would use up the room that they wait for
-        self.write_message(pending, state, pending.to_withdraw[:lines], levels_due)
+        repeats_overdue = self.now >= self.withdrawals.repeat_deadline(drain_time_us)
+        to_withdraw = pending.withdrawals_that_fit(state.room, repeats_overdue)
+        self.deferred_lines = len(pending.to_withdraw) - len(to_withdraw)
+        self.write_message(pending, state, to_withdraw, levels_due)
 
     def waits_for_channel(self, state, urgency):
         """Whether a message has to wait until the channel is about to be free; sets `send_at` if so."""
@@ -947,21 +953,30 @@
 
     def message_budget(self, pending, state, to_withdraw):
         """How long the next message may be, which carries these withdrawals, as a MessageBudget."""
-        ordinary, limit = self.schedule.max_ordinary_lines(state), state.limit
-        # Room for withdrawals that are to be repeated is kept free until they are due. But while proxies join and leave
-        # all the time, lost servers still have to be removed from the tables.
+        ordinary, later_limit = self.schedule.max_ordinary_lines(state), state.limit
+        # Room for withdrawals that are to be repeated is kept free until they are due, but not from slices that need a
+        # server. And while proxies join and leave all the time, lost servers still have to be removed from the tables.
         if later_count := len(self.withdrawals.missed_since.keys() - set(to_withdraw)):
             reserved = (state.head + later_count) * state.receivers
             alone = state.shortest_worthwhile if state.queued < 0.1 * state.shortest_worthwhile else 0.0
-            limit, ordinary = (
-                limit - reserved,
-                max(ordinary / 2, ordinary - reserved, min(alone, UNCONFIRMED_FILL * state.limit)),
-            )
+            later_limit -= reserved
+            ordinary = max(ordinary / 2, ordinary - reserved, min(alone, UNCONFIRMED_FILL * state.limit))
         # A message that is sent for a repeat anyway may carry up to as many lines of tables as it has itself, its head
         # included. On a channel kept busy by repeats the tables would otherwise wait for as long as proxies join and
         # leave.
         with_repeat = 2 * len(to_withdraw) + state.head if pending.withdraw_again and not pending.withdraw_now else 0
-        return MessageBudget(state, ordinary, limit, self.schedule.max_prompt_lines(state), with_repeat)
+        return MessageBudget(state, ordinary, later_limit, self.max_lines_in_time(state, to_withdraw), with_repeat)
+
+    def max_lines_in_time(self, state, to_withdraw):
+        """Lines in total that may be queued so that withdrawals are in time: later ones, and those that were missed."""
+        in_time, missed = self.schedule.max_prompt_lines(state), self.withdrawals.missed_since.keys()
+        if missed:
+            leaves_in_us = max(0, self.withdrawals.repeat_deadline(0) - self.now)
+            repeated_behind = len(missed - set(to_withdraw))
+            lines_behind = (state.head + repeated_behind) * state.receivers if repeated_behind else 0.0
+            in_time = min(in_time, self.schedule.sent_messages.pace_lines * leaves_in_us / 1e6 - lines_behind)
+            in_time = max(in_time, state.queued + (state.head + len(to_withdraw)) * state.receivers)
+        return in_time
 
     def write_readmissions(self, pending, budget, draft):
         """Readmit ready servers, those first that take the fewest lines.
@@ -1003,14 +1018,13 @@
 
     def write_readmission(self, readmission, budget, draft):
         """Readmit one server, or write as many of the lines that have to precede that as fit."""
-        if not readmission.lines:
-            draft.full = budget.room(draft.lines) <= 0
-        for slice_index, weights in readmission.lines.items():
-            new_lines = draft.lines + len(weights)
-            draft.full = draft.full or not budget.fits(draft.lines, new_lines + 1, can_wait=True)
-            if not draft.full:
-                draft.lines = new_lines
-                self.write_lines(slice_index, weights)
+        for line in readmission.lines:
+            draft.full = draft.full or not budget.fits(draft.lines, draft.lines + 1, urgent=False)
+            if draft.full:
+                return
+            draft.lines += 1
+            self.write_lines(line.table, {line.server: line.weight})
+        draft.full = budget.room(draft.lines) <= 0
         if not draft.full:
             draft.lines += 1
             draft.readmitted.add(readmission.server)
@@ -1035,7 +1049,7 @@
             removed = [server for server in sorted(table) if server not in target]
             first_lines = unnamed.intersection(written) - draft.readmitted
             new_lines = draft.lines + len(written) + len(removed) + len(first_lines)
-            draft.full = draft.full or not budget.fits(draft.lines, new_lines, change.can_wait)
+            draft.full = draft.full or not budget.fits(draft.lines, new_lines, urgent=not change.can_wait)
             if draft.full:
                 return
             draft.lines, draft.readmitted = new_lines, draft.readmitted | first_lines
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -171,8 +171,13 @@
         `drain_time_us`: how long the channel takes for its queue and for the repeat.
         """
         since = min(self.missed_since.values())
-        latest = since + self.grace_us - self.max_transit_us - drain_time_us
-        return min(self._batch_due_at(self.withdrawals_repeated_at), since + self.batch_us, latest)
+        batch_due_at = min(self._batch_due_at(self.withdrawals_repeated_at), since + self.batch_us)
+        return min(batch_due_at, self.repeat_deadline(drain_time_us))
+
+    def repeat_deadline(self, drain_time_us):
+        """When a repeat has to be sent at the latest to be in time; without end if none is to be sent."""
+        since = min(self.missed_since.values(), default=float("inf"))
+        return since + self.grace_us - self.max_transit_us - drain_time_us
 
     def arrivals_settled_at(self, since):
         """When no more proxies are expected after those that joined at `since`, which wait `batch_us` at most."""
@@ -196,16 +201,16 @@
         latest = now - self.batch_us
         return {worker for worker, since in self.withdrawn_at.items() if since < latest}
 
-    def due_withdrawals(self, now, lost, drain_time_us, few_lines, idle):
+    def due_withdrawals(self, now, lost, drain_time_us, few_lines, message_due):
         """Returns two lists of workers: to withdraw because the list demands it, and to withdraw again.
 
         The second is sorted by the time since when the withdrawal may have been missed.
 
         `few_lines`: a repeat of at most this many lines costs no more than the head of a message of its own. So it is
-        sent along with withdrawals that are due, or with tables if the channel is `idle`.
+        sent along with withdrawals that are due, or with other lines if these go at once (`message_due`).
         """
         first_time = sorted(lost - self.ordered_to_all - self.missed_since.keys())
-        joins_others = (first_time or idle) and len(self.missed_since) <= few_lines
+        joins_others = (first_time or message_due) and len(self.missed_since) <= few_lines
         if not self.missed_since or not joins_others and now < self.repeat_due_at(drain_time_us):
             return first_time, []
         return first_time, sorted(self.missed_since, key=lambda worker: (self.missed_since[worker], worker))
--- a/tests/test_coverage.py
+++ b/tests/test_coverage.py
@@ -27,15 +27,16 @@
     DEMAND = {0: 10.0, 1: 10.0, 2: 10.0}
 
     def lines(self, max_load):
-        return plan_readmission(1, self.TABLES, self.TARGETS, {2}, self.DEMAND, max_load).lines
+        readmission = plan_readmission(1, self.TABLES, self.TARGETS, {2}, self.DEMAND, max_load)
+        return [(line.table, line.server, line.weight) for line in readmission.lines]
 
     def test_lines_reduce_the_load_only_as_far_as_necessary_the_heaviest_tables_first(self):
-        self.assertEqual(self.lines(20.0), {})
-        self.assertEqual(self.lines(8.0), {0: {1: 0.25, 2: 0.75}})
-        self.assertEqual(self.lines(3.0), {0: {1: 0.25, 2: 0.75}, 1: {1: 0.0}})
+        self.assertEqual(self.lines(20.0), [])
+        self.assertEqual(self.lines(8.0), [(0, 2, 0.75), (0, 1, 0.25)])
+        self.assertEqual(self.lines(3.0), [(0, 2, 0.75), (0, 1, 0.25), (1, 1, 0.0)])
 
     def test_a_server_is_readmitted_with_its_planned_load_if_that_is_more_than_the_limit(self):
-        self.assertEqual(self.lines(0.0), {0: {1: 0.25, 2: 0.75}, 1: {1: 0.0}})
+        self.assertEqual(self.lines(0.0), [(0, 2, 0.75), (0, 1, 0.25), (1, 1, 0.0)])
 
 
 class WithdrawnPlanTest(unittest.TestCase):
