A readmission that only some proxies lack takes one line and does not wait for tables

Change: what this process has readmitted is said again in one line. Of the servers that an earlier process may have withdrawn, one for each slice that has no other is readmitted first and without a limit. On sites with a single owner a table is not emptied for a readmission.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -988,13 +988,16 @@
         for slice_index in pending.target_tables:
             for server in self.tables[slice_index].keys() & slices_by_server.keys():
                 slices_by_server[server].append(slice_index)
+        indispensable = self.indispensable_servers(pending)
 
         def plan(server):
             tables = {slice_index: self.tables[slice_index] for slice_index in slices_by_server[server]}
             targets = {slice_index: self.next_target(slice_index, pending, {server}) for slice_index in tables}
             usable = (pending.usable - self.withdrawals.withdrawn) | draft.readmitted
-            # Without any usable server, nothing can take load from this one.
-            max_load = self.max_readmitted_load(server) if usable else float("inf")
+            # Without any usable server, nothing can take load from this one. One that was readmitted before already
+            # has its load from all proxies but those that missed that.
+            is_limited = usable and server not in self.withdrawals.readmitted | indispensable
+            max_load = self.max_readmitted_load(server) if is_limited else float("inf")
             return plan_readmission(server, tables, targets, usable, self.planned_demand, max_load)
 
         for server in sorted(
@@ -1004,6 +1007,19 @@
                 return
             self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
 
+    def indispensable_servers(self, pending):
+        """For each slice whose usable servers may all be withdrawn by an earlier process of this manager, one of them.
+
+        Proxies obey these withdrawals, so such a slice may have no server at all.
+        """
+        unknown = self.withdrawals.stale - self.withdrawals.readmitted
+        servers = set()
+        for slice_index in pending.target_tables if unknown else ():
+            usable = {server: weight for server, weight in self.tables[slice_index].items() if server in pending.usable}
+            if usable and usable.keys() <= unknown:
+                servers.add(max(usable, key=lambda server: (server in pending.warm, usable[server], -server)))
+        return servers
+
     def max_readmitted_load(self, server):
         """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
 
@@ -1063,7 +1079,8 @@
         table, target = self.tables[slice_index], pending.target_tables[slice_index]
         if not self.setup.single_owner:
             return safe_target(table, target, pending.usable, readmitted)
-        return table if table.keys() & pending.usable and not target.keys() & pending.usable else target
+        usable = pending.usable | readmitted
+        return table if table.keys() & usable and not target.keys() & usable else target
 
     def next_table(self, change, pending):
         """The table to write for a change, which may be only a part of it."""
--- a/tests/test_release_days.py
+++ b/tests/test_release_days.py
@@ -9,6 +9,14 @@
     def test_drawn_days_break_no_rule(self):
         self.assert_rules_kept(0, 1, 2)
 
+    def test_a_readmission_that_one_proxy_missed_does_not_wait_for_tables(self):
+        # The one server that a slice had left was still withdrawn at a proxy: 5.90 s of the 2.6 s that are allowed.
+        self.assert_rules_kept(6)
+
+    def test_slices_whose_servers_an_earlier_process_withdrew_are_served_soon(self):
+        # 5.50 s of the 2.6 s that are allowed, at 146 of 165 proxies.
+        self.assert_rules_kept(162)
+
     def test_a_readmission_that_takes_more_lines_than_a_message_has_makes_progress(self):
         # The lines of one table did not fit into any message, and nothing else was sent for seconds.
         self.assert_rules_kept(51, 130)
