Messages that repeat withdrawals do not wait for an empty channel

Cause, cold server: for a slice whose servers an earlier process may have withdrawn, one was readmitted without a limit. Now a cold one of these counts as withdrawn until it is readmitted with its limit; its slices get a line meanwhile.

--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -70,16 +70,16 @@
         """The number of slices that need a server at once, for which a message has to have a line each."""
         return sum(not change.can_wait for change in self.table_changes)
 
-    @property
-    def lines_due(self):
-        """Lines at each proxy that the next message must have room for.
+    def lines_due(self, head):
+        """Lines at each proxy that the next message must have room for; `head`: lines of a message without any.
 
-        A withdrawal that the list demands goes by itself, if it has to. One that is only repeated goes with a line for
-        each slice that needs a server, or the heads of repeats would take the room that these lines wait for.
+        A withdrawal that the list demands goes by itself, if it has to. One that is only repeated goes with lines for
+        slices that need a server, as many as are worth a head. Otherwise the heads of repeats would take the room that
+        these lines wait for.
         """
         if self.withdraw_now or not self.withdraw_again:
             return len(self.withdraw_now)
-        return len(self.withdraw_again) + self.slices_unserved
+        return min(len(self.withdraw_again) + self.slices_unserved, max(len(self.withdraw_again), int(head)))
 
     def withdrawals_that_fit(self, room, repeats_overdue):
         """The workers to withdraw in a message with room for so many lines at each proxy.
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -814,7 +814,7 @@
             self.now, pending.lost, self.repeat_drain_time_us(), state.head, idle or pending.slices_unserved > 0
         )
         pending.levels_changed = self.levels_message_due
-        due, urgency = pending.lines_due, pending.urgency
+        due, urgency = pending.lines_due(state.head), pending.urgency
         levels_due = self.levels_message_due or self.newcomers_due(state)
         self.deferred_lines = due
         if not (pending.has_updates or levels_due):
@@ -827,7 +827,8 @@
             return
         if due and not self.schedule.lines_worth_sending(state, due):
             return  # a message without the lines that are due would use up the room that they wait for
-        repeats_overdue = self.now >= self.withdrawals.repeat_deadline(drain_time_us)
+        # Room comes back with acknowledgements, which take as long as a message does.
+        repeats_overdue = self.now >= self.withdrawals.repeat_deadline(drain_time_us + self.setup.max_transit_us)
         to_withdraw = pending.withdrawals_that_fit(state.room, repeats_overdue)
         self.deferred_lines = len(pending.to_withdraw) - len(to_withdraw)
         self.write_message(pending, state, to_withdraw, levels_due)
@@ -868,9 +869,13 @@
         # would get all slices.
         named = {server for slice_index in self.owned_slices for server in tables[slice_index]}
         usable = capacity.keys() - (self.withdrawals.withdrawn & named)
-        warm = {server for server in usable if self.warmth(server) == 1.0} or usable
         # Without a table there is no proxy to reach.
         due_again = self.withdrawals.due_readmissions(self.now, usable) if self.owned_slices else set()
+        # A cold server that an earlier process may have withdrawn is readmitted once its load is limited, and may be of
+        # no use until then.
+        unknown = {server for server in due_again & named - self.withdrawals.readmitted if self.warmth(server) < 1.0}
+        usable = usable - unknown or usable
+        warm = {server for server in usable if self.warmth(server) == 1.0} or usable
         # A server that is named by tables but withdrawn at some proxy is missing where its slices are, so it does not
         # wait for ordinary messages.
         readmit_now = sorted(capacity.keys() & (self.withdrawals.withdrawn | due_again & named))
@@ -988,7 +993,6 @@
         for slice_index in pending.target_tables:
             for server in self.tables[slice_index].keys() & slices_by_server.keys():
                 slices_by_server[server].append(slice_index)
-        indispensable = self.indispensable_servers(pending)
 
         def plan(server):
             tables = {slice_index: self.tables[slice_index] for slice_index in slices_by_server[server]}
@@ -996,7 +1000,7 @@
             usable = (pending.usable - self.withdrawals.withdrawn) | draft.readmitted
             # Without any usable server, nothing can take load from this one. One that was readmitted before already
             # has its load from all proxies but those that missed that.
-            is_limited = usable and server not in self.withdrawals.readmitted | indispensable
+            is_limited = usable and server not in self.withdrawals.readmitted
             max_load = self.max_readmitted_load(server) if is_limited else float("inf")
             return plan_readmission(server, tables, targets, usable, self.planned_demand, max_load)
 
@@ -1007,19 +1011,6 @@
                 return
             self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
 
-    def indispensable_servers(self, pending):
-        """For each slice whose usable servers may all be withdrawn by an earlier process of this manager, one of them.
-
-        Proxies obey these withdrawals, so such a slice may have no server at all.
-        """
-        unknown = self.withdrawals.stale - self.withdrawals.readmitted
-        servers = set()
-        for slice_index in pending.target_tables if unknown else ():
-            usable = {server: weight for server, weight in self.tables[slice_index].items() if server in pending.usable}
-            if usable and usable.keys() <= unknown:
-                servers.add(max(usable, key=lambda server: (server in pending.warm, usable[server], -server)))
-        return servers
-
     def max_readmitted_load(self, server):
         """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
 
