Soak of drains: releases in place, zones that restart or are lost, crowds; kill at the earliest

The soak had one server at a time return under its name and killed managers 0.7 to 1.2 s after SIGTERM. Now servers are released in place, a third of them restarts or is lost at once, up to 120 silent callers stay at a manager, and SIGKILL comes 0.7 s after SIGTERM, the earliest that the platform may.

--- a/tests/drain_day_events.py
+++ b/tests/drain_day_events.py
@@ -49,6 +49,10 @@
     "reset_agent": Frequency(1, 4),
     "roughen_links": Frequency(4, 8),
     "shift_demand": Frequency(4, 14),
+    "restart_servers_in_place": Frequency(0, 2, until=0.5),
+    "restart_zone": Frequency(0, 1, until=0.75),
+    "lose_zone": Frequency(0, 1, until=0.6),
+    "crowd": Frequency(0, 2),
 }
 
 
--- a/tests/drain_day_peers.py
+++ b/tests/drain_day_peers.py
@@ -1,5 +1,6 @@
 """The peers of the managers on a day of `soak_drains`: discovery's agents, callers and servers."""
 
+import contextlib
 import json
 import select
 import signal
@@ -18,6 +19,7 @@
 ZONES = ("a", "b")
 UNIDENTIFIED_CALLERS = 2  # connected to a manager at a time
 UNIDENTIFIED_LIMIT_S = 0.85  # a caller that does not identify itself is rejected after this time
+CROWD_CONNECTS_S = 0.02  # a crowd's connections are open within this time
 HEARTBEAT_US = 2 * SECOND  # between the empty lines of a watch
 
 
@@ -107,7 +109,7 @@
     replaced."""
 
     def __init__(self, address):
-        self.address, self.connected, self.former = address, [], []
+        self.address, self.connected, self.former, self.crowded = address, [], [], []
 
     def keep_up(self):
         """Replaces the callers whose connections have ended."""
@@ -122,6 +124,17 @@
             except OSError:  # the manager does not listen yet, or no longer
                 return
 
+    def crowd(self, count, data):
+        """Opens this many connections that send `data` and then nothing, as far as the manager accepts them."""
+        for _ in range(count):
+            sock = socket.socket()
+            sock.setblocking(False)
+            self.crowded.append(sock)
+            sock.connect_ex(self.address)
+        for sock in select.select([], self.crowded, [], CROWD_CONNECTS_S)[1]:
+            with contextlib.suppress(OSError):
+                sock.send(data)
+
     def ask(self):
         """Sends a PING from each caller."""
         for caller in self.connected:
@@ -155,6 +168,8 @@
         `sigterm_at` is when SIGTERM was sent. PINGs sent after `read_by` may not have been read by the process. Both
         are times of `time.monotonic`.
         """
+        for sock in self.crowded:
+            sock.close()
         callers, found = self.connected + self.former, []
         for caller in callers:
             while not caller.ended:
--- a/tests/soak_drains.py
+++ b/tests/soak_drains.py
@@ -27,6 +27,7 @@
 from .fault_proxy import UNIMPAIRED, Impairment
 from .peers import SECOND, list_entry, make_settings
 from .program_case import ROOT, ProgramCase
+from .soak_final_answers import UNIDENTIFIED_DATA
 from .steered_manager import MAX_READY_S, SteeredManager, loopback_host
 
 MANAGERS = 4
@@ -43,6 +44,9 @@
 MAX_LIST_DELAY_US = 6 * SECOND  # a change of the list counts as sent to the manager after this time at the latest
 MAX_LEAVING_PART = 0.25  # of the servers: at most this part drains or is away at a time
 RELEASE_INTERVAL_US = 150_000
+IN_PLACE_GROUP, IN_PLACE_INTERVAL_US, IN_PLACE_AWAY_US = (1, 3), (SECOND, 3 * SECOND), (2 * SECOND, 6 * SECOND)
+ZONES = 3  # zones that restart or are lost
+CROWD = 60, 120  # callers
 SLOW_TURN_US = 45_000
 REPORTED_SERVERS = 10  # in one report
 LINGER_WEIGHT = 0.01
@@ -264,6 +268,49 @@
         for index in range(len(self.servers)):
             self.loop.after(index * RELEASE_INTERVAL_US, lambda: self.drain_servers(rng))
 
+    def restart_servers_in_place(self, rng):
+        """Servers drain a few at a time, end, and are ready again under their names, cold."""
+        servers, size = rng.sample(list(self.servers.values()), len(self.servers)), rng.randint(*IN_PLACE_GROUP)
+        interval_us, away_us = rng.randrange(*IN_PLACE_INTERVAL_US), rng.randrange(*IN_PLACE_AWAY_US)
+        for first in range(0, len(servers), size):
+            at_us = first // size * interval_us
+            if self.loop.now() - self.began_at + at_us < self.played_s * SECOND:
+                group = servers[first : first + size]
+                self.loop.after(at_us, lambda group=group: self._drain_in_place(group, away_us))
+
+    def _drain_in_place(self, servers, away_us):
+        for server in servers:
+            if server.health == "active" and self.drainable_servers():
+                server.drain()
+                self.publish_state(server)
+                self.loop.after(away_us, lambda server=server: self._return_in_place(server))
+
+    def _return_in_place(self, server):
+        server.end()
+        self.start_server(server)
+
+    def _zone_servers(self, rng):
+        """A third of the servers, those of them that are active."""
+        servers = list(self.servers.values())[rng.randrange(ZONES) :: ZONES]
+        return [server for server in servers if server.health == "active"]
+
+    def restart_zone(self, rng):
+        """The servers of a zone are killed and started at once; the list has them as ready with a new start."""
+        for server in self._zone_servers(rng):
+            self._return_in_place(server)
+
+    def lose_zone(self, rng):
+        """The servers of a zone are killed and gone, and return under their names, cold."""
+        servers, away_us = self._zone_servers(rng), int(rng.uniform(1.5, 4.0) * SECOND)
+        for server in servers:
+            server.end()
+            self.publish_state(server)
+            self.loop.after(away_us, lambda server=server: self.start_server(server))
+
+    def crowd(self, rng):
+        """Many unidentified callers connect to a manager, say nothing or half a message, and stay."""
+        self.on_a_manager(rng, lambda manager: manager.crowd(rng.randint(*CROWD), rng.choice(UNIDENTIFIED_DATA)))
+
     def lose_server(self, rng):
         """Kills a server; the list says so a little later."""
         candidates = self.drainable_servers()
--- a/tests/steered_manager.py
+++ b/tests/steered_manager.py
@@ -12,11 +12,11 @@
 from .peers import SECOND
 from .program_case import ROOT, Program, format_address, free_address
 from .rule_checking_relay import CALL_BROKEN_US, CALL_SILENT_US, NEWS_BROKEN_US, RuleCheckingRelay
+from .soak_final_answers import KILL_AFTER_S
 
 FAULTY_FRACTION = 0.4  # of the managers: some of their system calls fail
 MAX_JOIN_DELAY_US = SECOND  # all proxies join within this time once a manager is in use
 MAX_READY_S, MIN_RUN_S = 10.0, 1.5  # from start to first answer; in use before it is signalled
-KILL_AFTER_S = (0.7, 1.2)  # range of the delay from SIGTERM to SIGKILL
 KILL_UNREAD_S = 0.7  # a paused program may not have read what was sent during this time before SIGKILL
 # After SIGHUP: when the old connections are closed; for how long the time limits are paused.
 OLD_LINKS_CLOSE_US, MOVE_PAUSE_US = SECOND * 3 // 2, 4 * SECOND
@@ -151,6 +151,11 @@
         if self.process_run is not None:
             self.process_run.callers.ask()
 
+    def crowd(self, count, data):
+        """Open this many connections that send `data` and then nothing; they are closed with the process."""
+        if self.process_run is not None:
+            self.process_run.callers.crowd(count, data)
+
     def report(self, messages):
         """Send `messages`, reports of proxies, through a collector while the manager is in use."""
         if self.in_use:
@@ -178,7 +183,7 @@
                 lambda signal_number=signal_number: self._signal_if_current(process_run, signal_number),
             )
         self.day.note(f"{self} SIGTERM" + (", paused before" if is_paused else ""))
-        self.loop.after(int(rng.uniform(*KILL_AFTER_S) * SECOND), lambda: self.kill(process_run))
+        self.loop.after(int(KILL_AFTER_S * SECOND), lambda: self.kill(process_run))
 
     def _signal_if_current(self, process_run, signal_number):
         if process_run is self.process_run:
