--- /dev/null
+++ b/ospreyrouter/proxy_messages.py
@@ -0,0 +1,381 @@
+"""Decides what the messages to the proxies carry: withdrawals, tables, readmissions, levels and a mark.
+
+When a message may go and how long it may be is in `channel_schedule.py`, what is due in `pending_updates.py`, and what
+keeps slices served while tables change in `coverage.py`. No I/O.
+"""
+
+from dataclasses import replace
+
+from .channel_schedule import UNCONFIRMED_FILL, Urgency
+from .coverage import EPSILON, differs, plan_readmission, safe_target, update_table
+from .interface import ALL_TABLES, RetryPolicy
+from .packing import rendezvous_server
+from .pending_updates import MessageBudget, MessageDraft, PendingUpdates, TableChange
+
+LINGER_WEIGHT = 0.01  # weight of a lingering replica: enough for retries, too small to count as load
+MARK_COUNT = 65536  # marks are numbered from 0 to MARK_COUNT - 1
+# Retry policy for every class: a try that may have run is never repeated. Repeating even idempotent tries would double
+# the load during an overload.
+RETRY_POLICY = RetryPolicy.IF_NOT_RUN
+
+
+class ProxyMessages:
+    """The part of a manager that writes messages to its proxies; base class of `policy.Manager`, which has the state.
+
+    Reading order: when the next message goes, what is due, the message, its readmissions, its tables.
+    """
+
+    def waiting_message_may_go(self):
+        """Whether a message that waited can go now.
+
+        That is so if the channel is about to be free, has room again for deferred lines, or a repeat is due.
+        """
+        if self.send_at is not None:
+            return self.now >= self.send_at
+        if self.deferred_lines:
+            state = self.channel_state()
+            capped = self.schedule.is_capped(self.now, state, Urgency.REPEAT)
+            return not capped and self.schedule.lines_worth_sending(state, self.deferred_lines) > 0
+        return bool(self.withdrawals.missed_since) and self.now >= self.withdrawals.repeat_due_at(
+            self.repeat_drain_time_us()
+        )
+
+    def repeat_drain_time_us(self, lines_before=0):
+        """How long the channel takes for its queue and for a repeat of all withdrawals that may have been missed.
+
+        `lines_before`: lines at each proxy of a message that goes before it, its head included.
+        """
+        return self.schedule.drain_time_us(self.channel_state(), lines_before + len(self.withdrawals.missed_since))
+
+    def order_wakeup(self):
+        """Order a wake-up for when the waiting message may go or the repeat of withdrawals is due."""
+        due_at = self.send_at
+        if due_at is None:
+            if not self.withdrawals.missed_since or self.deferred_lines:
+                return
+            due_at = int(self.withdrawals.repeat_due_at(self.repeat_drain_time_us()))
+        if not self.now < self.wakeup_at <= due_at:
+            self.wakeup_at = max(due_at, self.now + 1)
+            self.orders.schedule_wake(self.wakeup_at - self.now, 0)
+
+    def target_table(self, slice_index):
+        """The table that a slice is to have: {server: weight}, its lingering replica included."""
+        lines = dict(self.layout[slice_index])
+        if self.lingering.get(slice_index) is not None:
+            lines.setdefault(self.lingering[slice_index], LINGER_WEIGHT)
+        return lines
+
+    def channel_state(self):
+        """What may still be in the channel, and what fits, as a ChannelState."""
+        return self.schedule.state(
+            self.now,
+            len(self.proxies),
+            self.withdrawals.more_joins_expected(self.now),
+            self.withdrawals.batch_us,
+            stalled=self.stalled_at == self.now,
+        )
+
+    def send(self, capacity):
+        """Send what has changed, as far as the channel can carry it: withdrawals first, then the largest changes.
+
+        Withdrawing a lost server from all tables takes one line per proxy. Rewriting the tables instead would outlast
+        the drain grace where proxies are many. Its load goes to the other lines of its slices.
+        """
+        self.send_at, pending, state = None, self.pending_updates(capacity), self.channel_state()
+        self.withdrawals.retain_missed(pending.lost)
+        idle = bool(pending.table_changes) and state.queued < 0.1 * state.shortest_worthwhile
+        # Without the repeats in it, a message for slices that need a server goes before them.
+        drain_time_us = self.repeat_drain_time_us(pending.slices_unserved and pending.slices_unserved + state.head)
+        pending.withdraw_now, pending.withdraw_again = self.withdrawals.due_withdrawals(
+            self.now, pending.lost, self.repeat_drain_time_us(), state.head, idle or pending.slices_unserved > 0
+        )
+        pending.levels_changed = self.levels_message_due
+        due, urgency = pending.lines_due(state.head), pending.urgency
+        levels_due = self.levels_message_due or self.newcomers_due(state)
+        self.deferred_lines = due
+        if not (pending.has_updates or levels_due):
+            return
+        # A repeat that is due soon takes everything ordinary with it; the heads of separate messages would fill the
+        # channel.
+        if self.withdrawals.missed_since and urgency is Urgency.ORDINARY:
+            return
+        if self.waits_for_channel(state, urgency) or self.schedule.is_capped(self.now, state, urgency):
+            return
+        if due and not self.schedule.lines_worth_sending(state, due):
+            return  # a message without the lines that are due would use up the room that they wait for
+        # Room comes back with acknowledgements, which take as long as a message does.
+        repeats_overdue = self.now >= self.withdrawals.repeat_deadline(drain_time_us + self.setup.max_transit_us)
+        to_withdraw = pending.withdrawals_that_fit(state.room, repeats_overdue)
+        self.deferred_lines = len(pending.to_withdraw) - len(to_withdraw)
+        self.write_message(pending, state, to_withdraw, levels_due)
+
+    def waits_for_channel(self, state, urgency):
+        """Whether a message has to wait until the channel is about to be free; sets `send_at` if so."""
+        allowed_at = self.schedule.earliest_send_at(self.now, state, urgency)
+        # While the channel accepts nothing, withdrawals are handed over at once: they are merged with queued orders.
+        if self.now >= allowed_at or urgency is Urgency.WITHDRAWAL and self.stalled_at == self.now:
+            return False
+        self.send_at = allowed_at
+        return True
+
+    def newcomers_due(self, state):
+        """Whether a message is due only because proxies that have joined may lack the levels.
+
+        Any message carries the levels. So none is due while more proxies are expected or a repeat will go to them
+        anyway. Where one message head for each proxy exceeds what ordinary messages may queue, they wait for the drain
+        grace and an empty channel.
+        """
+        since = self.newcomers_since
+        if since is None or self.withdrawals.missed_since or self.now < self.withdrawals.arrivals_settled_at(since):
+            return False
+        alone = state.queued + state.head * state.receivers
+        return (
+            alone <= self.schedule.max_ordinary_lines(state)
+            or state.queued <= 0
+            and self.now >= since + self.setup.drain_grace_us
+        )
+
+    def pending_updates(self, capacity):
+        """The updates that are due, apart from withdrawals. `capacity`: {server: capacity} of the usable servers."""
+        targets, tables = (
+            {slice_index: self.target_table(slice_index) for slice_index in sorted(self.owned_slices)},
+            self.tables,
+        )
+        # A withdrawn server that no table names is readmitted with its first line; otherwise the first one readmitted
+        # would get all slices.
+        named = {server for slice_index in self.owned_slices for server in tables[slice_index]}
+        usable = capacity.keys() - (self.withdrawals.withdrawn & named)
+        # Without a table there is no proxy to reach.
+        due_again = self.withdrawals.due_readmissions(self.now, usable) if self.owned_slices else set()
+        # A cold server that an earlier process may have withdrawn is readmitted once its load is limited, and may be of
+        # no use until then.
+        unknown = {server for server in due_again & named - self.withdrawals.readmitted if self.warmth(server) < 1.0}
+        usable = usable - unknown or usable
+        warm = {server for server in usable if self.warmth(server) == 1.0} or usable
+        # A server that is named by tables but withdrawn at some proxy is missing where its slices are, so it does not
+        # wait for ordinary messages.
+        readmit_now = sorted(capacity.keys() & (self.withdrawals.withdrawn | due_again & named))
+        lost = named - capacity.keys()
+        pending = PendingUpdates(targets, usable, warm, named, lost, readmit_now, sorted(due_again - named))
+        pending.table_changes = self.collect_table_changes(pending, capacity)
+        return pending
+
+    def collect_table_changes(self, pending, capacity):
+        """The TableChange of each table that is not as it is to be, the most urgent first."""
+        long_withdrawn = self.withdrawals.long_withdrawn(self.now) & pending.lost
+        changes = [
+            self.table_change(slice_index, pending, capacity, long_withdrawn) for slice_index in pending.target_tables
+        ]
+        changes = sorted((change for change in changes if change), key=lambda change: change.sort_key)
+        # A table with few usable servers first gets only one line, and a table that names a server withdrawn long ago
+        # first loses only the lines of lost servers. The rest of these tables follows as changes that can wait.
+        partly = [change for change in changes if change.names_long_withdrawn or not change.well_served]
+        return changes + [
+            replace(change, can_wait=True, half_left=True, names_long_withdrawn=False) for change in partly
+        ]
+
+    def table_change(self, slice_index, pending, capacity, long_withdrawn):
+        """How a table differs from the one it is to be, as a TableChange; None if it does not."""
+        table, usable = self.tables[slice_index], pending.usable
+        lines, cold_servers = self.next_target(slice_index, pending), usable - pending.warm
+        left, cold = (sum(table[server] for server in sorted(table.keys() & group)) for group in (usable, cold_servers))
+        # Lines of lost servers are withdrawn already and only have to be removed, so they count little. Slices that
+        # lost most of their weight come first.
+        difference = sum(
+            abs(lines.get(server, 0) - table.get(server, 0)) * (1.0 if server in capacity else LINGER_WEIGHT)
+            for server in sorted(table.keys() | lines.keys())
+        )
+        # A table without a usable server needs one, even if it is as planned.
+        if difference <= EPSILON and (table.keys() & usable or not usable):
+            return None
+        load, half_left = self.planned_demand.get(slice_index, 1.0), left >= 0.5 * sum(table.values())
+        # A slice of which mostly cold servers are left, which were planned for a small part of it, is as urgent as one
+        # without servers.
+        enough_left = bool(table.keys() & usable) and (half_left or cold <= 0.5 * left or load <= self.mean_load)
+        # A withdrawal is repeated as long as tables name the worker; removing the worker from them ends that.
+        return TableChange(slice_index, difference * load, enough_left, half_left, bool(table.keys() & long_withdrawn))
+
+    def write_message(self, pending, state, to_withdraw, levels_due):
+        """Write one message to all proxies: withdrawals, tables, readmissions, levels and a mark."""
+        budget = self.message_budget(pending, state, to_withdraw)
+        # Readmissions that only some proxies may have missed count as ordinary, as many proxies join at a time.
+        readmitted_later = pending.readmit_later[
+            : max(
+                0,
+                int((budget.ordinary - state.queued) / state.receivers - state.head - len(to_withdraw)),
+            )
+        ]
+        for worker in to_withdraw:
+            self.orders.set_withheld(worker, True)
+        draft = MessageDraft(len(to_withdraw) + len(readmitted_later))
+        self.write_tables(pending, [change for change in pending.table_changes if not change.can_wait], budget, draft)
+        self.write_readmissions(pending, budget, draft)
+        self.write_tables(pending, [change for change in pending.table_changes if change.can_wait], budget, draft)
+        lines, readmitted = draft.lines, readmitted_later + sorted(draft.readmitted)
+        for worker in readmitted:
+            self.orders.set_withheld(worker, False)
+        if lines or levels_due:
+            self.write_levels()
+            self.withdrawals.record_orders(self.now, to_withdraw, readmitted)
+            # The mark goes to every proxy. A proxy that has joined may hold levels of an earlier process of this
+            # manager, and any message carries the present ones. A line that concerns no proxy would not be
+            # acknowledged, and would count as in the channel for long.
+            self.last_urgency = pending.urgency
+            self.message_counts[pending.urgency] += 1
+            mark = self.withdrawals.message_count % MARK_COUNT
+            self.orders.send_mark(mark, True)
+            self.schedule.record_message(self.now, state, mark, state.head + lines, max(1, len(self.proxies)))
+
+    def write_levels(self):
+        """Write the levels that no message has carried yet."""
+        for class_index in sorted(self.unsent_levels):
+            self.orders.set_level(ALL_TABLES, 1 << class_index, self.levels[class_index], RETRY_POLICY)
+        self.unsent_levels, self.levels_message_due, self.newcomers_since = set(), False, None
+
+    def message_budget(self, pending, state, to_withdraw):
+        """How long the next message may be, which carries these withdrawals, as a MessageBudget."""
+        ordinary, later_limit = self.schedule.max_ordinary_lines(state), state.limit
+        # Room for withdrawals that are to be repeated is kept free until they are due, but not from slices that need a
+        # server. And while proxies join and leave all the time, lost servers still have to be removed from the tables.
+        if later_count := len(self.withdrawals.missed_since.keys() - set(to_withdraw)):
+            reserved = (state.head + later_count) * state.receivers
+            alone = state.shortest_worthwhile if state.queued < 0.1 * state.shortest_worthwhile else 0.0
+            later_limit -= reserved
+            ordinary = max(ordinary / 2, ordinary - reserved, min(alone, UNCONFIRMED_FILL * state.limit))
+        # A message that is sent for a repeat anyway may carry up to as many lines of tables as it has itself, its head
+        # included. On a channel kept busy by repeats the tables would otherwise wait for as long as proxies join and
+        # leave.
+        with_repeat = 2 * len(to_withdraw) + state.head if pending.withdraw_again and not pending.withdraw_now else 0
+        return MessageBudget(state, ordinary, later_limit, self.max_lines_in_time(state, to_withdraw), with_repeat)
+
+    def max_lines_in_time(self, state, to_withdraw):
+        """Lines in total that may be queued so that withdrawals are in time: later ones, and those that were missed."""
+        in_time, missed = self.schedule.max_prompt_lines(state), self.withdrawals.missed_since.keys()
+        if missed:
+            leaves_in_us = max(0, self.withdrawals.repeat_deadline(0) - self.now)
+            repeated_behind = len(missed - set(to_withdraw))
+            lines_behind = (state.head + repeated_behind) * state.receivers if repeated_behind else 0.0
+            in_time = min(in_time, self.schedule.sent_messages.pace_lines * leaves_in_us / 1e6 - lines_behind)
+            in_time = max(in_time, state.queued + (state.head + len(to_withdraw)) * state.receivers)
+        return in_time
+
+    def write_readmissions(self, pending, budget, draft):
+        """Readmit ready servers, those first that take the fewest lines.
+
+        A server that has just started and would get too much load is readmitted together with the lines that reduce it.
+        Otherwise it would wait for tables whose order has nothing to do with it, while more servers are withdrawn.
+        """
+        slices_by_server = {server: [] for server in pending.readmit_now}
+        for slice_index in pending.target_tables:
+            for server in self.tables[slice_index].keys() & slices_by_server.keys():
+                slices_by_server[server].append(slice_index)
+
+        def plan(server):
+            tables = {slice_index: self.tables[slice_index] for slice_index in slices_by_server[server]}
+            targets = {slice_index: self.next_target(slice_index, pending, {server}) for slice_index in tables}
+            usable = (pending.usable - self.withdrawals.withdrawn) | draft.readmitted
+            # Without any usable server, nothing can take load from this one. One that was readmitted before already
+            # has its load from all proxies but those that missed that.
+            is_limited = usable and server not in self.withdrawals.readmitted
+            max_load = self.max_readmitted_load(server) if is_limited else float("inf")
+            return plan_readmission(server, tables, targets, usable, self.planned_demand, max_load)
+
+        for server in sorted(
+            slices_by_server.keys() - draft.readmitted, key=lambda server: (plan(server).cost, server)
+        ):
+            if draft.full:
+                return
+            self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
+
+    def max_readmitted_load(self, server):
+        """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
+
+        It is half of the load that makes a cold server fail, if the fleet is fully loaded.
+        """
+        warmth = self.warmth(server)
+        if warmth == 1.0:
+            return float("inf")
+        ready_weight = sum(self.workers[worker].weight for worker in self.ready_workers())
+        part = warmth * self.workers[server].weight / ready_weight
+        return 0.5 * self.setup.overload_multiple * part * sum(self.planned_demand.values())
+
+    def write_readmission(self, readmission, budget, draft):
+        """Readmit one server, or write as many of the lines that have to precede that as fit."""
+        for line in readmission.lines:
+            draft.full = draft.full or not budget.fits(draft.lines, draft.lines + 1, urgent=False)
+            if draft.full:
+                return
+            draft.lines += 1
+            self.write_lines(line.table, {line.server: line.weight})
+        draft.full = budget.room(draft.lines) <= 0
+        if not draft.full:
+            draft.lines += 1
+            draft.readmitted.add(readmission.server)
+
+    def write_lines(self, slice_index, lines):
+        """Order these lines of a table, {server: weight}; a weight of 0 removes one."""
+        for server, weight in lines.items():
+            if weight > 0 or not self.setup.single_owner:
+                self.orders.set_weight(slice_index, server, weight)
+        self.tables[slice_index] = update_table(self.tables[slice_index], lines)
+
+    def write_tables(self, pending, changes, budget, draft):
+        """Write these changes of tables, the most urgent first.
+
+        A withdrawn server that no table names is readmitted with its first line: a table that names only withdrawn
+        servers leaves its proxies without any.
+        """
+        unnamed = set(pending.readmit_now) - pending.named
+        for change in changes:
+            table, target = self.tables[change.table], self.next_table(change, pending)
+            written = [server for server in sorted(target) if differs(table, target, server)]
+            removed = [server for server in sorted(table) if server not in target]
+            first_lines = unnamed.intersection(written) - draft.readmitted
+            new_lines = draft.lines + len(written) + len(removed) + len(first_lines)
+            draft.full = draft.full or not budget.fits(draft.lines, new_lines, urgent=not change.can_wait)
+            if draft.full:
+                return
+            draft.lines, draft.readmitted = new_lines, draft.readmitted | first_lines
+            self.write_lines(change.table, {server: target[server] for server in written} | dict.fromkeys(removed, 0))
+
+    def next_target(self, slice_index, pending, readmitted=frozenset()):
+        """The table that a slice may have next on the way to its target, without a loss of usable servers.
+
+        `readmitted`: servers that are readmitted with the same message.
+        """
+        table, target = self.tables[slice_index], pending.target_tables[slice_index]
+        if not self.setup.single_owner:
+            return safe_target(table, target, pending.usable, readmitted)
+        usable = pending.usable | readmitted
+        return table if table.keys() & usable and not target.keys() & usable else target
+
+    def next_table(self, change, pending):
+        """The table to write for a change, which may be only a part of it."""
+        table, target = self.tables[change.table], self.next_target(change.table, pending)
+        if self.setup.single_owner:
+            return target
+        if not change.well_served and pending.usable:
+            return self.with_one_line(change.table, target, pending)
+        if change.names_long_withdrawn:
+            return {server: weight for server, weight in table.items() if server not in pending.lost} or target
+        return target
+
+    def with_one_line(self, slice_index, target, pending):
+        """The present table with one line added or raised, for a slice with few usable servers left.
+
+        One line each for as many such slices as possible comes first; the rest of the target follows later.
+        """
+        table = self.tables[slice_index]
+        candidates = {server: target[server] for server in target if server in pending.usable} or {
+            rendezvous_server(slice_index, pending.warm): 1.0
+        }
+        best = max(
+            candidates,
+            key=lambda server: (
+                candidates[server] > table.get(server, 0.0),
+                server in pending.warm and candidates[server] > LINGER_WEIGHT,
+                candidates[server],
+                -server,
+            ),
+        )
+        return table | {best: candidates[best]}
