--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -102,7 +102,7 @@
             return Urgency.WITHDRAWAL
         if self.levels_changed:
             return Urgency.LEVELS
-        if self.table_changes and not self.table_changes[0].can_wait:
+        if self.slices_unserved or self.readmit_now and not self.usable:
             return Urgency.BARE_SLICE
         return Urgency.REPEAT if self.withdraw_again or self.readmit_now else Urgency.ORDINARY
 
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -192,6 +192,8 @@
         # A slice of which mostly cold servers are left, which were planned for a small part of it, is as urgent as one
         # without servers.
         enough_left = bool(table.keys() & usable) and (half_left or cold <= 0.5 * left or load <= self.mean_load)
+        if not usable:  # no change of a table gives its slice a server; readmissions do
+            enough_left = half_left = True
         # A withdrawal is repeated as long as tables name the worker; removing the worker from them ends that.
         return TableChange(slice_index, difference * load, enough_left, half_left, bool(table.keys() & long_withdrawn))
 
--- a/tests/test_release_days.py
+++ b/tests/test_release_days.py
@@ -21,6 +21,11 @@
         # The lines of one table did not fit into any message, and nothing else was sent for seconds.
         self.assert_rules_kept(51, 130)
 
+    def test_readmissions_come_first_if_no_server_is_usable(self):
+        # 33 of 33 servers were ready and withdrawn for ten seconds, while tables were rewritten as planned: 10.70 s of
+        # the 2.6 s that are allowed.
+        self.assert_rules_kept(327)
+
     def test_messages_with_many_lines_leave_in_time_for_the_repeats_in_them_and_behind_them(self):
         # 36 and 8 late drains.
         self.assert_rules_kept(115, 187)
