Callers that wait to be accepted at SIGTERM in a shortage of descriptors are answered

Cause: the drain of callers ends when no PING has arrived for 40 ms, also while accept fails for want of descriptors or memory; the last attempt to accept then failed, too. Now it lasts until callers can be accepted, 0.4 s at most as before.

--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -157,6 +157,8 @@
 class VirtualListener:
     """A listener; same interface as `sockets.Listener`."""
 
+    paused = False  # it never lacks descriptors or memory
+
     def __init__(self, host, address, on_stream):
         self.host, self.address, self.on_stream = host, address, on_stream
 
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -205,11 +205,14 @@
     def drain(self, on_done):
         """For the end of the program: go on answering, also on new connections, then close and call `on_done()`.
 
-        Ends when no PING has arrived for DRAIN_QUIET_US, at the latest after MAX_DRAIN_US.
+        Ends when no PING has arrived for DRAIN_QUIET_US while callers could be accepted, at the latest after
+        MAX_DRAIN_US.
         """
         self.last_ping_us, deadline_us = self.loop.now(), self.loop.now() + MAX_DRAIN_US
 
         def close_when_quiet():
+            if self.listener.paused:  # callers may wait whose PINGs could not be read yet
+                self.last_ping_us = self.loop.now()
             quiet_us = min(self.last_ping_us + DRAIN_QUIET_US, deadline_us)
             if self.loop.now() < quiet_us:
                 self.loop.at(quiet_us, close_when_quiet)
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -51,6 +51,21 @@
     return [(received[caller], close_reasons[caller]) for caller in callers]
 
 
+# Nothing can be accepted while the file named by SHORTAGE_FILE exists.
+ACCEPT_FAILS = """
+import errno, os, socket, sys
+from ospreyrouter.node import __main__
+
+def accept(self, accept=socket.socket.accept):
+    if os.path.exists(os.environ["SHORTAGE_FILE"]):
+        raise OSError(errno.EMFILE, "no descriptor")
+    return accept(self)
+
+socket.socket.accept = accept
+sys.exit(__main__.main())
+"""
+
+
 class PingsBeforeSigterm(ProgramCase):
     """The program of the node answers PINGs that arrive before it ends."""
 
@@ -78,6 +93,21 @@
             self.assertEqual(read_until_closed(callers, 5), [(frames.PONG, "closed")] * CALLER_COUNT)
             self.assertEqual(process.wait(KILL_AFTER_S), 0)
 
+    def test_callers_that_wait_in_a_shortage_of_descriptors_at_sigterm_are_answered(self):
+        shortage = Path(self.path).with_name("shortage")
+        self.environment["SHORTAGE_FILE"] = str(shortage)
+        process = self.start_program(sys.executable, "-c", ACCEPT_FAILS)
+        self.wait_until(self.responds_to_ping)
+        shortage.touch()
+        callers = self.connect_callers()
+        for caller in callers:
+            caller.sendall(PING)
+        process.send_signal(signal.SIGTERM)
+        time.sleep(0.15)
+        shortage.unlink()
+        self.assertEqual(read_until_closed(callers, 5), [(frames.PONG, "closed")] * CALLER_COUNT)
+        self.assertEqual(process.wait(KILL_AFTER_S), 0)
+
     def test_repeated_signals_still_end_the_program_with_exit_code_0(self):
         for _ in range(5):
             process = self.start_and_wait_until_ready()
