--- a/ospreyrouter/channel_schedule.py
+++ b/ospreyrouter/channel_schedule.py
@@ -154,7 +154,9 @@
 
         Zero if so few fit that they are not worth a message's head, as the heads would fill the channel.
         """
-        min_lines = max(1, min(lines, max(state.head, lines / 2), state.room_when_empty))
+        # Some lines may stay unconfirmed long after they have left, if a proxy does not acknowledge them.
+        most = state.room_when_empty * (UNCONFIRMED_FILL if state.queued <= 0 else 1.0)
+        min_lines = max(1, min(lines, max(state.head, lines / 2), most))
         return min(lines, state.room) if state.room >= min_lines else 0
 
     def max_prompt_lines(self, state):
--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -79,7 +79,7 @@
         """
         if self.withdraw_now or not self.withdraw_again:
             return len(self.withdraw_now)
-        return min(len(self.withdraw_again) + self.slices_unserved, max(len(self.withdraw_again), int(head)))
+        return len(self.withdraw_again) + self.slices_unserved
 
     def withdrawals_that_fit(self, room, repeats_overdue):
         """The workers to withdraw in a message with room for so many lines at each proxy.
