Review, case 1: slices without a server while proxies restart in a rolling deploy

Claimed: repeats of withdrawals for proxies that join take the channel, and slices whose two workers are withdrawn get no line for longer than BlackholeS. It takes the place of the case of collectors, and the others are renumbered: 2 is what was 1, 3 what was 2.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,67 +1,79 @@
-"""Workers that were listed as gone and come back without a restart stay withdrawn after a restart of the manager."""
+"""A rolling deploy of workers while proxies are restarted in batches: slices are left without a worker for seconds."""
 
 import asyncio
+import os
+import time
 from pathlib import Path
 
 from review.rig.case import run
 from review.rig.platform import Platform
 
-SILENT_S = 6.0  # STANDING: for 6 s a zone is partitioned, or a fifth of the workers fall silent
-NOTICED_S = 4.6  # site file: silent_notice_s = [4.4, 12]
-LISTED_AGAIN_S = 1.0  # site file: add_s = [0.43, 1.9]
-DRAIN_S = 4.0  # site file: 3.9 to 5.8 s
-DOWN_S = 4.0  # brief: managers die and come back after 2 to 9.6 s
+# Site file: lines_per_s = [8000, 11000], late_ms = [120, 440]; the queue holds what is sent in 3 s ("at least 1 s").
+FAMILY = {"EgressPerS": 8000.0, "QueueCap": 24000.0, "PushDelayS": 0.44, "TransitMaxS": 1.1}
+WORKERS, PROXIES, SLICES = 30, 150, 180  # DAYS: 150 proxies and 30 workers; site file: 4.4 to 8 slices for each worker
+# The deploy: len_s = [37, 20], part = [0.41, 0.99], size = [0.06, 0.15], extra = [3.9, 5.8]; add_s = [0.43, 1.9]
+BATCH, BATCHES, BATCH_S, DRAIN_S, SUCCESSOR_S = 3, 8, 3.07, 4.2, (0.43, 1.9)
+# The restarts of proxies: len_s = [28, 13], part = [0.57, 1], size = [0.09, 0.29], extra = [0.2, 1.5]
+RESTARTED, RESTARTS, RESTART_S, DOWN_S = 15, 9, 1.8, 0.53
+SETTLE_S, STAY_S = 12.0, 8.0  # after the last batch; after the first break of a rule
 
 
 async def play(record, trouble):
     """The day of the case; returns whether the rule held."""
-    platform = Platform(record)
+    platform = Platform(
+        record,
+        workers=WORKERS,
+        slices=SLICES,
+        proxies=PROXIES,
+        rate=150.0,
+        family=FAMILY,
+        seed=int(os.environ.get("SEED", "1")),
+    )
     try:
         await platform.begin()
-        manager = platform.seats[0]
-        await asyncio.sleep(6)
-        silent = list(platform.workers.values())[2:9:3]  # a fifth: three of fifteen
-        names = [worker.name for worker in silent]
+        await asyncio.sleep(5)
+        platform.task(deploy(platform))
         if trouble:
-            platform.record(f"for {SILENT_S} s these are silent: {names}")
-            for worker in silent:
-                worker.silent = True
-            await asyncio.sleep(NOTICED_S)
-            platform.change_workers(names, state="left")
-            await asyncio.sleep(1.0)
-            manager.kill()
-            await asyncio.sleep(SILENT_S - NOTICED_S - 1.0)
-            for worker in silent:
-                worker.silent = False
-            platform.record("they answer again, without a restart")
-            await asyncio.sleep(LISTED_AGAIN_S)
-            platform.change_workers(names, state="active")
-            await asyncio.sleep(DOWN_S - LISTED_AGAIN_S - 0.4)
-            await manager.start()
-            await asyncio.sleep(3)
-            platform.give_back(manager)
-        await asyncio.sleep(10)
-        # A rolling deploy, with and without the disruption: the other workers are replaced, two of fifteen at a time.
-        for batch in (("s-00", "s-01"), ("s-03", "s-04"), ("s-06", "s-07"), ("s-09", "s-10"), ("s-12", "s-13")):
-            for name in batch:
-                await platform.add_worker(f"s-{len(platform.workers)}", platform.workers[name].zone)
-            platform.record(f"{batch} drain and are replaced")
-            platform.change_workers(batch, state="leaving")
-            await asyncio.sleep(DRAIN_S)
-            platform.change_workers(batch, state="left")
-            await asyncio.sleep(0.5)
-        await asyncio.sleep(3)
+            platform.task(restart_proxies(platform))
+        end = time.monotonic() + BATCHES * BATCH_S + SETTLE_S
+        while time.monotonic() < min([end, *(at + STAY_S for at in list(platform.broken.values())[:1])]):
+            await asyncio.sleep(0.1)
         for seat in platform.seats:
-            held = {proxy.number: sorted(proxy.withdrawn[seat]) for proxy in platform.proxies}
-            platform.record(f"withdrawn by {seat.name} at the end, by proxy: {held}")
-        platform.record(
-            "transactions by worker: " + str({worker.name: worker.received for worker in platform.workers.values()})
-        )
-        platform.record(f"transactions {platform.sent}, without a good answer {platform.unserved}")
-        platform.record(f"proxies and slices left without a line: {len(platform.broken)}")
+            platform.record(f"the most lines that waited in the channel of {seat.name}: {seat.peak_lines:.0f}")
+        drains = [key for key in platform.broken if key[0] == "drain"]
+        platform.record(f"pairs of proxy and slice without a line for too long: {len(platform.broken) - len(drains)}")
+        platform.record(f"pairs of proxy and worker after the drain's grace: {len(drains)}")
+        platform.record(f"transactions {platform.sent}, without a line to pick {platform.unpicked}")
+        platform.check_lateness()
         return not platform.broken
     finally:
         await platform.end()
 
 
+async def restart_proxies(platform):
+    """Restarts proxies in batches, beginning some seconds after the deploy."""
+    await asyncio.sleep(BATCH_S)
+    for _ in range(RESTARTS):
+        proxies = platform.random.sample(platform.proxies, RESTARTED)
+        platform.record(f"proxies restart: {sorted(proxy.number for proxy in proxies)}")
+        platform.restart_proxies(proxies, DOWN_S)
+        await asyncio.sleep(RESTART_S)
+
+
+async def deploy(platform):
+    """Replaces workers in batches."""
+    names = list(platform.workers)
+    platform.random.shuffle(names)
+    for batch in range(BATCHES):
+        leaving = names[batch * BATCH : (batch + 1) * BATCH]
+        platform.record(f"{leaving} drain and are replaced")
+        platform.change_workers(leaving, state="leaving")
+        platform.later(DRAIN_S, lambda leaving=leaving: platform.change_workers(leaving, state="left"))
+        wait = platform.random.uniform(*SUCCESSOR_S)
+        await asyncio.sleep(wait)
+        for name in leaving:
+            await platform.add_worker(f"s-{len(platform.workers)}", platform.workers[name].zone)
+        await asyncio.sleep(BATCH_S - wait)
+
+
 run(Path(__file__).parent, play)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,63 +1,66 @@
-"""Spoilt reports with a count far out of range make the managers give a cold worker the slices of several others."""
+"""Workers that were listed as gone and come back without a restart stay withdrawn after a restart of the manager."""
 
 import asyncio
-import os
 from pathlib import Path
 
 from review.rig.case import run
-from review.rig.platform import Platform, frame
+from review.rig.platform import Platform
 
-COUNT = int(
-    os.environ.get("COUNT", "600000")
-)  # transactions for one slice in half a second; all proxies get 130 a second
-BATCHES, BATCH, BATCH_S = 3, 3, 2.3  # STANDING, join+mass: six in ten workers are replaced within 7 s
+SILENT_S = 6.0  # STANDING: for 6 s a zone is partitioned, or a fifth of the workers fall silent
+NOTICED_S = 4.6  # site file: silent_notice_s = [4.4, 12]
+LISTED_AGAIN_S = 1.0  # site file: add_s = [0.43, 1.9]
 DRAIN_S = 4.0  # site file: 3.9 to 5.8 s
+DOWN_S = 4.0  # brief: managers die and come back after 2 to 9.6 s
 
 
 async def play(record, trouble):
     """The day of the case; returns whether the rule held."""
-    platform = Platform(record, rate=130.0)
+    platform = Platform(record)
     try:
         await platform.begin()
-        await asyncio.sleep(8)
-        if trouble:
-            for manager in platform.seats:
-                slice_index = next(table for table, seat in platform.owners.items() if seat is manager)
-                report = {"msg": "SHARD", "partition": slice_index, "kind": "stock-check", "n": COUNT, "bad": 0}
-                report["window"] = 500.0
-                manager.collector_writers["moonah"].write(frame(report))
-                platform.record(f"a spoilt report among the others of moonah to {manager.name}: {report}")
-        await asyncio.sleep(1)
-        names, successors = list(platform.workers), []
-        for first in range(1, 1 + BATCHES * BATCH, BATCH):
-            leaving = names[first : first + BATCH]
-            for name in leaving:
-                number = len(platform.workers)
-                successors.append(await platform.add_worker(f"s-{number}", platform.workers[name].zone))
-            platform.record(
-                f"{leaving} are replaced by {[worker.name for worker in successors[-BATCH:]]}, which are cold"
-            )
-            platform.change_workers(leaving, state="leaving")
-            platform.later(DRAIN_S, lambda leaving=leaving: platform.change_workers(leaving, state="left"))
-            await asyncio.sleep(BATCH_S)
+        manager = platform.seats[0]
         await asyncio.sleep(6)
-        most = 0.0
-        for worker in successors:
-            part, begin = platform.overload(worker)
-            most = max(most, part)
-            platform.record(
-                f"{worker.name}: {len(worker.arrivals)} transactions while cold; the most in 1.5 s was {part:.2f} of "
-                f"what it may get, {max(0.0, begin + platform.began - worker.born):.2f} s after its start"
-            )
+        silent = list(platform.workers.values())[2:9:3]  # a fifth: three of fifteen
+        names = [worker.name for worker in silent]
+        if trouble:
+            platform.record(f"for {SILENT_S} s these are silent: {names}")
+            for worker in silent:
+                worker.silent = True
+            await asyncio.sleep(NOTICED_S)
+            platform.change_workers(names, state="left")
+            await asyncio.sleep(1.0)
+            manager.kill()
+            await asyncio.sleep(SILENT_S - NOTICED_S - 1.0)
+            for worker in silent:
+                worker.silent = False
+            platform.record("they answer again, without a restart")
+            await asyncio.sleep(LISTED_AGAIN_S)
+            platform.change_workers(names, state="active")
+            await asyncio.sleep(DOWN_S - LISTED_AGAIN_S - 0.4)
+            await manager.start()
+            await asyncio.sleep(3)
+            platform.give_back(manager)
+        await asyncio.sleep(10)
+        # A rolling deploy, with and without the disruption: the other workers are replaced, two of fifteen at a time.
+        for batch in (("s-00", "s-01"), ("s-03", "s-04"), ("s-06", "s-07"), ("s-09", "s-10"), ("s-12", "s-13")):
+            for name in batch:
+                await platform.add_worker(f"s-{len(platform.workers)}", platform.workers[name].zone)
+            platform.record(f"{batch} drain and are replaced")
+            platform.change_workers(batch, state="leaving")
+            await asyncio.sleep(DRAIN_S)
+            platform.change_workers(batch, state="left")
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(3)
         for seat in platform.seats:
-            owned = [table for table, owner in platform.owners.items() if owner is seat]
-            largest = {}
-            for table in owned:
-                name = max(platform.store[table], key=platform.store[table].get)
-                largest[name] = largest.get(name, 0) + 1
-            platform.record(f"slices of {seat.name} by the worker with the largest weight: {largest}")
-        platform.record(f"the most of all, as a part of what a cold worker may get: {most:.2f}")
-        return most <= 1.0
+            held = {proxy.number: sorted(proxy.withdrawn[seat]) for proxy in platform.proxies}
+            platform.record(f"withdrawn by {seat.name} at the end, by proxy: {held}")
+        platform.record(
+            "transactions by worker: " + str({worker.name: worker.received for worker in platform.workers.values()})
+        )
+        platform.record(f"transactions {platform.sent}, without a good answer {platform.unserved}")
+        platform.record(f"proxies and slices left without a line: {len(platform.broken)}")
+        platform.check_lateness()
+        return not platform.broken
     finally:
         await platform.end()
 
--- a/review/rig/case.py
+++ b/review/rig/case.py
@@ -1,6 +1,7 @@
 """Runs the day of a case and turns its outcome into an exit status: 1 broken, 0 held, 2 could not run."""
 
 import asyncio
+import gc
 import os
 import sys
 import traceback
@@ -10,13 +11,18 @@
 
 
 def run(folder, play):
-    """Run `play(record, trouble)`, which returns whether the rule held; writes `record.txt` into `folder`."""
+    """Run `play(record, trouble)`, which returns whether the rule held; writes `record.txt` into `folder`.
+
+    `play` raises an exception where the case could not run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with open(Path(folder) / "record.txt", "w") as file:
 
         def record(text):
             file.write(text + "\n")
 
+        gc.disable()  # its pauses would make the stand-ins late
+
         async def main():
             async with asyncio.timeout(MAX_S):
                 return await play(record, trouble)
--- a/review/rig/platform.py
+++ b/review/rig/platform.py
@@ -1,6 +1,6 @@
 """Stand-ins of the platform on loopback sockets: relay and store, proxies, discovery, workers, collectors, clients.
 
-    platform = Platform(record, managers=2, workers=15, slices=71, proxies=9, rate=90.0)
+    platform = Platform(record, managers=2, workers=15, slices=71, proxies=9, rate=90.0, family={...})
     await platform.begin()                       # starts the stand-ins and the managers, lets the proxies join
     platform.change_worker("s-03", state="left") # discovery tells the managers
     platform.seats[0].kill(); await platform.seats[0].start()
@@ -9,7 +9,8 @@
 Each manager has a seat: its process (started with `run` of the deploy file), its relay, its discovery agent and its
 channel. The store is one for all seats. Proxies follow their tables and the withdrawals of the manager in charge of a
 slice; they keep both when a stream breaks, as the wire page says of ENROLLED and SHUTDOWN. Clients send transactions to
-proxies, which pick a worker at random by weight. `record` takes lines of text. Times are seconds of `time.monotonic()`.
+proxies, which pick a worker at random by weight. `family` overrides settings of
+FamilyInfo. `record` takes lines of text. Times are seconds of `time.monotonic()`.
 """
 
 import asyncio
@@ -30,6 +31,10 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 TICK_S = 0.02
+CHECK_S = 0.1  # between two checks of the rules
+# The relay answers within 50 ms. Where this process is later than LATE_S, the time limits wait as if the relay had
+# fallen silent (PROTOCOL: 1.5 s); later than MOST_LATE_S, and the case can't run.
+LATE_S, SILENT_S, MOST_LATE_S = 0.04, 1.5, 1.0
 SLACK_S = 0.3  # PROTOCOL: limits are 300 ms longer on sockets
 START_GRACE_S = 1.0  # and begin no sooner than 1 s after the manager first answered
 REPORT_DELAY_S = (0.22, 1.3)  # brief: sums arrive 220 to 1,300 ms late
@@ -38,6 +43,7 @@
 TAKEOVER_S = (0.98, 3.3)  # brief: another manager gets the blocks 0.98 to 3.3 s later
 WORK_S = 0.255  # mean work of a transaction, brief: 220 to 290 ms
 CORES = 4
+NO_LINES = {}
 COLD_FROM, COLD_S = 0.2, 17.0  # the settings: it starts at this part of its capacity or more and is warm by then
 
 
@@ -257,6 +263,7 @@
     def grant(self, table):
         """The store gives a slice into this manager's charge."""
         platform, now = self.platform, time.monotonic()
+        platform.owners[table].granted_at.pop(table, None)
         platform.owners[table], self.granted_at[table] = self, now
         self.news(f"* GRANT {table} 1", *platform.rows(table))
         for proxy in platform.proxies:
@@ -356,7 +363,8 @@
         for proxy in platform.proxies:
             if self not in proxy.joined:
                 continue
-            lines = sum(self._is_line(proxy, order) for order in owned)
+            named = set().union(*proxy.tables.values())
+            lines = sum(order[0] not in ("withdraw", "restore", "admit") or order[1] in named for order in owned)
             if not lines and not (mark and mark[2] == "1"):
                 continue
             cost = family["Overhead"] + lines + len(self.levels)
@@ -368,11 +376,6 @@
             loop.call_at(arrives, self._deliver, proxy, proxy.joined[self], owned, mark, now)
         self.peak_lines = max(self.peak_lines, max(0.0, self.channel_free - now) * family["EgressPerS"] * platform.pace)
 
-    def _is_line(self, proxy, order):
-        if order[0] in ("withdraw", "restore"):
-            return any(order[1] in rows for rows in proxy.tables.values())
-        return order[0] in ("share", "clear", "mark")
-
     def _deliver(self, proxy, joined_at, orders, mark, sent_at):
         if proxy.joined.get(self) != joined_at:
             return
@@ -457,9 +460,9 @@
 class Platform:
     """See the top of this module. `rate` is in transactions a second."""
 
-    def __init__(self, record, managers=2, workers=15, slices=71, proxies=9, rate=90.0, seed=1, rules=None):
+    def __init__(self, record, managers=2, workers=15, slices=71, proxies=9, rate=90.0, seed=1, family=None):
         self.began, self.random, self.rate = time.monotonic(), random.Random(seed), rate
-        self.record_line, self.rules, self.slices = record, rules or {}, slices
+        self.record_line, self.family, self.slices = record, family or {}, slices
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.workers = {
             f"s-{number:02}": Worker(f"s-{number:02}", ZONES[number % len(ZONES)], number % len(ZONES))
@@ -472,7 +475,8 @@
         self.proxies = [Proxy(number, ZONES[number % len(ZONES)]) for number in range(proxies)]
         self.seats = [Seat(self, number) for number in range(managers)]
         self.owners, self.homes = {}, {table: self.seats[table % managers] for table in range(slices)}
-        self.call_fault, self.broken, self.playing = None, [], True
+        self.call_fault, self.broken, self.playing = None, {}, True  # `broken`: what broke a rule: when
+        self.latest, self.late_ticks = 0.0, 0  # how late this process has been at most; how often too late
         # Per (seat, zone): {key: values} of sums that were not passed on yet, the oldest first.
         self.sums = defaultdict(dict)
         self.sent = self.unserved = self.unpicked = 0
@@ -483,7 +487,7 @@
 
     def settings(self, number):
         """The settings of manager `number`."""
-        return make_settings(len(self.seats), number, self.slices, len(self.proxies), **self.rules)
+        return make_settings(len(self.seats), number, self.slices, len(self.proxies), **self.family)
 
     def later(self, after_s, callback, *values):
         """Call `callback(*values)` after that time."""
@@ -523,6 +527,12 @@
         server = await asyncio.start_server(worker.answer, "127.0.0.1", 0)
         worker.port = server.sockets[0].getsockname()[1]
 
+    def check_lateness(self):
+        """Raises an exception if this process was too late for a sound platform, because the machine is busy."""
+        self.record(f"the stand-ins were late by {1000 * self.latest:.0f} ms at most, {self.late_ticks} times too late")
+        if self.latest > MOST_LATE_S:
+            raise RuntimeError("the machine is too busy for the stand-ins")
+
     async def end(self):
         """End all processes."""
         self.playing = False
@@ -561,6 +571,19 @@
         """The lines of news for a slice's table."""
         return [f"* ROW {table} {name} {weight}" for name, weight in self.store[table].items()]
 
+    def restart_proxies(self, proxies, down_s):
+        """These proxies end and start again after `down_s`: they know nothing then, and join every manager in use."""
+        for proxy in proxies:
+            for seat in self.seats:
+                seat.leave(proxy)
+            for known in (proxy.withdrawn, proxy.ordered, proxy.tables, proxy.read_at):
+                known.clear()
+            for seat in self.seats:
+                after_s = down_s + self.random.uniform(*self.redial_s)
+                self.later(
+                    after_s, lambda seat=seat, proxy=proxy: seat in proxy.joined or seat._join(proxy, seat.incarnation)
+                )
+
     def take_over(self, table, former):
         """Another manager gets a slice whose manager has died; its home manager gets it back when it is in use."""
         if self.owners.get(table) is not former or former.answered_at is not None:
@@ -574,28 +597,36 @@
         for table, home in self.homes.items():
             if home is seat and self.owners.get(table) is not seat:
                 former = self.owners[table]
-                former.granted_at.pop(table, None)
                 former.news(f"* GRANT {table} 0")
                 seat.grant(table)
 
     # Traffic.
 
     async def _traffic(self):
-        last = noted = time.monotonic()
+        last = noted = checked = time.monotonic()
         tables, before = list(range(self.slices)), (0, 0, 0)
         while self.playing:
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
-            count, last = self._poisson(self.rate * (now - last)), now
+            count = self._poisson(self.rate * (now - last))
             for table in self.random.choices(tables, self.popularity, k=count):
                 self._transact(table, now)
-            self._check_blackholes(now)
-            self._check_drains(now)
+            late = now - last - TICK_S
+            self.latest = max(self.latest, late)
+            if late > LATE_S:
+                self.late_ticks += 1
+                for seat in self.seats:
+                    seat.limits_from = now + SILENT_S
+            if now - checked >= CHECK_S:
+                checked = now
+                self._check_blackholes(now)
+                self._check_drains(now)
             if now - noted >= 1.0:
                 counts = (self.sent, self.unserved, self.unpicked)
                 new = [count - earlier for count, earlier in zip(counts, before)]
                 noted, before = now, counts
                 self.record(f"transactions {new[0]}, not answered {new[1]}, of these without a line to pick {new[2]}")
+            last = now
             for worker in self.workers.values():
                 worker.recent = [entry for entry in worker.recent if entry[0] > now - 2.0]
 
@@ -688,25 +719,33 @@
                 continue
             starved = {}
             for proxy in self.proxies:
+                withdrawn = proxy.withdrawn[seat]
                 if seat not in proxy.joined:
                     continue
-                for table, owner in self.owners.items():
-                    if owner is seat and not proxy.usable(table, seat):
-                        begin = max(proxy.joined[seat], seat.granted_at[table], seat.answered_at + START_GRACE_S)
-                        begin = max(begin, seat.limits_from)
-                        starved[proxy.number, table] = seat.starved.get((proxy.number, table), max(begin, now))
+                for table in seat.granted_at:
+                    if proxy.tables.get(table, NO_LINES).keys() <= withdrawn:
+                        begin = max(proxy.joined[seat], seat.granted_at[table], seat.answered_at + START_GRACE_S, now)
+                        since = seat.starved.get((proxy.number, table), begin)
+                        starved[proxy.number, table] = max(since, seat.limits_from)
             seat.starved = starved
             for (number, table), since in starved.items():
-                if now - since > limit and (seat.name, number, table) not in {entry[:3] for entry in self.broken}:
-                    self.broken.append((seat.name, number, table, now))
+                key = ("no line", seat.name, number, table)
+                if now - since > limit and key not in self.broken:
                     proxy = self.proxies[number]
-                    self.record(
-                        f"BROKEN: proxy {number} has had no line to pick for slice {table} of {seat.name} for "
+                    self._broken(
+                        key,
+                        f"proxy {number} has had no line to pick for slice {table} of {seat.name} for "
                         f"{now - since:.2f} s; its table: {proxy.tables.get(table)}; withdrawn there: "
                         f"{sorted(proxy.withdrawn[seat])}; the list as told to {seat.name}: "
-                        f"{sum(row['health'] == 'active' for row in seat.told.values())} workers active"
+                        f"{sum(row['health'] == 'active' for row in seat.told.values())} workers active",
                     )
 
+    def _broken(self, key, text):
+        """A rule is broken; the first cases are recorded in full."""
+        self.broken[key] = time.monotonic()
+        if len(self.broken) <= 40:
+            self.record(f"BROKEN: {text}")
+
     # Rule 3.
 
     def _check_drains(self, now):
@@ -725,12 +764,11 @@
             if not due:
                 continue
             for proxy in self.proxies:
-                if seat not in proxy.joined:
+                late = due - proxy.withdrawn[seat]
+                if seat not in proxy.joined or not late:
                     continue
-                for table, owner in self.owners.items():
-                    if owner is not seat or not self.store.get(table):
-                        continue
-                    for name in due & proxy.usable(table, seat).keys():
+                for table in seat.granted_at:
+                    for name in late & proxy.tables.get(table, {}).keys():
                         begin = max(
                             gone[name],
                             proxy.joined[seat],
@@ -739,11 +777,11 @@
                             seat.limits_from,
                         )
                         key = ("drain", seat.name, proxy.number, name)
-                        if now - begin > limit and key not in {entry[:4] for entry in self.broken}:
-                            self.broken.append((*key, now))
-                            self.record(
-                                f"BROKEN: proxy {proxy.number} may still pick {name} for slice {table} of {seat.name} "
+                        if now - begin > limit and key not in self.broken:
+                            self._broken(
+                                key,
+                                f"proxy {proxy.number} may still pick {name} for slice {table} of {seat.name} "
                                 f"{now - begin:.2f} s after the grace began; the list has it as "
                                 f"{seat.told[name]['health']} for {now - gone[name]:.2f} s; its table: "
-                                f"{proxy.tables.get(table)}; withdrawn there: {sorted(proxy.withdrawn[seat])}"
+                                f"{proxy.tables.get(table)}; withdrawn there: {sorted(proxy.withdrawn[seat])}",
                             )
--- a/review/rig/settings.py
+++ b/review/rig/settings.py
@@ -5,8 +5,8 @@
 ZONES = ("moonah", "launceston", "burnie")
 
 
-def make_settings(managers, number, slices, proxies, **rules):
-    """The settings of manager `number`; `rules` adds or overrides keys of `Rules`."""
+def make_settings(managers, number, slices, proxies, **family):
+    """The settings of manager `number`; `family` overrides keys of `FamilyInfo`."""
     return {
         "Azs": list(ZONES),
         "Balancers": managers,
@@ -40,7 +40,8 @@
             "WarmKeys": True,
             "WriteLeaseS": 2.5,
             "Writers": [False, True],
-        },
+        }
+        | family,
         "Flavors": ["std-4core"],
         "Lanes": [
             {
@@ -73,8 +74,7 @@
             "FallMultiple": 3.0,
             "FallS": 1.5,
             "FullMayHaveRun": True,
-        }
-        | rules,
+        },
         "TickS": 0.005,
         "Weights": "off",
         "WorthBy": "request",
