Readmit every server that an earlier process of the manager may have withdrawn

Cause: proxies keep withdrawals across a manager's processes. A successor took a server for possibly withdrawn only if it had a start time when a proxy joined, or became ready after that. Servers that were away without a restart and ready before the first proxy joined were never readmitted. The record of the case: `13.691 n0 call: withdraw,s-02;...`, `14.683 n0 gets SIGKILL`, `18.691 n0 started, process 2`, then no call of n0 with `restore,s-02`.

Change: before each message, every usable server without an order of this process counts as possibly withdrawn while some proxy may hold withdrawals of an earlier one. The same gap for servers that this process forgot is closed, too.

--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -196,9 +196,8 @@
         Its zone and its usual rate, in tries per second, are not used.
         """
         self.proxies.add(proxy)
-        restarted = {worker for worker, record in self.workers.items() if record.started is not None}
         # Every message carries the present levels, so a proxy that has acknowledged one since they were set has them.
-        acknowledged = self.withdrawals.record_proxy_join(self.now, proxy, fresh, restarted)
+        acknowledged = self.withdrawals.record_proxy_join(self.now, proxy, fresh)
         if acknowledged < self.levels_message:
             self.newcomers_since = self.now if self.newcomers_since is None else self.newcomers_since
         if not self.setup.slice_count:
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -145,6 +145,7 @@
         # would get all slices.
         named = {server for slice_index in self.owned_slices for server in tables[slice_index]}
         usable = capacity.keys() - (self.withdrawals.withdrawn & named)
+        self.withdrawals.add_unknown(self.now, usable)
         # Without a table there is no proxy to reach.
         due_again = self.withdrawals.due_readmissions(self.now, usable) if self.owned_slices else set()
         # A cold server that an earlier process may have withdrawn is readmitted once its load is limited, and may be of
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -54,7 +54,8 @@
     `withdrawn`: workers withdrawn and not readmitted since; `withdrawn_at`: when first.
     `readmitted`: workers readmitted since this manager began, and not withdrawn since.
     `stale`: workers that some proxy may still hold as withdrawn though they are not.
-    `unknown_possible`: whether some proxy may hold withdrawals that this process of the manager does not know.
+    `unknown_possible`: whether some proxy may hold withdrawals that an earlier process of this manager has ordered.
+    `forgotten_possible`: whether some proxy may hold withdrawals of workers that were forgotten since.
     """
 
     def __init__(self, setup):
@@ -71,15 +72,16 @@
         self.stale_since = None
         # When a withdrawal, and a readmission, was last repeated.
         self.withdrawals_repeated_at = self.readmissions_repeated_at = -setup.drain_grace_us
-        self.message_count, self.messages_by_worker, self.proxy_states, self.unknown_possible = 0, {}, {}, False
+        self.message_count, self.messages_by_worker, self.proxy_states = 0, {}, {}
+        self.unknown_possible = self.forgotten_possible = False
         self.withdrawn_at, self.newly_unready, self.unverified = {}, set(), set()
         self.refusals = Counter()  # by worker: refused orders to withdraw it, since it was last ready
 
-    def record_proxy_join(self, now, proxy, fresh, restarted):
+    def record_proxy_join(self, now, proxy, fresh):
         """A proxy has joined. `fresh`: its process was started anew, so it holds nothing.
 
-        `restarted`: workers that an earlier process of this manager may have withdrawn. Returns the number of the last
-        message of this process that the proxy has acknowledged and still holds; 0 for none.
+        Returns the number of the last message of this process that the proxy has acknowledged and still holds; 0 for
+        none.
         """
         self.last_arrival_at = self.last_join_at = now
         # A broken stream loses nothing that was acknowledged. Repeating that for each proxy that joins again would fill
@@ -105,11 +107,18 @@
         for worker in missing & self.ordered_to_all:
             self.missed_since.setdefault(worker, now)
         self.ordered_to_all -= missing
-        self._add_stale(
-            now, missing & self.readmitted | (restarted - self.messages_by_worker.keys() if may_hold_unknown else set())
-        )
+        self._add_stale(now, missing & self.readmitted)
         return last_acknowledged
 
+    def add_unknown(self, now, usable):
+        """Add the workers of `usable` that only an earlier process of this manager can have withdrawn.
+
+        That process has left no record. Neither the list nor a worker's start time shows whether it ever saw the worker
+        as not ready, so each worker without an order of this process counts, whenever and however it became ready.
+        """
+        if self.unknown_possible:
+            self._add_stale(now, usable - self.messages_by_worker.keys())
+
     def _add_stale(self, now, workers):
         """Add workers that some proxy may still hold as withdrawn though they are not."""
         self.stale |= workers
@@ -141,10 +150,10 @@
             state.acknowledged = state.last_acknowledged = max(state.acknowledged, message)
 
     def worker_ready(self, now, worker):
-        """The list has the worker as ready and did not before; an earlier process may have withdrawn it."""
+        """The list has the worker as ready and did not before; it may have been withdrawn and forgotten."""
         self.newly_unready.discard(worker)
         del self.refusals[worker]
-        if self.unknown_possible and worker not in self.messages_by_worker:
+        if self.forgotten_possible and worker not in self.messages_by_worker:
             self._add_stale(now, {worker})
 
     def more_joins_expected(self, now):
@@ -250,7 +259,7 @@
 
     def forget(self, worker):
         """Drop all state of a worker that has been gone for long and was just readmitted at the joined proxies."""
-        self.unknown_possible |= worker in self.withdrawn
+        self.forgotten_possible |= worker in self.messages_by_worker
         self.missed_since.pop(worker, None)
         self.messages_by_worker.pop(worker, None)
         self.withdrawn_at.pop(worker, None)
