Cut the loop by which repeated withdrawals keep lost servers in the tables

Cause: a proxy that starts anew reads tables that name lost servers, so their withdrawals are repeated. At the slow end of the site's ranges a repeat takes the whole channel each 0.45 s, and a message with an overdue repeat had no room for tables, so the servers stayed named: `12.182 withdraw 6`, `12.703 withdraw 6`, ... `25.894 withdraw 18`, no other line. Besides, the queue counted as empty once half of a message should have left: `q=7014 {'share': 8}`.

Change: messages with repeats remove lost servers from the tables, the one with the fewest lines first, up to half of the reserve for the longest transit; after twice the grace always by as many lines as a head has. The queue is no shorter than the stated rate allows. This replaces the rule for servers withdrawn long ago.

--- a/ospreyrouter/channel_schedule.py
+++ b/ospreyrouter/channel_schedule.py
@@ -164,6 +164,21 @@
         available_us = self.setup.drain_grace_us - self.setup.max_transit_us
         return max(self.setup.lines_per_s * available_us / 1e6 - state.shortest_worthwhile, state.shortest_worthwhile)
 
+    def max_repair_lines(self, state):
+        """Lines in total that may be queued once a message with repair lines is sent.
+
+        Repair lines end what fills the channel by itself, so they may use half of the time between the mean transit and
+        the longest one. A withdrawal right behind them is late only if its transit takes longer than the middle.
+        """
+        available_us = self.setup.drain_grace_us - self.expected_transit_us
+        withdrawal = (state.head + 1) * state.receivers
+        return max(self.setup.lines_per_s * available_us / 1e6 - withdrawal, self.max_prompt_lines(state))
+
+    @property
+    def expected_transit_us(self):
+        """The transit time allowed for where a message carries repair lines: the middle of the mean and the longest."""
+        return (self.setup.transit_us + self.setup.max_transit_us) // 2
+
     def max_ordinary_lines(self, state):
         """Lines in total that may be queued once an ordinary message is sent."""
         setup = self.setup
@@ -184,7 +199,7 @@
 
     def record_message(self, now, state, mark, lines, joined):
         """A message of `lines` at each proxy, head included, is handed over for `joined` proxies."""
-        max_queued = max(self.max_prompt_lines(state), state.head * state.receivers)
+        max_queued = max(self.max_repair_lines(state), state.head * state.receivers)
         if state.queued + lines * state.receivers > max_queued:
             self.violations["message that holds up a withdrawal"] += 1
         if state.unconfirmed + lines * state.receivers > self.setup.queue_lines:
--- a/ospreyrouter/coverage.py
+++ b/ospreyrouter/coverage.py
@@ -39,6 +39,22 @@
     weight: float
 
 
+def plan_removals(tables, lost, usable):
+    """The lines of `lost` servers that slices can do without, as TableLine objects that remove them.
+
+    All lines of one server come together, those of the server with the fewest first: its withdrawal has to be repeated
+    for proxies that join only as long as any table names it. `tables`: {slice: table}. A slice keeps its lines until a
+    table names a usable server.
+    """
+    slices_by_server = {server: [] for server in sorted(lost)}
+    for slice_index, table in sorted(tables.items()):
+        if table.keys() & usable:
+            for server in table.keys() & lost:
+                slices_by_server[server].append(slice_index)
+    fewest_first = sorted(slices_by_server, key=lambda server: (len(slices_by_server[server]), server))
+    return [TableLine(slice_index, server, 0) for server in fewest_first for slice_index in slices_by_server[server]]
+
+
 @dataclass(frozen=True)
 class Readmission:
     """A withdrawn server that is ready, and the lines that limit its load, to be written before proxies use it again.
--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -14,20 +14,18 @@
     """A table that is not as it is to be.
 
     `load`: the demand that the change moves. `can_wait`: enough weight is left at warm servers. `half_left`: at least
-    half of the table's weight is at usable servers. `names_long_withdrawn`: it names a worker whose withdrawal is
-    repeated because of such tables.
+    half of the table's weight is at usable servers.
     """
 
     table: int
     load: float
     can_wait: bool
     half_left: bool
-    names_long_withdrawn: bool
 
     @property
     def sort_key(self):
         """Sorts the most urgent change first."""
-        return self.can_wait, self.half_left, not self.names_long_withdrawn, -self.load, self.table
+        return self.can_wait, self.half_left, -self.load, self.table
 
     @property
     def well_served(self):
@@ -127,28 +125,41 @@
     Lines are totals over all proxies with heads included, except for `with_repeat`, which counts lines at each proxy
     without the head. `state`: the ChannelState that the limits are for. `ordinary`: lines that may be queued behind an
     ordinary message. `later_limit`: lines that may be unconfirmed if no slice needs them at once.
-    `prompt`: lines that may be queued so that a withdrawal right behind them is still in time. `with_repeat`: lines
-    that go with a repeat of withdrawals, whatever the limit for ordinary messages.
+    `prompt`: lines that may be queued so that a withdrawal right behind them is still in time. `repair`: the same for
+    lines that slices need at once, or that end repeats. `with_repeat`: lines that go with a repeat of withdrawals,
+    whatever the limit for ordinary messages.
     """
 
     state: ChannelState
     ordinary: float
     later_limit: float
     prompt: float
+    repair: float
     with_repeat: float
 
     def room(self, lines):
         """Lines at each proxy by which a message that has `lines` so far may be longer, for readmissions."""
-        return int((self.later_limit - self.state.unconfirmed) / self.state.receivers - self.state.head) - lines
+        room = int((self.later_limit - self.state.unconfirmed) / self.state.receivers - self.state.head) - lines
+        return min(room, int(self.repair_room(lines)))
+
+    def ordinary_room(self, lines):
+        """Lines at each proxy by which a message that has `lines` so far may be longer, for changes that can wait."""
+        return max(0.0, (self.ordinary - self.state.queued) / self.state.receivers - self.state.head - lines)
+
+    def repair_room(self, lines):
+        """The same for lines that slices need at once, or that end repeats."""
+        return max(0.0, (self.repair - self.state.queued) / self.state.receivers - self.state.head - lines)
 
     def fits(self, lines, new_lines, urgent):
         """Whether a message that has `lines` at each proxy may have `new_lines` instead.
 
-        `urgent`: a slice needs what is added at once.
+        `urgent`: a slice needs what is added at once, or it ends repeats.
         """
         state = self.state
         cost = (state.head + new_lines) * state.receivers
-        if lines and state.head + new_lines > state.longest or state.queued + cost > self.prompt:
+        if lines and state.head + new_lines > state.longest:
+            return False
+        if state.queued + cost > (self.repair if urgent or new_lines <= self.with_repeat else self.prompt):
             return False
         if urgent:
             return state.unconfirmed + cost <= state.limit
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -180,7 +180,7 @@
                 self.probe_worker(entry.worker)
         for index in ready:
             if self.workers[index].state is not WorkerState.READY:
-                self.withdrawals.worker_unready(index)
+                self.withdrawals.worker_unready(self.now, index)
         for entry in entries:
             if entry.state is WorkerState.READY and entry.worker not in ready and self.list_received:
                 self.withdrawals.worker_ready(self.now, entry.worker)
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from .channel_schedule import UNCONFIRMED_FILL, Urgency
-from .coverage import EPSILON, differs, plan_readmission, safe_target, update_table
+from .coverage import EPSILON, differs, plan_readmission, plan_removals, safe_target, update_table
 from .interface import ALL_TABLES, RetryPolicy
 from .packing import rendezvous_server
 from .pending_updates import MessageBudget, MessageDraft, PendingUpdates, TableChange
@@ -86,8 +86,9 @@
         idle = bool(pending.table_changes) and state.queued < 0.1 * state.shortest_worthwhile
         # Without the repeats in it, a message for slices that need a server goes before them.
         drain_time_us = self.repeat_drain_time_us(pending.slices_unserved and pending.slices_unserved + state.head)
+        message_due = idle or pending.slices_unserved > 0 or bool(pending.readmit_now)
         pending.withdraw_now, pending.withdraw_again = self.withdrawals.due_withdrawals(
-            self.now, pending.lost, self.repeat_drain_time_us(), state.head, idle or pending.slices_unserved > 0
+            self.now, pending.lost, self.repeat_drain_time_us(), state.head, message_due
         )
         pending.levels_changed = self.levels_message_due
         due, urgency = pending.lines_due(state.head), pending.urgency
@@ -163,19 +164,13 @@
 
     def collect_table_changes(self, pending, capacity):
         """The TableChange of each table that is not as it is to be, the most urgent first."""
-        long_withdrawn = self.withdrawals.long_withdrawn(self.now) & pending.lost
-        changes = [
-            self.table_change(slice_index, pending, capacity, long_withdrawn) for slice_index in pending.target_tables
-        ]
+        changes = [self.table_change(slice_index, pending, capacity) for slice_index in pending.target_tables]
         changes = sorted((change for change in changes if change), key=lambda change: change.sort_key)
-        # A table with few usable servers first gets only one line, and a table that names a server withdrawn long ago
-        # first loses only the lines of lost servers. The rest of these tables follows as changes that can wait.
-        partly = [change for change in changes if change.names_long_withdrawn or not change.well_served]
-        return changes + [
-            replace(change, can_wait=True, half_left=True, names_long_withdrawn=False) for change in partly
-        ]
-
-    def table_change(self, slice_index, pending, capacity, long_withdrawn):
+        # A table with few usable servers first gets only one line. The rest follows as a change that can wait.
+        partly = [change for change in changes if not change.well_served]
+        return changes + [replace(change, can_wait=True, half_left=True) for change in partly]
+
+    def table_change(self, slice_index, pending, capacity):
         """How a table differs from the one it is to be, as a TableChange; None if it does not."""
         table, usable = self.tables[slice_index], pending.usable
         lines, cold_servers = self.next_target(slice_index, pending), usable - pending.warm
@@ -195,25 +190,28 @@
         enough_left = bool(table.keys() & usable) and (half_left or cold <= 0.5 * left or load <= self.mean_load)
         if not usable:  # no change of a table gives its slice a server; readmissions do
             enough_left = half_left = True
-        # A withdrawal is repeated as long as tables name the worker; removing the worker from them ends that.
-        return TableChange(slice_index, difference * load, enough_left, half_left, bool(table.keys() & long_withdrawn))
+        return TableChange(slice_index, difference * load, enough_left, half_left)
 
     def write_message(self, pending, state, to_withdraw, levels_due):
         """Write one message to all proxies: withdrawals, tables, readmissions, levels and a mark."""
         budget = self.message_budget(pending, state, to_withdraw)
         # Readmissions that only some proxies may have missed count as ordinary, as many proxies join at a time.
-        readmitted_later = pending.readmit_later[
-            : max(
-                0,
-                int((budget.ordinary - state.queued) / state.receivers - state.head - len(to_withdraw)),
-            )
-        ]
+        readmitted_later = pending.readmit_later[: int(budget.ordinary_room(len(to_withdraw)))]
         for worker in to_withdraw:
             self.orders.set_withheld(worker, True)
         draft = MessageDraft(len(to_withdraw) + len(readmitted_later))
         self.write_tables(pending, [change for change in pending.table_changes if not change.can_wait], budget, draft)
+        full_before_readmissions = draft.full
         self.write_readmissions(pending, budget, draft)
-        self.write_tables(pending, [change for change in pending.table_changes if change.can_wait], budget, draft)
+        ordinary = [change for change in pending.table_changes if change.can_wait]
+        if not self.withdrawals.repeats_expected(self.now):
+            self.write_tables(pending, [change for change in ordinary if not change.half_left], budget, draft)
+        if not full_before_readmissions:
+            room = self.removal_room(budget, draft)
+            self.write_removals(pending, budget, draft, int(min(state.head, room) / 2))
+        self.write_tables(pending, ordinary, budget, draft)
+        if not full_before_readmissions:
+            self.write_removals(pending, budget, draft, self.removal_room(budget, draft))
         lines, readmitted = draft.lines, readmitted_later + sorted(draft.readmitted)
         for worker in readmitted:
             self.orders.set_withheld(worker, False)
@@ -248,8 +246,16 @@
         # A message that is sent for a repeat anyway may carry up to as many lines of tables as it has itself, its head
         # included. On a channel kept busy by repeats the tables would otherwise wait for as long as proxies join and
         # leave.
-        with_repeat = 2 * len(to_withdraw) + state.head if pending.withdraw_again and not pending.withdraw_now else 0
-        return MessageBudget(state, ordinary, later_limit, self.max_lines_in_time(state, to_withdraw), with_repeat)
+        repairs = not pending.withdraw_now and self.withdrawals.repeats_expected(self.now) and bool(pending.lost)
+        with_repeat = 2 * len(to_withdraw) + state.head if repairs else 0
+        return MessageBudget(
+            state,
+            ordinary,
+            later_limit,
+            self.max_lines_in_time(state, to_withdraw),
+            self.max_repair_lines_in_time(state, to_withdraw),
+            with_repeat,
+        )
 
     def max_lines_in_time(self, state, to_withdraw):
         """Lines in total that may be queued so that withdrawals are in time: later ones, and those that were missed."""
@@ -262,12 +268,53 @@
             in_time = max(in_time, state.queued + (state.head + len(to_withdraw)) * state.receivers)
         return in_time
 
+    def max_repair_lines_in_time(self, state, to_withdraw):
+        """Lines in total that may be queued where a message carries lines that slices need at once or that end repeats.
+
+        Without them the next repeats would be as long. So while repeats persist, a message may always have as many of
+        them as its head has lines, and more if its own withdrawals are in time.
+        """
+        in_time, since = self.schedule.max_repair_lines(state), self.withdrawals.oldest_obligation(to_withdraw)
+        if since is not None:
+            leaves_in_us = since + self.setup.drain_grace_us - self.schedule.expected_transit_us - self.now
+            in_time = min(in_time, self.schedule.sent_messages.pace_lines * max(0, leaves_in_us) / 1e6)
+            if repeated_behind := len(self.withdrawals.missed_since.keys() - set(to_withdraw)):
+                in_time -= (state.head + repeated_behind) * state.receivers
+        least = 2 * state.head if self.withdrawals.repeats_persist(self.now) else state.head
+        return max(in_time, state.queued + (least + len(to_withdraw)) * state.receivers)
+
+    def removals(self, pending):
+        """The lines of lost servers that can be removed from the tables, as a list of TableLine."""
+        if self.setup.single_owner:
+            return []
+        tables = {slice_index: self.tables[slice_index] for slice_index in pending.target_tables}
+        return plan_removals(tables, pending.lost, pending.usable)
+
+    def removal_room(self, budget, draft):
+        """Lines at each proxy by which a message may grow for removals."""
+        is_urgent = self.withdrawals.repeats_expected(self.now)
+        return int(budget.repair_room(draft.lines) if is_urgent else budget.ordinary_room(draft.lines))
+
+    def write_removals(self, pending, budget, draft, max_lines):
+        """Remove lost servers from the tables, as their withdrawals have to be repeated while these name them.
+
+        Otherwise repeats for proxies that keep joining fill the channel, so that no table finds room and the servers
+        stay named.
+        """
+        is_urgent = self.withdrawals.repeats_expected(self.now)
+        for line in self.removals(pending)[:max_lines]:
+            if not budget.fits(draft.lines, draft.lines + 1, is_urgent):
+                return
+            draft.lines += 1
+            self.write_lines(line.table, {line.server: 0})
+
     def write_readmissions(self, pending, budget, draft):
         """Readmit ready servers, those first that take the fewest lines.
 
         A server that has just started and would get too much load is readmitted together with the lines that reduce it.
         Otherwise it would wait for tables whose order has nothing to do with it, while more servers are withdrawn.
         """
+        repair_limit = draft.lines + budget.repair_room(draft.lines) / 2
         slices_by_server = {server: [] for server in pending.readmit_now}
         for slice_index in pending.target_tables:
             for server in self.tables[slice_index].keys() & slices_by_server.keys():
@@ -288,7 +335,8 @@
         ):
             if draft.full:
                 return
-            self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
+            # Planned anew, as tables have changed.
+            self.write_readmission(plan(server), budget, draft, repair_limit)
 
     def max_readmitted_load(self, server):
         """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
@@ -302,10 +350,14 @@
         part = warmth * self.workers[server].weight / ready_weight
         return 0.5 * self.setup.overload_multiple * part * sum(self.planned_demand.values())
 
-    def write_readmission(self, readmission, budget, draft):
+    def write_readmission(self, readmission, budget, draft, repair_limit):
         """Readmit one server, or write as many of the lines that have to precede that as fit."""
         for line in readmission.lines:
-            draft.full = draft.full or not budget.fits(draft.lines, draft.lines + 1, urgent=False)
+            draft.full = draft.full or not (
+                budget.fits(draft.lines, draft.lines + 1, urgent=False)
+                or draft.lines < repair_limit
+                and budget.fits(draft.lines, draft.lines + 1, urgent=True)
+            )
             if draft.full:
                 return
             draft.lines += 1
@@ -354,13 +406,11 @@
 
     def next_table(self, change, pending):
         """The table to write for a change, which may be only a part of it."""
-        table, target = self.tables[change.table], self.next_target(change.table, pending)
+        target = self.next_target(change.table, pending)
         if self.setup.single_owner:
             return target
         if not change.well_served and pending.usable:
             return self.with_one_line(change.table, target, pending)
-        if change.names_long_withdrawn:
-            return {server: weight for server, weight in table.items() if server not in pending.lost} or target
         return target
 
     def with_one_line(self, slice_index, target, pending):
--- a/ospreyrouter/sent_messages.py
+++ b/ospreyrouter/sent_messages.py
@@ -126,7 +126,9 @@
             left_at = message.sent_at + message.lines_ahead / self.pace_lines * 1_000_000
             overdue = message.lines_ahead and now > left_at + self.setup.max_transit_us
             queued = unconfirmed if overdue else queued + message.unconfirmed * (message.lines_ahead and left_at > now)
-        return unconfirmed, queued
+        # The channel is no faster than stated, so this much cannot have left unless an acknowledgement proves it.
+        unsent = max(0, self.free_at - now) / 1_000_000 * self.setup.lines_per_s
+        return unconfirmed, max(queued, min(unconfirmed, unsent))
 
     def _late_lines(self, message, now, count, recent_us):
         """Lines to proxies that were reported after the message was sent, but may have joined before it left.
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -50,8 +50,8 @@
     `unverified`: proxies whose state is uncertain until they join again.
     `ordered_to_all`: workers that all joined proxies were ordered not to use.
     `missed_since`: {worker: time since when some proxy, or the table of some slice, may have missed that order}.
-    `newly_unready`: workers that the list has just reported as not ready, and that are not withdrawn yet.
-    `withdrawn`: workers withdrawn and not readmitted since; `withdrawn_at`: when first.
+    `newly_unready`: {worker: time since when the list has it as not ready} of those that are not withdrawn yet.
+    `withdrawn`: workers withdrawn and not readmitted since.
     `readmitted`: workers readmitted since this manager began, and not withdrawn since.
     `stale`: workers that some proxy may still hold as withdrawn though they are not.
     `unknown_possible`: whether some proxy may hold withdrawals that an earlier process of this manager has ordered.
@@ -68,13 +68,16 @@
             set(),
             set(),
         )
-        self.last_arrival_at = self.last_join_at = 0  # of a proxy or a slice taken over; of a proxy
+        # When the last proxy joined or slice was taken over; when the last proxy joined.
+        self.last_arrival_at = self.last_join_at = 0
+        self.last_new_proxy_at = -setup.drain_grace_us  # when the last one joined that holds no order of this process
         self.stale_since = None
-        # When a withdrawal, and a readmission, was last repeated.
+        # When a withdrawal, and a readmission, was last repeated; when the series of repeated withdrawals began.
         self.withdrawals_repeated_at = self.readmissions_repeated_at = -setup.drain_grace_us
+        self.repeats_began_at = 0
         self.message_count, self.messages_by_worker, self.proxy_states = 0, {}, {}
         self.unknown_possible = self.forgotten_possible = False
-        self.withdrawn_at, self.newly_unready, self.unverified = {}, set(), set()
+        self.newly_unready, self.unverified = {}, set()
         self.refusals = Counter()  # by worker: refused orders to withdraw it, since it was last ready
 
     def record_proxy_join(self, now, proxy, fresh):
@@ -100,6 +103,8 @@
         if fresh and not is_unverified:  # it holds no withdrawal
             missing -= self.readmitted
         last_acknowledged = state.last_acknowledged if state is not None else 0
+        if state is None:
+            self.last_new_proxy_at = now
         self.proxy_states[proxy] = ProxyState(
             may_hold_unknown, missing, self.message_count, self.message_count, last_acknowledged
         )
@@ -138,7 +143,6 @@
         del messages[-1:]
         if not messages:
             self.messages_by_worker.pop(worker, None)
-            self.withdrawn_at.pop(worker, None)
             self.withdrawn.discard(worker)
         self.ordered_to_all.discard(worker)
         self.missed_since.setdefault(worker, now)
@@ -151,7 +155,7 @@
 
     def worker_ready(self, now, worker):
         """The list has the worker as ready and did not before; it may have been withdrawn and forgotten."""
-        self.newly_unready.discard(worker)
+        self.newly_unready.pop(worker, None)
         del self.refusals[worker]
         if self.forgotten_possible and worker not in self.messages_by_worker:
             self._add_stale(now, {worker})
@@ -168,11 +172,11 @@
         self.ordered_to_all.discard(worker)
         self.missed_since.setdefault(worker, now)
 
-    def worker_unready(self, worker):
+    def worker_unready(self, now, worker):
         """The list no longer has the worker as ready."""
         self.ordered_to_all.discard(worker)
         self.missed_since.pop(worker, None)
-        self.newly_unready.add(worker)
+        self.newly_unready.setdefault(worker, now)
 
     def repeat_due_at(self, drain_time_us):
         """When the withdrawals that may have been missed are to be repeated; there must be at least one.
@@ -200,15 +204,19 @@
         """Drop repeats for all workers but `lost`: others are no longer in any table, or are ready."""
         self.missed_since = {worker: since for worker, since in self.missed_since.items() if worker in lost}
 
-    def long_withdrawn(self, now):
-        """Workers withdrawn more than `batch_us` ago, while withdrawals are repeated because tables name them.
+    def repeats_expected(self, now):
+        """Whether withdrawals of workers that tables name will have to be repeated, as proxies keep joining."""
+        return bool(self.missed_since) or now - self.last_new_proxy_at < self.grace_us
 
-        Empty if no withdrawal waits to be repeated and none was repeated within the drain grace.
-        """
-        if not self.missed_since and now - self.withdrawals_repeated_at > self.grace_us:
-            return set()
-        latest = now - self.batch_us
-        return {worker for worker, since in self.withdrawn_at.items() if since < latest}
+    def repeats_persist(self, now):
+        """Whether withdrawals have been repeated for longer than one group of arrivals and the repeats for it take."""
+        is_series = now - self.withdrawals_repeated_at <= self.grace_us
+        return bool(self.missed_since) and is_series and now - self.repeats_began_at > 2 * self.grace_us
+
+    def oldest_obligation(self, withdrawals):
+        """Since when the oldest of these withdrawals or of the missed ones is due; None if there are none."""
+        pending = [self.newly_unready[worker] for worker in withdrawals if worker in self.newly_unready]
+        return min([*pending, *self.missed_since.values()], default=None)
 
     def due_withdrawals(self, now, lost, drain_time_us, few_lines, message_due):
         """Returns two lists of workers: to withdraw because the list demands it, and to withdraw again.
@@ -235,6 +243,8 @@
         """Record the withdrawals and readmissions that the next message carries; called even if there are none."""
         self.message_count += 1
         if self.missed_since.keys() & set(withdrawals):
+            if now - self.withdrawals_repeated_at > self.grace_us:
+                self.repeats_began_at = now
             self.withdrawals_repeated_at = now
         if self.stale & set(readmissions):
             self.readmissions_repeated_at = now
@@ -244,11 +254,8 @@
             self.messages_by_worker[worker] = [*earlier[:1], *earlier[1:][-REPEATS_KEPT:], self.message_count]
         for worker in withdrawals:
             self.missed_since.pop(worker, None)
-            self.withdrawn_at.setdefault(worker, now)
-            self.newly_unready.discard(worker)
-        for worker in readmissions:
-            self.withdrawn_at.pop(worker, None)
-            self.newly_unready.discard(worker)
+        for worker in [*withdrawals, *readmissions]:
+            self.newly_unready.pop(worker, None)
         self.ordered_to_all = (self.ordered_to_all | set(withdrawals)) - set(readmissions)
         self.withdrawn = (self.withdrawn | set(withdrawals)) - set(readmissions)
         self.readmitted, self.stale = (
@@ -262,7 +269,7 @@
         self.forgotten_possible |= worker in self.messages_by_worker
         self.missed_since.pop(worker, None)
         self.messages_by_worker.pop(worker, None)
-        self.withdrawn_at.pop(worker, None)
+        self.newly_unready.pop(worker, None)
         del self.refusals[worker]
-        for workers in (self.ordered_to_all, self.withdrawn, self.readmitted, self.stale, self.newly_unready):
+        for workers in (self.ordered_to_all, self.withdrawn, self.readmitted, self.stale):
             workers.discard(worker)
