--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -291,9 +291,10 @@
         return plan_removals(tables, pending.lost, pending.usable)
 
     def removal_room(self, budget, draft):
-        """Lines at each proxy by which a message may grow for removals."""
-        is_urgent = self.withdrawals.repeats_expected(self.now)
-        return int(budget.repair_room(draft.lines) if is_urgent else budget.ordinary_room(draft.lines))
+        """Lines at each proxy by which a message may grow for removals; 0 while no proxies join."""
+        if self.withdrawals.repeats_expected(self.now):
+            return int(budget.repair_room(draft.lines))
+        return int(budget.ordinary_room(draft.lines)) if self.withdrawals.proxies_join(self.now) else 0
 
     def write_removals(self, pending, budget, draft, max_lines):
         """Remove lost servers from the tables, as their withdrawals have to be repeated while these name them.
@@ -301,9 +302,8 @@
         Otherwise repeats for proxies that keep joining fill the channel, so that no table finds room and the servers
         stay named.
         """
-        is_urgent = self.withdrawals.repeats_expected(self.now)
         for line in self.removals(pending)[:max_lines]:
-            if not budget.fits(draft.lines, draft.lines + 1, is_urgent):
+            if not budget.fits(draft.lines, draft.lines + 1, self.withdrawals.repeats_expected(self.now)):
                 return
             draft.lines += 1
             self.write_lines(line.table, {line.server: 0})
--- a/ospreyrouter/withdrawals.py
+++ b/ospreyrouter/withdrawals.py
@@ -208,6 +208,10 @@
         """Whether withdrawals of workers that tables name will have to be repeated, as proxies keep joining."""
         return bool(self.missed_since) or now - self.last_new_proxy_at < self.grace_us
 
+    def proxies_join(self, now):
+        """Whether a proxy has joined lately, with or without the orders of this process."""
+        return bool(self.proxy_states) and now - self.last_join_at < self.grace_us
+
     def repeats_persist(self, now):
         """Whether withdrawals have been repeated for longer than one group of arrivals and the repeats for it take."""
         is_series = now - self.withdrawals_repeated_at <= self.grace_us
