--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -159,7 +159,7 @@
         cost = (state.head + new_lines) * state.receivers
         if lines and state.head + new_lines > state.longest:
             return False
-        if state.queued + cost > (self.repair if urgent or new_lines <= self.with_repeat else self.prompt):
+        if state.queued + cost > (self.repair if urgent else self.prompt):
             return False
         if urgent:
             return state.unconfirmed + cost <= state.limit
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -246,8 +246,7 @@
         # A message that is sent for a repeat anyway may carry up to as many lines of tables as it has itself, its head
         # included. On a channel kept busy by repeats the tables would otherwise wait for as long as proxies join and
         # leave.
-        repairs = not pending.withdraw_now and self.withdrawals.repeats_expected(self.now) and bool(pending.lost)
-        with_repeat = 2 * len(to_withdraw) + state.head if repairs else 0
+        with_repeat = 2 * len(to_withdraw) + state.head if pending.withdraw_again and not pending.withdraw_now else 0
         return MessageBudget(
             state,
             ordinary,
@@ -314,7 +313,6 @@
         A server that has just started and would get too much load is readmitted together with the lines that reduce it.
         Otherwise it would wait for tables whose order has nothing to do with it, while more servers are withdrawn.
         """
-        repair_limit = draft.lines + budget.repair_room(draft.lines) / 2
         slices_by_server = {server: [] for server in pending.readmit_now}
         for slice_index in pending.target_tables:
             for server in self.tables[slice_index].keys() & slices_by_server.keys():
@@ -335,8 +333,7 @@
         ):
             if draft.full:
                 return
-            # Planned anew, as tables have changed.
-            self.write_readmission(plan(server), budget, draft, repair_limit)
+            self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
 
     def max_readmitted_load(self, server):
         """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
@@ -350,14 +347,10 @@
         part = warmth * self.workers[server].weight / ready_weight
         return 0.5 * self.setup.overload_multiple * part * sum(self.planned_demand.values())
 
-    def write_readmission(self, readmission, budget, draft, repair_limit):
+    def write_readmission(self, readmission, budget, draft):
         """Readmit one server, or write as many of the lines that have to precede that as fit."""
         for line in readmission.lines:
-            draft.full = draft.full or not (
-                budget.fits(draft.lines, draft.lines + 1, urgent=False)
-                or draft.lines < repair_limit
-                and budget.fits(draft.lines, draft.lines + 1, urgent=True)
-            )
+            draft.full = draft.full or not budget.fits(draft.lines, draft.lines + 1, urgent=False)
             if draft.full:
                 return
             draft.lines += 1
