--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -6,7 +6,8 @@
 microseconds.
 
 Reading order: constants, events, health and admission, the layout. Packing slices into bins is in `packing.py`;
-messages to the proxies are in `proxy_messages.py`; withdrawals that have to be repeated are in `withdrawals.py`.
+messages to the proxies are in `proxy_messages.py`, the tables in them in `table_updates.py`; withdrawals that have to
+be repeated are in `withdrawals.py`.
 """
 
 from collections import Counter
@@ -15,8 +16,9 @@
 from .channel_schedule import ChannelSchedule, Urgency
 from .interface import Deployment, LevelKind, Orders, ProbeOutcome, WorkerState
 from .packing import match_bins, pack_slices, rendezvous_server
-from .proxy_messages import LINGER_WEIGHT, MARK_COUNT, ProxyMessages
+from .proxy_messages import MARK_COUNT, ProxyMessages
 from .ring import BucketRing
+from .table_updates import LINGER_WEIGHT
 from .withdrawals import Withdrawals
 
 # Demand and layout
