Judge each message by its own limit again when it is handed over

The check of messages that hold up a withdrawal had been widened for all messages when those with repair lines got a longer limit. It applies the longer one to these alone now.

--- a/ospreyrouter/channel_schedule.py
+++ b/ospreyrouter/channel_schedule.py
@@ -197,9 +197,13 @@
 
     # What was sent.
 
-    def record_message(self, now, state, mark, lines, joined):
-        """A message of `lines` at each proxy, head included, is handed over for `joined` proxies."""
-        max_queued = max(self.max_repair_lines(state), state.head * state.receivers)
+    def record_message(self, now, state, mark, lines, joined, has_repairs):
+        """A message of `lines` at each proxy, head included, is handed over for `joined` proxies.
+
+        `has_repairs`: it carries lines that slices need at once or that end repeats.
+        """
+        limit = self.max_repair_lines(state) if has_repairs else self.max_prompt_lines(state)
+        max_queued = max(limit, state.head * state.receivers)
         if state.queued + lines * state.receivers > max_queued:
             self.violations["message that holds up a withdrawal"] += 1
         if state.unconfirmed + lines * state.receivers > self.setup.queue_lines:
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -184,7 +184,9 @@
             self.message_counts[pending.urgency] += 1
             mark = self.withdrawals.message_count % MARK_COUNT
             self.orders.send_mark(mark, True)
-            self.schedule.record_message(self.now, state, mark, state.head + lines, max(1, len(self.proxies)))
+            self.schedule.record_message(
+                self.now, state, mark, state.head + lines, max(1, len(self.proxies)), draft.has_repairs
+            )
 
     def write_levels(self):
         """Write the levels that no message has carried yet."""
--- a/ospreyrouter/table_updates.py
+++ b/ospreyrouter/table_updates.py
@@ -74,10 +74,12 @@
         Otherwise repeats for proxies that keep joining fill the channel, so that no table finds room and the servers
         stay named.
         """
+        is_urgent = self.withdrawals.repeats_expected(self.now)
         for line in self.removals(pending)[:max_lines]:
-            if not budget.fits(draft.lines, draft.lines + 1, self.withdrawals.repeats_expected(self.now)):
+            if not budget.fits(draft.lines, draft.lines + 1, is_urgent):
                 return
             draft.lines += 1
+            draft.has_repairs |= is_urgent
             self.write_lines(line.table, {line.server: 0})
 
     def write_readmissions(self, pending, budget, draft):
@@ -157,6 +159,7 @@
             if draft.full:
                 return
             draft.lines, draft.readmitted = new_lines, draft.readmitted | first_lines
+            draft.has_repairs |= not change.can_wait
             self.write_lines(change.table, {server: target[server] for server in written} | dict.fromkeys(removed, 0))
 
     def next_target(self, slice_index, pending, readmitted=frozenset()):
