Log which report makes a slice surge, from which collector, and what was planned

A report of demand did not say which collector passed it on, and nothing showed what a report changed. Events of demand and usage now end with the zone of the collector.

The count enters the total of all demand as it is.

--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -194,7 +194,7 @@
                 self._answer_ping(caller)
                 continue
             try:
-                events.append(frames.parse_report(message, self.name_index))
+                events.append(frames.parse_report(message, self.name_index, caller.zone))
             except Malformed as error:
                 kind = frames.message_kind(message)
                 self.counts[f"report spoilt: {kind if kind in frames.REPORTS else 'other'} {error.cause}"] += 1
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -1,7 +1,7 @@
 """Messages of callers: frames of a four-byte big-endian length and one JSON object of that length. No I/O.
 
 for message in FrameReader().feed(data, max_length): ...  # raises UnreadableMessage
-event = parse_report(message, name_index)                 # for the manager; raises Malformed
+event = parse_report(message, name_index, reporter)       # for the manager; raises Malformed
 """
 
 import math
@@ -94,8 +94,11 @@
     return math.floor(milliseconds * 1000.0 + 0.5)
 
 
-def parse_report(message, name_index):
-    """A report as an event: the name of a method of the manager and its arguments. Raises Malformed with the field."""
+def parse_report(message, name_index, reporter):
+    """A report as an event: the name of a method of the manager and its arguments. Raises Malformed with the field.
+
+    `reporter`: index of the zone whose collector sent it.
+    """
     kind, setup = message_kind(message), name_index.deployment
     if kind not in REPORTS:
         raise Malformed("msg")
@@ -119,6 +122,7 @@
             count,
             lost,
             span_us,
+            reporter,
         )
     return (
         "usage_reported",
@@ -127,4 +131,5 @@
         count,
         lost,
         span_us,
+        reporter,
     )
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -231,16 +231,23 @@
             self.tables[slice_index][worker] = weight
             self.withdrawals.record_loaded_line(self.now, worker)
 
-    def demand_reported(self, slice_index, kind, count, lost, span_us):
-        """`count` tries of class `kind` were made for a slice within the last `span_us`."""
+    def demand_reported(self, slice_index, kind, count, lost, span_us, reporter=None):
+        """`count` tries of class `kind` were made for a slice within the last `span_us`.
+
+        `reporter`: index of the zone of the collector that reported it; None if unknown.
+        """
         if slice_index in self.owned_slices and count > 0:
             self.demand[slice_index].add(self.now, span_us, count)
             self.last_report_at[slice_index] = self.now
             # A cold server's part of a slice was planned for less demand. If a slice surges, the layout is updated
             # before that part is sent.
-            self.layout_due |= (
-                self.planned_demand.get(slice_index, 0.0) < self.surge_threshold < count / max(span_us, 1) * WINDOW_US
-            )
+            planned, reported = self.planned_demand.get(slice_index, 0.0), count / max(span_us, 1) * WINDOW_US
+            if planned < self.surge_threshold < reported:
+                self.layout_due = True
+                self.orders.log(
+                    f"surge of slice {slice_index}: {count} tries in {span_us // 1000} ms from zone {reporter}, "
+                    f"{planned:.1f} planned for {WINDOW_US // 1000} ms, {self.mean_load:.1f} is a mean bin"
+                )
             arrived = [count * (index == kind) for index in range(len(self.setup.classes))]
             self.arrivals.add(
                 self.now,
@@ -249,9 +256,9 @@
                 *(self.levels.get(class_index, 1.0) * tries for class_index, tries in enumerate(arrived)),
             )
 
-    def usage_reported(self, proxy, kind, count, lost, span_us):
+    def usage_reported(self, proxy, kind, count, lost, span_us, reporter=None):
         """As `demand_reported`, by proxy, in a deployment without slices."""
-        self.demand_reported(0, kind, count, lost, span_us)
+        self.demand_reported(0, kind, count, lost, span_us, reporter)
 
     def tries_reported(self, zone, worker, tries, lost, delay_us, span_us, report):
         """Proxies of a zone made `tries` at a worker and lost `lost` of them.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -587,7 +587,7 @@
             harness.manager.named("tries_reported"),
             [(0, 0, 10, 1, 41_700, 500_000, {"utilization": 0.5, "throughput": 9.0})],
         )
-        self.assertEqual(harness.manager.named("demand_reported"), [(1, 0, 4, 5, 500_000)] * len(malformed))
+        self.assertEqual(harness.manager.named("demand_reported"), [(1, 0, 4, 5, 500_000, 0)] * len(malformed))
         counters = [name for name in harness.counts if name.startswith("report spoilt")]
         self.assertEqual(sum(harness.counts[name] for name in counters), len(malformed))
         collector.send(
@@ -716,7 +716,7 @@
     def test_usage_report_of_a_proxy(self):
         name_index = ServiceHarness(RecordingManager).name_index
         message = {"msg": "RATE", "sidecar": 3, "kind": "order", "n": 2, "bad": 0, "window": 10}
-        self.assertEqual(frames.parse_report(message, name_index), ("usage_reported", 3, 0, 2, 0, 10_000))
+        self.assertEqual(frames.parse_report(message, name_index, 1), ("usage_reported", 3, 0, 2, 0, 10_000, 1))
 
     def test_the_log_never_blocks_when_its_pipe_is_full(self):
         import os
