Limit a cold worker by what it can carry, not by a part of the reported demand

Cause: each limit on a cold worker was a part of the sum of all reported demand: its bin, the largest slice that it gets a part of, the load at which it is readmitted, and the demand that counts as a surge. Log of the code before: "layout total 361594.6 cold 15: bin 6026.6"; the three workers' slices need 53 tries in all, so they fit into one bin.

Change: limits that no report of demand can move. Proxies state their usual rate when they join; the fleet carries that, so a cold worker's part of it, times half of the multiple at which it fails, is the most that it is planned for or readmitted with. Where load reports show a capacity, the median of the warm workers limits it as well. Where all bins are full, a cold worker is not filled beyond that half while another can take the slice. A rate of 0 means "not known", so `usual_per_s` of a deployment file has the default 0 in place of 1, which was nobody's rate.

The rates of the tests' proxies now agree with the demand that the tests report (5 against 80 tries a second).

--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -205,7 +205,9 @@
     zone: Name = Field(description="site it runs in")
     agent: Address = Field(description="address on which its file agent listens for pushed tables")
     folder: str = Field(description="folder of its table files; relative to the deployment file")
-    usual_per_s: float = Field(1.0, ge=0, le=1e9, description="transactions a second that it usually receives, roughly")
+    usual_per_s: float = Field(
+        0.0, ge=0, le=1e9, description="transactions a second that it usually receives, roughly; 0: not known"
+    )
 
 
 class WorkerList(Strict):
--- a/ospreyrouter/packing.py
+++ b/ospreyrouter/packing.py
@@ -12,18 +12,19 @@
 MIN_PART = 0.25  # of the rest of a slice: a smaller part is not worth a line at every proxy
 
 
-def pack_slices(popularity, bins, held, limits=None, max_popularity=None):
+def pack_slices(popularity, bins, held, limits=None, max_popularity=None, max_loads=None):
     """Packs slices by ModifiedBestFit into bins that may hold parts of slices already; returns {slice: {server: part}}.
 
     `popularity`: {slice: requests per window}. `bins`: {server: size}; ties go to the first server in it.
     `held`: {slice: {server: fraction}}. `limits`: {server: size up to which it keeps what it holds}, the most popular
     slice first; None: it keeps all. `max_popularity`: {server: popularity of the largest slice it may get a part of},
-    because a server also gets the tries that other servers refuse.
+    because a server also gets the tries that other servers refuse. `max_loads`: {server: load that it gets at most, as
+    long as any other server is allowed}, beyond its bin where all bins are full.
 
     The rest of a slice goes to the server that has least room left after it. If it fits nowhere, the server with the
     most room is filled, and what remains is queued again.
     """
-    room, placed, heap, max_popularity = dict(bins), {}, [], max_popularity or {}
+    room, placed, heap, max_popularity, max_loads = dict(bins), {}, [], max_popularity or {}, max_loads or {}
     limits = {each: float("inf") for each in bins} if limits is None else limits
     for slice_index in sorted(popularity, key=lambda index: (-popularity[index], index)):
         total, kept = popularity[slice_index], {}
@@ -52,7 +53,10 @@
         part = remaining if fitting else room[server]
         if part <= MIN_PART * remaining:
             # All are nearly full: the rest goes to the server that is overfull least, relative to its bin, by it.
-            part, server = remaining, max(allowed, key=lambda each: (room[each] - remaining) / bins[each])
+            able = [
+                each for each in allowed if bins[each] - room[each] + remaining <= max_loads.get(each, float("inf"))
+            ]
+            part, server = remaining, max(able or allowed, key=lambda each: (room[each] - remaining) / bins[each])
         placed[slice_index][server] = placed[slice_index].get(server, 0.0) + part
         room[server] -= part
         if remaining - part > 1e-9 * popularity[slice_index]:
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -12,11 +12,14 @@
 
 from collections import Counter
 from random import Random
+from statistics import median
 
 from .channel_schedule import ChannelSchedule, Urgency
+from .cold_limits import FleetLoad
 from .interface import Deployment, LevelKind, Orders, ProbeOutcome, WorkerState
 from .packing import match_bins, pack_slices, rendezvous_server
 from .proxy_messages import MARK_COUNT, ProxyMessages
+from .proxy_traffic import ProxyTraffic
 from .ring import BucketRing
 from .table_updates import LINGER_WEIGHT
 from .withdrawals import Withdrawals
@@ -105,13 +108,13 @@
         self.tables = {slice_index: {} for slice_index in self.slices}
         self.layout = {slice_index: {} for slice_index in self.slices}
         # By slice: the lingering replica, the demand the layout was made for, the start of ownership and the last
-        # report. Then the mean load of a server in that layout, in tries per window.
+        # report. Then the mean load of a server in that layout, in tries per window, as far as it is believed.
         self.lingering, self.planned_demand, self.owned_since, self.last_report_at, self.mean_load = {}, {}, {}, {}, 0.0
         self.demand = {slice_index: BucketRing(WINDOW_US, WINDOW_COUNT + 1, 1) for slice_index in self.slices}
         # Whether the layout has to be updated in this round; when the next window and the next tick begin; when health
         # was updated last; workers that may not exceed the load that their capacity allows.
         self.layout_due, self.window_at, self.tick_at, self.health_at, self.capped_workers = True, 0, 0, 0, frozenset()
-        self.schedule = ChannelSchedule(setup)
+        self.schedule, self.proxy_traffic = ChannelSchedule(setup), ProxyTraffic(setup)
         self.started, self.levels_message_due, self.answered_share = False, False, 1.0
         self.list_received = False  # whether any worker list has been received
         self.latency, self.min_latency = 0.0, 1.0  # mean time to answer as a part of the mean quoted time; its minimum
@@ -195,9 +198,10 @@
     def proxy_joined(self, proxy, zone, rate, fresh):
         """A proxy has joined the channel. `fresh`: its process was started anew and holds no state.
 
-        Its zone and its usual rate, in tries per second, are not used.
+        `rate`: the tries per second that it usually sends, roughly; 0 if unknown. Its zone is not used.
         """
         self.proxies.add(proxy)
+        self.proxy_traffic.record_rate(proxy, rate)
         # Every message carries the present levels, so a proxy that has acknowledged one since they were set has them.
         acknowledged = self.withdrawals.record_proxy_join(self.now, proxy, fresh)
         if acknowledged < self.levels_message:
@@ -510,6 +514,38 @@
         mean = sum(reported.values()) / len(reported) if reported else 1.0
         return reported | dict.fromkeys(unreported, mean), set(unreported)
 
+    def fleet_load(self, demand, servers):
+        """What these servers have to carry for `demand`, in tries per window, and what they can, as a FleetLoad."""
+        usual = self.proxy_traffic.owned_tries(len(self.owned_slices), WINDOW_US)
+        return FleetLoad(
+            sum(self.workers[server].weight for server in servers),
+            demand,
+            usual,
+            self.measured_capacity(servers),
+            self.setup.overload_multiple,
+        )
+
+    def measured_capacity(self, servers):
+        """Capacity of a warm server of weight 1 by the load reports, in tries per window for owned slices, or None.
+
+        It is the median of these servers, which few wrong reports do not move. What the median server has answered
+        lately, it can carry in any case.
+        """
+        capacities, answered = [], []
+        for server in servers:
+            record = self.workers[server]
+            if self.warmth(server) < 1.0 or record.weight <= 0:
+                continue
+            means = {name: value for name, (value, _) in record.learned_metrics.items()}
+            if means.get("utilization", 0) > 0:
+                capacities.append(means["throughput"] / means["utilization"] / record.weight)
+            answered.append(sum(tries - lost for tries, lost, _ in record.recent_tries.buckets) / record.weight)
+        if not capacities:
+            return None
+        owned_part = len(self.owned_slices) / (self.setup.slice_count or 1)
+        answered_per_window = median(answered) * WINDOW_US / (BUCKET_US * BUCKET_COUNT)
+        return max(median(capacities) * WINDOW_US / 1_000_000 * owned_part, answered_per_window)
+
     def update_levels(self):
         """Set the admission levels: in an overload, refuse early what the fleet could not answer in time.
 
@@ -658,18 +694,20 @@
         """
         popularity, unreported = self.popularity()
         total, total_capacity = sum(popularity.values()), sum(capacity.values())
-        self.planned_demand, self.mean_load = popularity, total / len(capacity)
-        slot, self.surge_threshold = self.mean_load / SLOTS_PER_BIN, self.mean_load * self.setup.overload_multiple
+        fleet = self.fleet_load(total, capacity)
+        self.planned_demand, self.mean_load = popularity, fleet.believed_demand / len(capacity)
+        self.surge_threshold = self.mean_load * self.setup.overload_multiple
+        slot, cold_slot = total / len(capacity) / SLOTS_PER_BIN, self.mean_load / SLOTS_PER_BIN
         # Each manager uses an order of its own, or all would choose the same few of the servers that have just started.
         order = sorted(capacity, key=lambda server: hash((self.setup.manager_index, server)))
         bins = {server: slot * -(-total * capacity[server] / total_capacity // slot) for server in order}
-        nominal_weight = sum(self.workers[server].weight for server in capacity)
         max_popularity, held = {server: self.mean_load for server in bins if self.warmth(server) < 1.0}, {}
+        max_loads = {}
         for server in max_popularity:
-            # Repeats and the reduced health of other servers raise the load of each server. A cold server's bin must
-            # not grow with that.
-            cold_size = self.warmth(server) * self.workers[server].weight / nominal_weight * total * self.answered_share
-            bins[server] = min(bins[server], max(slot * (cold_size // slot), 0.01 * slot))
+            weight, warmth = self.workers[server].weight, self.warmth(server)
+            cold_size = fleet.planned_cold_load(weight, warmth, self.answered_share)
+            bins[server] = min(bins[server], max(cold_slot * (cold_size // cold_slot), 0.01 * cold_slot))
+            max_loads[server] = fleet.max_cold_load(weight, warmth)
         for slice_index in popularity:
             table = self.tables[slice_index]
             lines = (
@@ -698,7 +736,7 @@
         retained = (
             None if settled else {server: bins[server] if server in max_popularity else float("inf") for server in bins}
         )
-        present, limits = pack_slices(popularity, bins, held, retained, max_popularity), dict(bins)
+        present, limits = pack_slices(popularity, bins, held, retained, max_popularity, max_loads), dict(bins)
         for server, load in loads(present).items():
             # A server that answers well within the quoted time is not overloaded, whatever its load by count.
             record = self.workers[server]
@@ -709,7 +747,7 @@
                 and server not in self.capped_workers
             ):
                 limits[server] = max(bins[server], load)
-        fresh = match_bins(pack_slices(popularity, bins, held, limits, max_popularity), bins, held)
+        fresh = match_bins(pack_slices(popularity, bins, held, limits, max_popularity, max_loads), bins, held)
         present_peak, fresh_peak = (
             max(load / limits[server] for server, load in loads(candidate).items()) for candidate in (present, fresh)
         )
--- a/ospreyrouter/table_updates.py
+++ b/ospreyrouter/table_updates.py
@@ -111,16 +111,12 @@
             self.write_readmission(plan(server), budget, draft)  # planned anew, as tables have changed
 
     def max_readmitted_load(self, server):
-        """The load, in tries per window, at which a server may be readmitted: limited while it is cold.
-
-        It is half of the load that makes a cold server fail, if the fleet is fully loaded.
-        """
+        """The load, in tries per window, at which a server may be readmitted: limited while it is cold."""
         warmth = self.warmth(server)
         if warmth == 1.0:
             return float("inf")
-        ready_weight = sum(self.workers[worker].weight for worker in self.ready_workers())
-        part = warmth * self.workers[server].weight / ready_weight
-        return 0.5 * self.setup.overload_multiple * part * sum(self.planned_demand.values())
+        fleet = self.fleet_load(sum(self.planned_demand.values()), self.ready_workers())
+        return fleet.max_cold_load(self.workers[server].weight, warmth)
 
     def write_readmission(self, readmission, budget, draft):
         """Readmit one server, or write as many of the lines that have to precede that as fit."""
--- a/tests/manager_harness.py
+++ b/tests/manager_harness.py
@@ -96,11 +96,20 @@
 
     It starts at `start` microseconds with `workers` ready workers, `proxies` of `total_proxies` joined and all slices
     owned. `tables`: {slice: {worker: weight}}; a slice without an entry is on one worker. `entries` replaces the worker
-    list. `changes` are fields of the deployment.
+    list. `rate`: tries per second that each proxy states as usual. `changes` are fields of the deployment.
     """
 
     def __init__(
-        self, workers=4, proxies=4, total_proxies=4, seed=1, start=100 * SECOND, tables=None, entries=None, **changes
+        self,
+        workers=4,
+        proxies=4,
+        total_proxies=4,
+        seed=1,
+        start=100 * SECOND,
+        tables=None,
+        entries=None,
+        rate=80.0,
+        **changes,
     ):
         self.setup, self.recorded, self.now = deployment(proxy_count=total_proxies, **changes), RecordedOrders(), start
         self.manager = Manager(self.setup, seed)
@@ -110,7 +119,7 @@
             for worker, weight in (tables or {}).get(slice_index, {slice_index % workers: 1.0}).items():
                 events.append(("table_line_loaded", slice_index, worker, weight))
                 self.recorded.tables.setdefault(slice_index, {})[worker] = weight
-        self.round(*events, *(("proxy_joined", proxy, 0, 5.0, True) for proxy in range(proxies)))
+        self.round(*events, *(("proxy_joined", proxy, 0, rate, True) for proxy in range(proxies)))
 
     def round(self, *events, after=0.0):
         """Play one round `after` seconds with these events; all proxies acknowledge all marks."""
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -333,7 +333,7 @@
 
     @patch.object(policy, "MIN_LAYOUT_GAIN", 0.0)
     def test_lost_and_repeated_tries_do_not_enlarge_a_cold_bin(self):
-        harness = ManagerHarness(slice_count=40)
+        harness = ManagerHarness(slice_count=40, rate=400.0)
         harness.run(4, demand=dict.fromkeys(range(40), 20), tries=dict.fromkeys(range(4), (200, 50, 1.5)))
         harness.round(
             ("worker_list_received", False, [entry(4, started=harness.now)]),
--- /dev/null
+++ b/tests/test_wrong_reports.py
@@ -0,0 +1,194 @@
+"""Reports that are wrong, in range or not, must not push over a cold worker or move slices that they don't concern.
+
+A report of 600,000 tries for one slice made all other slices look small beside the bins, which were parts of the total,
+so one cold worker was given the slices of three workers that left.
+"""
+
+import unittest
+from random import Random
+
+from ospreyrouter.interface import ProbeOutcome
+
+from .manager_harness import DRAINING, SECOND, ManagerHarness, entry
+from .peers import Caller
+from .release_case import PROXIES, SERVERS, ReleaseCase
+
+REPORT_S = 0.5  # between two reports of a collector
+
+
+class WrongReportToProgram(ReleaseCase):
+    slices, lines_per_s, max_queued_lines, grace_ms = 71, 8_300.0, 8_300.0, 2_000
+
+    def test_a_cold_worker_does_not_get_the_slices_of_several_others_after_a_spoilt_count(self):
+        self.start_program_with_relay()
+        collector = Caller(self.loop, self.listen_address, {"msg": "SOURCE", "az": "a"})
+        self.wait_until(lambda: collector.stream)
+        count = round(5.0 * PROXIES / (2 * self.slices) * REPORT_S)  # each proxy states 5.0 tries per second
+        report = {"msg": "SHARD", "kind": self.name_of_first_class(), "n": count, "bad": 0, "window": 1000 * REPORT_S}
+
+        def run_with_reports(seconds):
+            for _ in range(int(seconds / REPORT_S)):
+                collector.send(*(report | {"partition": table} for table in range(self.slices)))
+                self.run_for(REPORT_S)
+
+        run_with_reports(4)
+        collector.send(report | {"partition": 0, "n": 600_000})
+        run_with_reports(1)
+        leaving, cold = range(1, 7), [f"s-{SERVERS + number}" for number in range(6)]
+        for number in leaving:
+            self.publish(self.list_entry(SERVERS + number - 1, born_ms=self.now_ms()))
+        self.run_for(0.3)  # their probes pass
+        self.publish(*(self.list_entry(number, "leaving") for number in leaving))
+        run_with_reports(2)
+        rules = self.config["settings"]["Rules"]
+        max_slices = rules["FallMultiple"] * rules["ColdFrom"] * self.slices / SERVERS  # of a fully loaded fleet
+        for name in cold:
+            rows = self.relay.slices.values()
+            load = sum(row.get(name, 0.0) / sum(row.values()) for row in rows)
+            self.assertLessEqual(load, max_slices, name)
+
+    def name_of_first_class(self):
+        return self.config["settings"]["Lanes"][0]["Name"]
+
+
+SLICES, WORKERS, REPLACED, ZONES = 48, 12, 5, 3
+TRIES_PER_S, LOAD = 320.0, 0.6  # of all proxies; of a warm worker, as a part of its capacity
+SPAN_US = int(REPORT_S * SECOND)
+
+
+def replaced(report, **values):
+    """A report with other values of these fields."""
+    names = ("name", "zone", "worker") if report[0] == "tries_reported" else ("name", "slice", "kind")
+    names += ("tries", "lost") + (("delay", "span", "load") if report[0] == "tries_reported" else ("span", "zone"))
+    return tuple((dict(zip(names, report)) | values).values())
+
+
+class Day:
+    """A day on which five of twelve workers are replaced by cold ones; `change(day, zone, report)` alters its reports.
+
+    `stated_part`: part of their traffic that the proxies state. `peak`: the largest load of a cold worker, as a part of
+    the load that makes it fail. `moved`: slices that were moved away from a worker that stays. `carried`: tries that
+    went to cold workers.
+    """
+
+    def __init__(self, seed, change, stated_part=1.0):
+        self.rng, self.change, self.peak, self.carried, self.moved = Random(seed), change, 0.0, 0.0, set()
+        self.half_seconds, self.born, self.tables_before = 0, {}, {}
+        sizes = [self.rng.lognormvariate(0.0, 0.6) for _ in range(SLICES)]
+        self.rates = [TRIES_PER_S * size / sum(sizes) for size in sizes]  # tries per second by slice
+        self.capacity = TRIES_PER_S / WORKERS / LOAD
+        self.harness = ManagerHarness(
+            workers=WORKERS,
+            slice_count=SLICES,
+            rate=stated_part * TRIES_PER_S / 4,
+            lines_per_s=20_000.0,
+            queue_lines=20_000.0,
+        )
+
+    def run(self):
+        """Run the day; returns itself."""
+        self.step(16)
+        self.tables_before = self.main_workers()
+        for leaving in range(REPLACED):
+            cold = WORKERS + leaving
+            self.born[cold] = self.harness.now
+            self.harness.round(
+                ("worker_list_received", False, [entry(cold, started=self.harness.now)]),
+                ("probe_completed", cold, ProbeOutcome.PASSED, 0, {}),
+            )
+            self.harness.round(("worker_list_received", False, [entry(leaving, DRAINING)]), after=0.1)
+            self.step(2)
+        self.step(6)
+        after = self.main_workers()
+        self.moved = {
+            table for table, worker in self.tables_before.items() if worker >= REPLACED and after[table] != worker
+        }
+        return self
+
+    def main_workers(self):
+        """{slice: the worker with the largest weight}."""
+        return {table: max(rows, key=rows.get) for table, rows in self.harness.recorded.tables.items()}
+
+    def step(self, count):
+        """Let half seconds pass."""
+        for _ in range(count):
+            reports = [changed for zone in range(ZONES) for changed in self.reports(zone)]
+            self.harness.round(*reports, after=REPORT_S)
+            self.half_seconds += 1
+            self.measure()
+
+    def reports(self, zone):
+        """The reports of a zone for half a second, as changed."""
+        load, reports = self.harness.load(dict(enumerate(self.rates))), []
+        for table, rate in enumerate(self.rates):
+            reports.append(("demand_reported", table, 0, self.sample(rate), 0, SPAN_US, zone))
+        for worker, rate in load.items():
+            values = {"utilization": rate / self.capacity, "throughput": rate}
+            noisy = {name: value * self.rng.uniform(0.9, 1.1) for name, value in values.items()}
+            reports.append(("tries_reported", zone, worker, self.sample(rate), 0, 300_000, SPAN_US, noisy))
+        return [changed for report in reports for changed in self.change(self, zone, report)]
+
+    def sample(self, rate):
+        """A random count of tries in the reports of a zone."""
+        return int(rate * REPORT_S / ZONES + self.rng.random())
+
+    def measure(self):
+        """Compare the load of each cold worker with the one that makes it fail."""
+        setup, load = self.harness.setup, self.harness.load(dict(enumerate(self.rates)))
+        for worker, born in self.born.items():
+            age = min(1.0, (self.harness.now - born) / setup.cold_us)
+            capacity = self.capacity * (setup.cold_share + (1.0 - setup.cold_share) * age)
+            self.peak = max(self.peak, load.get(worker, 0.0) / (setup.overload_multiple * capacity))
+            self.carried += load.get(worker, 0.0) * REPORT_S
+
+
+def unchanged(day, zone, report):
+    """All reports are right."""
+    return [report]
+
+
+def changed_demand(applies, tries, **values):
+    """A change of the reports of demand for which `applies(day, zone, slice)` is true; `tries`: of the right count."""
+
+    def change(day, zone, report):
+        if report[0] != "demand_reported" or not applies(day, zone, report[1]):
+            return [report]
+        return [replaced(report, tries=tries(report[3]), **values)]
+
+    return change
+
+
+def once(day, zone, table):
+    return (day.half_seconds, zone, table) == (14, 0, 3)
+
+
+class WrongDemandTest(unittest.TestCase):
+    def test_no_wrong_count_of_tries_gives_a_cold_worker_more_than_it_can_do(self):
+        for name, change in {
+            "far out of range, once": changed_demand(once, lambda tries: 600_000),
+            "out of range, once": changed_demand(once, lambda tries: 20_000),
+            "as much as all proxies send, always, in two zones": changed_demand(
+                lambda day, zone, table: zone < 2 and table == 3, lambda tries: int(TRIES_PER_S)
+            ),
+            "the same for half of the slices": changed_demand(
+                lambda day, zone, table: zone < 2 and table % 2, lambda tries: int(TRIES_PER_S)
+            ),
+            "ten times, half of the slices of a zone": changed_demand(
+                lambda day, zone, table: zone == 0 and table % 2, lambda tries: 10 * tries
+            ),
+            "none, half of the slices of a zone": changed_demand(
+                lambda day, zone, table: zone == 0 and table % 2, lambda tries: 0
+            ),
+            "a fifth, half of the slices": changed_demand(lambda day, zone, table: table % 2, lambda tries: tries // 5),
+        }.items():
+            for seed in (1, 2, 3):
+                with self.subTest(name, seed=seed):
+                    self.assertLess(Day(seed, change).run().peak, 1.0)
+
+    def test_cold_workers_carry_as_much_as_without_a_limit_of_their_own_if_reports_are_right(self):
+        for seed in (1, 2, 3):
+            self.assertEqual(Day(seed, unchanged).run().carried, Day(seed, unchanged, stated_part=0.0).run().carried)
+
+
+if __name__ == "__main__":
+    unittest.main()
