Leave out reports of more tries than the proxies can have sent

Cause: parse_report checks each field by itself, up to 10 million in any window; nothing compared a count with what proxies send.

Change: a report of demand or tries is left out as a whole, counted, and logged with its zone, if it has more tries than all proxies send in its span and one period more at overload_multiple times the rates that they stated. A load report with a larger throughput is left out, too. Example: "impossible report of demand 3 from zone a: 20000 tries in 500 ms, 960 are possible".

--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -245,6 +245,7 @@
             **self.coverage.fields(self.loop.now()),
             withdrawals_answered_late=self.drains.late,
             **{f"messages: {urgency.value}": count for urgency, count in self.manager.message_counts.items()},
+            **{f"impossible report: {kind}": count for kind, count in sorted(self.manager.rejected_reports.items())},
             **{f"rule broken here: {rule}": count for rule, count in sorted(self.manager.violations.items())},
             dials=self.relay.news_link.dials + self.relay.call_link.dials,
             watches=self.watch.dials,
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -20,6 +20,7 @@
 from .packing import match_bins, pack_slices, rendezvous_server
 from .proxy_messages import MARK_COUNT, ProxyMessages
 from .proxy_traffic import ProxyTraffic
+from .report_limits import RejectedReport, ReportLimits
 from .ring import BucketRing
 from .table_updates import LINGER_WEIGHT
 from .withdrawals import Withdrawals
@@ -66,6 +67,7 @@
 PROBE_INTERVAL_US = 1_000_000  # each worker is probed this often
 UNLISTED_GRACE = 0.15  # part of the drain grace in which the list must name a worker known only from a stored table
 GONE_RETENTION_US = 30_000_000  # a worker that is gone for this long and in no table is forgotten
+REJECTION_LOG_INTERVAL_US = 1_000_000  # between two log lines about reports that were left out
 ANSWER_VALID_US = 3_000_000  # for this long after an answer a worker missing from the list is taken to be running
 
 
@@ -115,6 +117,9 @@
         # was updated last; workers that may not exceed the load that their capacity allows.
         self.layout_due, self.window_at, self.tick_at, self.health_at, self.capped_workers = True, 0, 0, 0, frozenset()
         self.schedule, self.proxy_traffic = ChannelSchedule(setup), ProxyTraffic(setup)
+        # Reports that were left out, by kind, and since when the next of them may be logged.
+        self.report_limits, self.rejected_reports = ReportLimits(setup, self.proxy_traffic), Counter()
+        self.rejection_log_at = 0
         self.started, self.levels_message_due, self.answered_share = False, False, 1.0
         self.list_received = False  # whether any worker list has been received
         self.latency, self.min_latency = 0.0, 1.0  # mean time to answer as a part of the mean quoted time; its minimum
@@ -240,6 +245,8 @@
 
         `reporter`: index of the zone of the collector that reported it; None if unknown.
         """
+        if self.is_rejected("demand", slice_index, reporter, count, span_us):
+            return
         if slice_index in self.owned_slices and count > 0:
             self.demand[slice_index].add(self.now, span_us, count)
             self.last_report_at[slice_index] = self.now
@@ -249,8 +256,9 @@
             if planned < self.surge_threshold < reported:
                 self.layout_due = True
                 self.orders.log(
-                    f"surge of slice {slice_index}: {count} tries in {span_us // 1000} ms from zone {reporter}, "
-                    f"{planned:.1f} planned for {WINDOW_US // 1000} ms, {self.mean_load:.1f} is a mean bin"
+                    f"surge of slice {slice_index}: {count} tries in {span_us // 1000} ms "
+                    f"from zone {self.zone_name(reporter)}, {planned:.1f} planned for {WINDOW_US // 1000} ms, "
+                    f"{self.mean_load:.1f} is a mean bin"
                 )
             arrived = [count * (index == kind) for index in range(len(self.setup.classes))]
             self.arrivals.add(
@@ -269,6 +277,10 @@
 
         `delay_us`: mean time to a good answer; `report`: the worker's load report, {name: value}.
         """
+        if self.is_rejected("tries", worker, zone, tries, span_us) or self.is_rejected(
+            "load", worker, zone, report.get("throughput", 0.0), 1_000_000
+        ):
+            return
         if worker in self.workers and tries > 0:
             lost = min(max(lost, 0), tries)
             self.workers[worker].recent_tries.add(self.now, 0, tries, lost, (tries - lost) * max(delay_us, 0))
@@ -284,7 +296,8 @@
         if outcome is ProbeOutcome.PASSED:
             record.missed_probes = 0
             self.record_answer(worker)
-            self.record_load_report(worker, report)
+            if not self.is_rejected("load", worker, None, report.get("throughput", 0.0), 1_000_000):
+                self.record_load_report(worker, report)
         elif outcome is not ProbeOutcome.FULL and (
             outcome is not ProbeOutcome.TIMED_OUT or self.now - record.last_answer_at > PROBE_SILENCE_US
         ):
@@ -336,6 +349,26 @@
         self.stalled_at = self.now
         self.schedule.sent_messages.requeue_after(self.now, accepted_mark, len(self.proxies))
 
+    def zone_name(self, zone):
+        """The name of a zone for the log; `zone` is its index, None if unknown."""
+        return "unknown" if zone is None else self.setup.zones[zone]
+
+    def is_rejected(self, kind, subject, reporter, tries, span_us):
+        """Whether a report is left out because proxies cannot have sent so many tries; it is counted and logged.
+
+        `kind`: "demand", "tries" or "load"; `subject`: the slice or the worker.
+        """
+        if self.report_limits.is_possible(tries, span_us):
+            return False
+        self.rejected_reports[kind] += 1
+        if self.now >= self.rejection_log_at:
+            self.rejection_log_at = self.now + REJECTION_LOG_INTERVAL_US
+            max_tries = self.report_limits.max_tries(span_us)
+            self.orders.log(
+                str(RejectedReport(f"{kind} {subject}", self.zone_name(reporter), tries, span_us, max_tries))
+            )
+        return True
+
     def record_answer(self, worker):
         """A worker has answered a try or a probe well."""
         record = self.workers[worker]
