Tests: give the loop 100 ms in place of 1 ms to run its first turn

Loop.run checks the clock before its first turn, and the test set the end to 1 ms from then, so a pause of the process of 1 ms between the two ended the loop before any callback ran. The checks are the same.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -704,10 +704,10 @@
             loop.after(0, lambda: {}["timer"])
             loop.soon(lambda: ran.append(1))
             if handled:
-                loop.run(loop.now() + 1000)
+                loop.run(loop.now() + SECOND // 10)
                 self.assertEqual(([str(error) for error in errors], ran), (["'timer'", "'nothing'"], [1]))
             else:
-                self.assertRaises(KeyError, loop.run, loop.now() + 1000)
+                self.assertRaises(KeyError, loop.run, loop.now() + SECOND // 10)
 
 
 class UsageAndLogTests(unittest.TestCase):
