Compare a cold worker's limits with the demand that the levels let through

Cause: demand includes the repeats that proxies refuse by the levels, up to three times what clients ask for, and neither the stated rates nor the capacity of workers do. So the limits held below what workers really got.

Change: both are divided by the part of the demand that the levels let through.

--- a/ospreyrouter/cold_limits.py
+++ b/ospreyrouter/cold_limits.py
@@ -5,7 +5,7 @@
 traffic that proxies usually send, which the fleet is able to carry, and the capacity that workers show in their load
 reports.
 
-Loads are in tries per window, for the slices of this manager.
+Loads are in tries per window, for the slices of this manager, and include the tries that the levels refuse.
 """
 
 from dataclasses import dataclass
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -57,6 +57,7 @@
 MIN_ANSWERS_FOR_MEAN, MIN_LEVEL_CHANGE = 50, 0.02
 # Weight of the latest observation of which part of the tries the levels really admit; the second one under light load.
 ADMITTED_LEARNING_RATE, ADMITTED_LEARNING_RATE_LIGHT_LOAD = 0.1, 0.9
+MIN_SENT_SHARE = 0.1  # of the demand, that the levels are taken to let through at least
 MIN_ADMITTED_SHARE = 0.4  # smaller observations of that part are raised to this
 ADMITTED_CAPACITY, MIN_ADMITTED_CAPACITY = 0.9, 0.3  # part of the estimate to admit; the least while a queue drains
 BACKLOG_REDUCTION = 0.35  # reduction of that part per quoted time by which answers exceed OVERLOAD_LATENCY
@@ -549,15 +550,26 @@
 
     def fleet_load(self, demand, servers):
         """What these servers have to carry for `demand`, in tries per window, and what they can, as a FleetLoad."""
-        usual = self.proxy_traffic.owned_tries(len(self.owned_slices), WINDOW_US)
+        usual, measured = (
+            self.proxy_traffic.owned_tries(len(self.owned_slices), WINDOW_US),
+            self.measured_capacity(servers),
+        )
+        # Demand includes tries that proxies refuse by the levels. They do not reach the servers.
+        sent_share = self.sent_share()
         return FleetLoad(
             sum(self.workers[server].weight for server in servers),
             demand,
-            usual,
-            self.measured_capacity(servers),
+            None if usual is None else usual / sent_share,
+            None if measured is None else measured / sent_share,
             self.setup.overload_multiple,
         )
 
+    def sent_share(self):
+        """Part of the demand that the levels let proxies send to servers."""
+        sums = [sum(column) for column in zip(*self.arrivals.buckets)]
+        arrived, admitted = (sum(part) for part in (sums[: len(self.setup.classes)], sums[len(self.setup.classes) :]))
+        return max(MIN_SENT_SHARE, admitted / arrived) if arrived and self.setup.level_kind is LevelKind.SHARE else 1.0
+
     def measured_capacity(self, servers):
         """Capacity of a warm server of weight 1 by the load reports, in tries per window for owned slices, or None.
 
--- a/tests/test_wrong_reports.py
+++ b/tests/test_wrong_reports.py
@@ -181,6 +181,20 @@
         for seed in (1, 2, 3):
             self.assertEqual(Day(seed, unchanged).run().carried, Day(seed, unchanged, stated_part=0.0).run().carried)
 
+    def test_demand_that_levels_refuse_does_not_reduce_what_a_cold_worker_gets(self):
+        parts = []
+        for rate in (80.0, 0.0):  # five times as much is asked for as proxies state, and the levels admit a fifth
+            harness = ManagerHarness(slice_count=40, rate=rate)
+            harness.manager.levels, harness.manager.set_levels = {0: 0.2, 1: 0.2}, lambda levels: None
+            harness.run(4, dict.fromkeys(range(40), 20), dict.fromkeys(range(4), (40, 0, 0.5)))
+            events = [("worker_list_received", False, [entry(4, started=harness.now)])]
+            harness.round(*events, ("probe_completed", 4, ProbeOutcome.PASSED, 0, {}))
+            harness.run(8, dict.fromkeys(range(40), 20), dict.fromkeys(range(4), (40, 0, 0.5)))
+            harness.round(("worker_list_received", False, [entry(0, DRAINING)]), after=0.5)
+            parts.append(sum(lines.get(4, 0.0) for lines in harness.manager.layout.values()))
+        self.assertGreater(parts[0], 0.0)
+        self.assertEqual(*parts)
+
     def test_a_surge_of_twenty_times_is_followed_as_quickly_as_without_stated_rates(self):
         for table in (3, 4, 5):
             limited, unlimited = Day(1, unchanged), Day(1, unchanged, stated_part=0.0)
