--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -22,26 +22,31 @@
 from .record import Record
 from .relay import Proxy, Relay
 from .settings import ZONES
-from .workers import SoleOwnerCheck, Worker
+from .workers import ColdCheck, SoleOwnerCheck, Worker
 
 REPORT_PERIOD_S, REPORT_DELAY_S = 0.5, 0.3
 MAX_CASE_S = 110.0
 
 
+REDIAL_S = (0.2, 0.5)  # from the manager's return until a proxy has joined it again
+
+
 class Day:
     """The manager, the relay with its proxies, the workers, discovery, collectors and the traffic."""
 
-    def __init__(self, record, settings, worker_count, sockets=1024):
+    def __init__(self, record, settings, worker_count, sockets=1024, store=None):
         family = settings["FamilyInfo"]
         self.record, self.settings, self.sockets = record, settings, sockets
         self.workers = {f"s-{number:04x}": Worker(f"s-{number:04x}", record) for number in range(worker_count)}
         self.sites = {name: ZONES[number % len(ZONES)] for number, name in enumerate(self.workers)}
         names = list(self.workers)
-        store = {index: {names[index % worker_count]: 1.0} for index in range(family["PartitionsN"])}
+        store = store or {index: {names[index % worker_count]: 1.0} for index in range(family["PartitionsN"])}
         proxies = [Proxy(number, ZONES[number % len(ZONES)]) for number in range(family["ProxyCount"])]
         self.discovery, self.relay = Discovery(record), Relay(record, settings, store, proxies)
         self.sole_owner, self.manager, self.tasks = SoleOwnerCheck(record) if family["SoleOwner"] else None, None, []
         self.met, self.demand, self.answered, self.refused = Counter(), Counter(), 0, 0
+        self.cold, self.cold_breaks = {}, []  # by worker: the ColdCheck of those started within the day
+        self.slice_weights = [1.0] * family["PartitionsN"]
         self.hot_slices, self.hot_share = [], 0.0  # slices in demand, and their share of the traffic
 
     async def start(self):
@@ -58,12 +63,30 @@
         self.relay.open = True
         self.tasks += [asyncio.create_task(self._collect(zone)) for zone in ZONES]
 
-    async def add_worker(self, name, site):
-        """A new machine, which discovery lists as just started."""
+    def stop_manager(self):
+        """A planned end of the manager; all streams of proxies break."""
+        self.manager.config["known"] = self.discovery.whole()
+        self.manager.stop()
+        self.relay.manager_ended()
+
+    async def start_manager_again(self):
+        """Start the manager under its name and address; the proxies join once it has answered."""
+        await self.manager.start()
+        for proxy in self.relay.proxies:
+            asyncio.get_running_loop().call_later(random.uniform(*REDIAL_S), self.relay.join, proxy)
+
+    async def add_worker(self, name, site, listed_after_s=0.0, capacity=None):
+        """A new machine; discovery lists it as just started that long after its start.
+
+        With a `capacity`, the rule on cold workers is checked for it.
+        """
         worker = self.workers[name] = Worker(name, self.record)
         await worker.start()
-        self.sites[name] = site
-        self.discovery.change(entry(worker, site, born_ms=time.time_ns() // 1_000_000))
+        self.sites[name], born_ms = site, time.time_ns() // 1_000_000
+        if capacity is not None:
+            self.cold[name] = ColdCheck(self.settings["Rules"], capacity, asyncio.get_running_loop().time())
+        await asyncio.sleep(listed_after_s)
+        self.discovery.change(entry(worker, site, born_ms=born_ms))
 
     def drain_worker(self, name):
         """Discovery lists a worker as leaving."""
@@ -100,7 +123,7 @@
     def _draw_slice(self):
         if self.hot_slices and random.random() < self.hot_share:
             return random.choice(self.hot_slices)
-        return random.randrange(self.relay.slices)
+        return random.choices(range(self.relay.slices), self.slice_weights)[0]
 
     async def _transact(self, proxy, slice_index, class_name, writes, work_s):
         loop = asyncio.get_running_loop()
@@ -116,6 +139,11 @@
             return
         await asyncio.sleep(0.001)  # on the network
         worker, sent_s = self.workers[name], loop.time()
+        work_s *= random.uniform(0.7, 1.3)
+        if name in self.cold and worker.running and (text := self.cold[name].work_sent(loop.time(), work_s)):
+            self.cold_breaks.append(f"{name} falls over: {text}; {worker.in_hand} transactions in hand are lost")
+            self.record.write(f"RULE BROKEN {self.cold_breaks[-1]}")
+            worker.running = False
         if not worker.running:
             self.met[proxy.zone, name, "bad"] += 1
             return
@@ -140,6 +168,8 @@
                     await asyncio.sleep(REPORT_PERIOD_S)
                     messages = self._take_reports(zone)
                     await asyncio.sleep(REPORT_DELAY_S)
+                    if writer.is_closing():
+                        raise ConnectionResetError
                     for message in messages:
                         self._write(writer, message)
                     async with asyncio.timeout(1.0):
--- a/review/rig2/discovery.py
+++ b/review/rig2/discovery.py
@@ -46,7 +46,7 @@
             if row["health"] == "left":
                 del self.rows[row["host"]]
         line = json.dumps({"seq": self.seq, "whole": False, "hosts": list(rows)})
-        for writer in self.watches:
+        for writer in [writer for writer in self.watches if not writer.is_closing()]:
             self._write_line(writer, line)
 
     @staticmethod
--- a/review/rig2/manager.py
+++ b/review/rig2/manager.py
@@ -85,6 +85,15 @@
         self.record.write(f"manager gets {signal.Signals(number).name}")
         self.process.send_signal(number)
 
+    def stop(self):
+        """A planned end: SIGTERM, then SIGKILL 0.7 s later if it still runs; waits for the end."""
+        self.signal(signal.SIGTERM)
+        try:
+            self.process.wait(0.7)
+        except subprocess.TimeoutExpired:
+            self.kill()
+        self.record.write("manager has ended")
+
     def processor_seconds(self):
         """Processor time that the process has used so far, in seconds; None where the system does not tell."""
         try:
--- a/review/rig2/relay.py
+++ b/review/rig2/relay.py
@@ -35,7 +35,10 @@
 
 
 class Relay:
-    """One manager's relay. `store` is {slice: {worker: weight}}, `proxies` a list of Proxy, all of them joined."""
+    """One manager's relay. `store` is {slice: {worker: weight}}, `proxies` a list of Proxy, which are joined at first.
+
+    `manager_ended` is to be called when the manager's process has ended, and `join` when a proxy has its stream again.
+    """
 
     def __init__(self, record, settings, store, proxies):
         family = settings["FamilyInfo"]
@@ -50,7 +53,8 @@
             None,
             False,
         )
-        self.granted = set(store)
+        self.granted, self.joined, self.processes = set(store), set(proxies), 0
+        self.proxy_rate = 20.0  # requests a second that a proxy usually gets
         self.fail_calls = lambda: "answer"  # or "break", "break after", "silent", "silent after", "unreadable"
 
     async def start(self):
@@ -60,9 +64,27 @@
         for proxy in self.proxies:
             proxy.tables = {slice_index: dict(lines) for slice_index, lines in self.store.items()}
 
+    def manager_ended(self):
+        """What waits in the channel or is under way is lost, and all streams are broken."""
+        self.joined, self.free_s = set(), 0.0
+        self.processes += 1
+
+    def join(self, proxy):
+        """A proxy has a stream to the manager; it reads the store a little later."""
+        self.joined.add(proxy)
+        self.record.write(f"proxy {proxy.number} joins")
+        self.send_news(self._subscription(proxy))
+        asyncio.get_running_loop().call_later(random.uniform(*SYNC_S), self._read_store, proxy)
+
+    def _read_store(self, proxy):
+        proxy.tables = {slice_index: dict(lines) for slice_index, lines in self.store.items()}
+
+    def _subscription(self, proxy):
+        return f"SUBSCRIBE {proxy.number} {proxy.zone} {self.proxy_rate} {int(not proxy.applied)}"
+
     def send_news(self, text):
         """Write one line of news to all that follow."""
-        for writer in self.followers:
+        for writer in [writer for writer in self.followers if not writer.is_closing()]:
             writer.write(f"* {text}\r\n".encode())
 
     async def _serve(self, reader, writer):
@@ -82,7 +104,7 @@
 
     async def _follow(self, writer):
         lines = ["OK"]
-        lines += [f"* SUBSCRIBE {proxy.number} {proxy.zone} 20.0 {int(not proxy.applied)}" for proxy in self.proxies]
+        lines += [f"* {self._subscription(proxy)}" for proxy in self.proxies if proxy in self.joined]
         for slice_index in sorted(self.granted):
             lines.append(f"* GRANT {slice_index} 1")
             lines += [f"* ROW {slice_index} {name} {weight}" for name, weight in self.store[slice_index].items()]
@@ -127,15 +149,15 @@
                 self.store[int(values[0])].clear()
         now, lines = asyncio.get_running_loop().time(), self.head + len(orders) + len(self.classes)
         self.free_s = max(self.free_s, now)
-        for proxy in self.proxies:
+        for proxy in [proxy for proxy in self.proxies if proxy in self.joined]:
             self.free_s += lines / self.pace
             way_s = min(self.longest_s, random.uniform(0.3, 1.7) * self.mean_s)
             proxy.arrival_s = max(proxy.arrival_s, self.free_s + way_s)
-            asyncio.get_running_loop().call_at(proxy.arrival_s, self._apply, proxy, orders, now)
+            asyncio.get_running_loop().call_at(proxy.arrival_s, self._apply, proxy, orders, now, self.processes)
 
-    def _apply(self, proxy, orders, sent_s):
-        """A message takes effect at a proxy."""
-        if proxy not in self.proxies:
+    def _apply(self, proxy, orders, sent_s, processes):
+        """A message takes effect at a proxy, unless the manager's process that sent it has ended since."""
+        if processes != self.processes:
             return
         proxy.applied += 1
         for kind, *values in orders:
--- a/review/rig2/workers.py
+++ b/review/rig2/workers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import json
-import random
 
 PROBE_WORK_S = 0.005
 LOAD_REPORT = {"util": 0.4, "qps": 20.0}
@@ -41,10 +40,10 @@
             writer.close()
 
     async def take(self, work_s):
-        """Work on one transaction for about that time."""
+        """Work on one transaction for that time."""
         self.in_hand += 1
         try:
-            await asyncio.sleep(work_s * random.uniform(0.7, 1.3))
+            await asyncio.sleep(work_s)
         finally:
             self.in_hand -= 1
 
@@ -54,6 +53,35 @@
         self.server.close()
 
 
+class ColdCheck:
+    """The rule on cold workers at one worker: a budget of work for each span of `FallS`.
+
+    The worker has `capacity` core seconds a second when it is warm and rises to that evenly from its start on. It falls
+    over when more work was sent to it within a span than `FallMultiple` times its present capacity times the span.
+    """
+
+    SLACK = 1.1  # for chance
+
+    def __init__(self, rules, capacity, started_s):
+        self.rules, self.capacity, self.started_s, self.sent, self.fallen = rules, capacity, started_s, [], False
+
+    def work_sent(self, now, work_s):
+        """Work is sent to the worker; returns a text if it falls over by that."""
+        age_s, span_s = now - self.started_s, self.rules["FallS"]
+        self.sent = [(at, work) for at, work in self.sent if at > now - span_s] + [(now, work_s)]
+        if self.fallen or age_s >= self.rules["ColdS"]:
+            return None
+        part = self.rules["ColdFrom"] + (1.0 - self.rules["ColdFrom"]) * age_s / self.rules["ColdS"]
+        budget = self.rules["FallMultiple"] * part * self.capacity * span_s
+        total = sum(work for _, work in self.sent)
+        if total <= budget * self.SLACK:
+            return None
+        self.fallen = True
+        return (
+            f"{total:.2f} core seconds within {span_s} s, {age_s:.2f} s after its start, where {budget:.2f} are allowed"
+        )
+
+
 class SoleOwnerCheck:
     """Watches the writes of each slice at all workers; `violations` holds a text for each break of the rule."""
 
