--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -46,6 +46,7 @@
         self.sole_owner, self.manager, self.tasks = SoleOwnerCheck(record) if family["SoleOwner"] else None, None, []
         self.met, self.demand, self.answered, self.refused = Counter(), Counter(), 0, 0
         self.cold, self.cold_breaks = {}, []  # by worker: the ColdCheck of those started within the day
+        self.report_delay_s = REPORT_DELAY_S
         self.slice_weights = [1.0] * family["PartitionsN"]
         self.hot_slices, self.hot_share = [], 0.0  # slices in demand, and their share of the traffic
 
@@ -167,7 +168,7 @@
                 while True:
                     await asyncio.sleep(REPORT_PERIOD_S)
                     messages = self._take_reports(zone)
-                    await asyncio.sleep(REPORT_DELAY_S)
+                    await asyncio.sleep(self.report_delay_s)
                     if writer.is_closing():
                         raise ConnectionResetError
                     for message in messages:
@@ -182,7 +183,8 @@
 
     @staticmethod
     def _write(writer, message):
-        writer.write(frame(json.dumps(message).encode()))
+        if not writer.is_closing():
+            writer.write(frame(json.dumps(message).encode()))
 
     def _take_reports(self, zone):
         window_ms, messages = REPORT_PERIOD_S * 1000, []
