Review 2: stand-ins keep the order of messages, and each manager has its own address

Claim: two timers of the same time could swap messages to a proxy, and a port could be taken by another case.

--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -12,6 +12,7 @@
 import json
 import os
 import random
+import signal
 import sys
 import time
 import traceback
@@ -163,7 +164,7 @@
         while True:
             writer = None
             try:
-                _, writer = await asyncio.open_connection("127.0.0.1", self.manager.port)
+                _, writer = await asyncio.open_connection(*self.manager.address)
                 self._write(writer, {"msg": "SOURCE", "az": zone})
                 while True:
                     await asyncio.sleep(REPORT_PERIOD_S)
@@ -230,6 +231,8 @@
     record.write(f"case begins, {'with' if with_trouble else 'without'} the disruption")
 
     async def limited():
+        # A test that is ended from outside still ends the processes that it has started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(MAX_CASE_S):
             return await play(record, with_trouble)
 
@@ -239,7 +242,7 @@
         for text in broken[:20]:
             record.write(f"broken: {text}")
         print(f"{len(broken)} breaks of the rule" + (f", the first: {broken[0]}" if broken else ""))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"could not run: {error!r}")
         traceback.print_exc()
     record.write(f"exit status {status}")
--- a/review/rig2/endless_client.py
+++ b/review/rig2/endless_client.py
@@ -1,6 +1,6 @@
 """A bad client: it connects and sends reports with no joining before them, one after the other, without end.
 
-    python -m review.rig2.endless_client PORT SECONDS
+    python -m review.rig2.endless_client ADDRESS PORT SECONDS
 
 It prints when it begins, and what it got in answer: "NACK", "closed" or "nothing", with the time since it connected.
 """
@@ -18,9 +18,9 @@
 MESSAGES = 2000  # in one piece of data that is handed to the system
 
 
-def run(port, seconds):
+def run(address, seconds):
     """Send until the connection ends or the time is over."""
-    sock, data = socket.create_connection(("127.0.0.1", port)), frame(json.dumps(REPORT).encode()) * MESSAGES
+    sock, data = socket.create_connection(address), frame(json.dumps(REPORT).encode()) * MESSAGES
     began, answers, sent = time.monotonic(), [], 0
 
     def read():
@@ -42,4 +42,4 @@
 
 
 if __name__ == "__main__":
-    run(int(sys.argv[1]), float(sys.argv[2]))
+    run((sys.argv[1], int(sys.argv[2])), float(sys.argv[3]))
--- a/review/rig2/endless_client_case.py
+++ b/review/rig2/endless_client_case.py
@@ -27,7 +27,7 @@
         await asyncio.sleep(5.0)
         if with_trouble:
             client = subprocess.Popen(
-                [sys.executable, "-m", "review.rig2.endless_client", str(day.manager.port), str(CLIENT_S)],
+                [sys.executable, "-m", "review.rig2.endless_client", *map(str, day.manager.address), str(CLIENT_S)],
                 cwd=ROOT,
                 stdout=subprocess.PIPE,
                 text=True,
@@ -39,7 +39,7 @@
             if drained is None and loop.time() - began_s > DRAIN_AFTER_S:
                 drained, told_s = "s-0001", loop.time()
                 day.drain_worker(drained)
-            if await ping(day.manager.port, PING_TIMEOUT_S):
+            if await ping(day.manager.address, PING_TIMEOUT_S):
                 answered_s = loop.time()
             longest_s = max(longest_s, loop.time() - answered_s)
             if drained is not None and loop.time() - told_s > settings["Rules"]["DrainGraceS"] + SLACK_S:
--- a/review/rig2/manager.py
+++ b/review/rig2/manager.py
@@ -22,12 +22,12 @@
     return len(body).to_bytes(4, "big") + body
 
 
-async def ping(port, timeout_s):
+async def ping(address, timeout_s):
     """Whether a PING on a new connection is answered with PONG within the time."""
     writer = None
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(*address)
             writer.write(frame(PING))
             size = int.from_bytes(await reader.readexactly(4), "big")
             return json.loads(await reader.readexactly(size)).get("msg") == "PONG"
@@ -39,15 +39,20 @@
 
 
 class Manager:
-    """One manager; `port` is the port at which collectors and other callers connect."""
+    """One manager; `address` is where collectors and other callers connect.
+
+    It has a loopback address of its own, where no connection of another process can have taken the port before it is
+    started again.
+    """
 
     def __init__(self, record, settings, discovery_port, relay_port, known, sockets=1024):
-        self.record, self.port, self.process = record, free_port(), None
+        self.record, self.process = record, None
+        self.address = ("127.{}.{}.{}".format(*(1 + byte % 254 for byte in os.urandom(3))), free_port())
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.config_path = Path(self.folder.name) / "config.json"
         self.config = {
             "name": "n0",
-            "listen": f"127.0.0.1:{self.port}",
+            "listen": "{}:{}".format(*self.address),
             "discovery": f"127.0.0.1:{discovery_port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
@@ -74,10 +79,12 @@
         )
         self.record.write(f"manager started, process {self.process.pid}")
         deadline = time.monotonic() + READY_TIMEOUT_S
-        while not await ping(self.port, 1.0):
+        answered = False
+        while not answered:
             if self.process.poll() is not None or time.monotonic() > deadline:
                 raise RuntimeError("the manager did not start")
             await asyncio.sleep(0.05)
+            answered = await ping(self.address, 1.0) and self.process.poll() is None
         self.record.write("manager answered its first PING")
 
     def signal(self, number):
--- a/review/rig2/relay.py
+++ b/review/rig2/relay.py
@@ -152,7 +152,8 @@
         for proxy in [proxy for proxy in self.proxies if proxy in self.joined]:
             self.free_s += lines / self.pace
             way_s = min(self.longest_s, random.uniform(0.3, 1.7) * self.mean_s)
-            proxy.arrival_s = max(proxy.arrival_s, self.free_s + way_s)
+            # Timers of the same time may run in any order, so each message arrives a little after the one before.
+            proxy.arrival_s = max(proxy.arrival_s + 1e-4, self.free_s + way_s)
             asyncio.get_running_loop().call_at(proxy.arrival_s, self._apply, proxy, orders, now, self.processes)
 
     def _apply(self, proxy, orders, sent_s, processes):
