--- a/review/rig2/cold_restart_case.py
+++ b/review/rig2/cold_restart_case.py
@@ -8,12 +8,12 @@
 
 WORKERS, SLICES, PROXIES = 14, 70, 9
 PER_S, WRITE_SHARE, WORK_S = 170.0, 0.28, 0.255
-LOAD = 0.98  # of the capacity of all workers
+LOAD = 1.0  # of the capacity of all workers
 CAPACITY = PER_S * WORK_S / LOAD / WORKERS  # of one worker, in core seconds a second
-BASE_SHARE = 0.065  # of the traffic, for each of the two slices that are in demand; the others share the rest
+BASE_SHARE = 0.07  # of the traffic, for each of the two slices that are in demand; the others share the rest
 HOT_SLICES = [0, 12]  # in demand; each is placed by a hash of its number while its demand is unknown
 HOT_SHARE = 0.095  # of the traffic goes to these two beside that
-SETTLE_S, LISTED_AFTER_S, DOWN_S, AFTER_START_S, DRAIN_S, END_S = 12.0, 0.5, 0.6, 0.2, 5.0, 6.0
+SETTLE_S, LISTED_AFTER_S, DOWN_S, AFTER_LISTING_S, DRAIN_S, END_S = 12.0, 0.5, 0.5, 0.1, 5.0, 6.0
 
 
 def make_store(shares, names):
@@ -44,12 +44,10 @@
         record.write(f"tables of the slices in demand: {[day.relay.store[index] for index in hot]}")
         if with_trouble:
             day.stop_manager()
-        for name in leaving:
-            await day.add_worker(f"{name}-new", day.sites[name], LISTED_AFTER_S / len(leaving), CAPACITY)
-        await asyncio.sleep(DOWN_S - LISTED_AFTER_S)
-        if with_trouble:
-            await day.start_manager_again()
-        await asyncio.sleep(AFTER_START_S)
+        await asyncio.sleep(DOWN_S)
+        deploy = [day.add_worker(f"{name}-new", day.sites[name], LISTED_AFTER_S, CAPACITY) for name in leaving]
+        await asyncio.gather(*deploy, *([day.start_manager_again()] if with_trouble else []))
+        await asyncio.sleep(AFTER_LISTING_S)
         for name in leaving:
             day.drain_worker(name)
         await asyncio.sleep(DRAIN_S)
--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -27,9 +27,8 @@
 
 REPORT_PERIOD_S, REPORT_DELAY_S = 0.5, 0.3
 MAX_CASE_S = 110.0
-
-
 REDIAL_S = (0.2, 0.5)  # from the manager's return until a proxy has joined it again
+LIMITS_BEGIN_S = 1.0  # from the manager's first answer until the rules' limits begin
 
 
 class Day:
@@ -74,6 +73,8 @@
     async def start_manager_again(self):
         """Start the manager under its name and address; the proxies join once it has answered."""
         await self.manager.start()
+        for check in self.cold.values():
+            check.limits_begin_s = asyncio.get_running_loop().time() + LIMITS_BEGIN_S
         for proxy in self.relay.proxies:
             asyncio.get_running_loop().call_later(random.uniform(*REDIAL_S), self.relay.join, proxy)
 
--- a/review/rig2/workers.py
+++ b/review/rig2/workers.py
@@ -57,17 +57,22 @@
     """The rule on cold workers at one worker: a budget of work for each span of `FallS`.
 
     The worker has `capacity` core seconds a second when it is warm and rises to that evenly from its start on. It falls
-    over when more work was sent to it within a span than `FallMultiple` times its present capacity times the span.
+    over when more work was sent to it within a span than `FallMultiple` times its present capacity times the span. On
+    sockets the span is 0.3 s longer, and what is sent before `limits_begin_s` does not count.
     """
 
     SLACK = 1.1  # for chance
+    SOCKETS_S = 0.3
 
     def __init__(self, rules, capacity, started_s):
         self.rules, self.capacity, self.started_s, self.sent, self.fallen = rules, capacity, started_s, [], False
+        self.limits_begin_s = 0.0
 
     def work_sent(self, now, work_s):
         """Work is sent to the worker; returns a text if it falls over by that."""
-        age_s, span_s = now - self.started_s, self.rules["FallS"]
+        age_s, span_s = now - self.started_s, self.rules["FallS"] + self.SOCKETS_S
+        if now < self.limits_begin_s:
+            return None
         self.sent = [(at, work) for at, work in self.sent if at > now - span_s] + [(now, work_s)]
         if self.fallen or age_s >= self.rules["ColdS"]:
             return None
@@ -77,9 +82,8 @@
         if total <= budget * self.SLACK:
             return None
         self.fallen = True
-        return (
-            f"{total:.2f} core seconds within {span_s} s, {age_s:.2f} s after its start, where {budget:.2f} are allowed"
-        )
+        text = f"{total:.2f} core seconds within {span_s:.1f} s, {age_s:.2f} s after its start"
+        return f"{text}, where {budget:.2f} are allowed"
 
 
 class SoleOwnerCheck:
