--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the second review (review/rig2), after the build of the deploy file.
+# Builds the stand-ins that the second review starts, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-.venv/bin/python -m compileall -q review/rig2
+.venv/bin/python -m compileall -q review/rig2 review/rig review/10
