--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -108,8 +108,12 @@
 
     async def _send_traffic(self, per_s, write_share, work_s):
         lanes, pending = [lane["Name"] for lane in self.settings["Lanes"]], set()
+        loop = asyncio.get_running_loop()
+        next_s = loop.time()
         while True:
-            await asyncio.sleep(random.expovariate(per_s))
+            next_s += random.expovariate(per_s)
+            if next_s > loop.time():
+                await asyncio.sleep(next_s - loop.time())
             class_index = int(random.random() < write_share)
             task = asyncio.create_task(
                 self._transact(
