--- a/review/rig2/day.py
+++ b/review/rig2/day.py
@@ -141,26 +141,35 @@
             if name is not None or loop.time() > give_up_s:
                 break
             await asyncio.sleep(0.02)
+        text = f"proxy {proxy.number}, slice {slice_index}, {class_name}"
         if name is None:
             self.refused += 1
+            self.record.write(f"{text}: refused")
             return
         await asyncio.sleep(0.001)  # on the network
         worker, sent_s = self.workers[name], loop.time()
         work_s *= random.uniform(0.7, 1.3)
-        if name in self.cold and worker.running and (text := self.cold[name].work_sent(loop.time(), work_s)):
-            self.cold_breaks.append(f"{name} falls over: {text}; {worker.in_hand} transactions in hand are lost")
+        if name in self.cold and worker.running and (why := self.cold[name].work_sent(loop.time(), work_s)):
+            self.cold_breaks.append(f"{name} falls over: {why}; {worker.in_hand} transactions in hand are lost")
             self.record.write(f"RULE BROKEN {self.cold_breaks[-1]}")
             worker.running = False
         if not worker.running:
             self.met[proxy.zone, name, "bad"] += 1
+            self.record.write(f"{text}: no answer of {name}")
             return
+        self.record.write(f"{text}: sent to {name}")
         writes = writes and self.sole_owner is not None
         if writes:
             self.sole_owner.write_taken(slice_index, name, proxy.number)
         await worker.take(work_s)
         if writes:
             self.sole_owner.write_done(slice_index, name)
+        if name in self.cold and self.cold[name].fallen:
+            self.met[proxy.zone, name, "bad"] += 1
+            self.record.write(f"{text}: lost at {name}")
+            return
         self.answered += 1
+        self.record.write(f"{text}: answered by {name}")
         self.met[proxy.zone, name, "good"] += 1
         self.met[proxy.zone, name, "time"] += loop.time() - sent_s
 
--- a/review/rig2/endless_client_case.py
+++ b/review/rig2/endless_client_case.py
@@ -39,7 +39,9 @@
             if drained is None and loop.time() - began_s > DRAIN_AFTER_S:
                 drained, told_s = "s-0001", loop.time()
                 day.drain_worker(drained)
-            if await ping(day.manager.address, PING_TIMEOUT_S):
+            answered = await ping(day.manager.address, PING_TIMEOUT_S)
+            record.write(f"PING: {'PONG' if answered else 'no answer'}")
+            if answered:
                 answered_s = loop.time()
             longest_s = max(longest_s, loop.time() - answered_s)
             if drained is not None and loop.time() - told_s > settings["Rules"]["DrainGraceS"] + SLACK_S:
