A client that sends without end no longer holds the manager's loop or memory

read_now reads what the socket held when it was called. Each connection delivers 16 KiB a turn; more than that before joining is answered with NACK. Rejected connections are closed in slices of 20 ms. Incomplete messages have a deadline and a common limit, a tenth of limits.memory_mb. A stream that has ended drops its callbacks.

--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -4,12 +4,15 @@
 """
 
 import errno
+import fcntl
 import selectors
 import socket
+import struct
+import termios
 
 from .streams import Stream
 
-READ_SIZE = 256 << 10  # bytes
+READ_SIZE = 64 << 10  # bytes that one connection may deliver in a turn of the loop
 # The system lacks resources for a moment: the call is repeated later, and the connection is not at fault.
 SHORTAGE = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 TRANSIENT_ERRORS = SHORTAGE | {errno.EAGAIN, errno.EINTR}
@@ -36,7 +39,7 @@
     def __init__(self, loop, sock, peer):
         super().__init__(peer)
         self.loop, self.sock, self.write_buffer, self.unsent_bytes = loop, sock, [], 0
-        self.closing, self.flush_scheduled = False, False
+        self.closing, self.flush_scheduled, self.read_size = False, False, READ_SIZE
         if sock.family != socket.AF_UNIX:
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -71,7 +74,7 @@
 
     def _read(self):
         try:
-            data = self.sock.recv(READ_SIZE)
+            data = self.sock.recv(self.read_size)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -94,22 +97,34 @@
         self.read_now()
         self._finish(reason)
 
-    def read_now(self):
-        """Deliver what the socket has received by now."""
-        failures = 0
-        while self.open and self.reading and failures < MAX_CONSECUTIVE_FAILURES:
+    def read_now(self, max_bytes=None):
+        """Deliver what the socket has received by now, at most `max_bytes`.
+
+        What arrives meanwhile is left: a peer that sends faster than its data is handled would be read without end.
+        """
+        remaining, failures = self._received_bytes(), 0
+        if max_bytes is not None:
+            remaining = min(remaining, max_bytes)
+        while remaining > 0 and self.open and self.reading and failures < MAX_CONSECUTIVE_FAILURES:
             try:
-                data = self.sock.recv(READ_SIZE)
+                data = self.sock.recv(min(remaining, READ_SIZE))
             except OSError as error:
                 if error.errno not in TRANSIENT_ERRORS:
                     return  # it was reset, which the loop will report
-                failures += 1  # nothing is left to read, or a transient failure
+                failures += 1
                 continue
             if not data:
                 return
-            failures = 0
+            remaining, failures = remaining - len(data), 0
             self._deliver(data)
 
+    def _received_bytes(self):
+        """Number of bytes that the socket holds unread."""
+        try:
+            return struct.unpack("i", fcntl.ioctl(self.sock, termios.FIONREAD, b"\0\0\0\0"))[0]
+        except OSError:  # not known; a socket that was closed has nothing to read
+            return READ_SIZE
+
     def write(self, data):
         """Send bytes, buffered; ignored once the stream is closing."""
         if not self.open or self.closing:
@@ -157,9 +172,9 @@
             if not self.write_buffer:
                 self._finish("closed here")
 
-    def flush_and_close(self):
-        """Deliver what has arrived by now, send the answers to it, and close at once."""
-        self.read_now()
+    def flush_and_close(self, max_bytes=None):
+        """Deliver what has arrived by now, at most `max_bytes`, send the answers to it, and close at once."""
+        self.read_now(max_bytes)
         self.close()
         failures = 0
         while self.open and failures < MAX_CONSECUTIVE_FAILURES:  # a transient failure must not lose an answer
@@ -186,8 +201,10 @@
             self.events = 0
         self.sock.close()
         self.write_buffer, self.unsent_bytes = [], 0
-        if self.on_closed is not None:
-            self.loop.soon(lambda: self.on_closed(reason))
+        # The callbacks refer to what was read from this stream; kept, they would hold its memory until a collection.
+        on_closed, self.on_data, self.on_closed = self.on_closed, None, None
+        if on_closed is not None:
+            self.loop.soon(lambda: on_closed(reason))
 
     def pause(self):
         """Stop reading, so that the peer is slowed down."""
--- a/ospreyrouter/loop/streams.py
+++ b/ospreyrouter/loop/streams.py
@@ -15,13 +15,14 @@
 class Stream:
     """State that streams of both loops have; subclasses implement the transport.
 
-    `peer` is the address of the other end, `max_unsent` the limit of `unsent` in bytes.
+    `peer` is the address of the other end, `max_unsent` the limit of `unsent` in bytes. `read_size`: bytes that
+    are read in one turn of the loop at most, where the transport reads.
     """
 
     def __init__(self, peer, max_unsent=MAX_UNSENT):
         self.peer, self.max_unsent = peer, max_unsent
         self.on_data = self.on_closed = None
-        self.open, self.reading = True, True
+        self.open, self.reading, self.read_size = True, True, None
         self.bytes_in = self.bytes_out = 0
 
     def start(self, on_data, on_closed):
@@ -41,12 +42,12 @@
         """Close once all that was written has been sent."""
         raise NotImplementedError
 
-    def read_now(self):
-        """Deliver what has arrived by now, without waiting for the loop to notice it."""
+    def read_now(self, max_bytes=None):
+        """Deliver what has arrived by now, at most `max_bytes`, without waiting for the loop to notice it."""
         raise NotImplementedError
 
-    def flush_and_close(self):
-        """Deliver what has arrived by now, send the answers to it, and close at once; for the end of the program."""
+    def flush_and_close(self, max_bytes=None):
+        """Deliver what has arrived by now, at most `max_bytes`, send the answers to it, and close at once."""
         raise NotImplementedError
 
     def abort(self, reason="aborted"):
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -82,11 +82,11 @@
             self._send(None)
             self._finish("closed here")
 
-    def read_now(self):
-        """Deliver what has arrived by now."""
+    def read_now(self, max_bytes=None):
+        """Deliver what has arrived by now; arrivals are few, so all of it."""
         self._deliver()
 
-    def flush_and_close(self):
+    def flush_and_close(self, max_bytes=None):
         """Deliver what has arrived by now, and close."""
         self.read_now()
         self.close()
--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -8,8 +8,14 @@
 first. Before joining only short frames are accepted. When there are more than `max_unidentified` such connections, the
 oldest one is rejected at once, so that descriptors remain for collectors and for this manager's own links. The only
 message that a collector gets is PONG.
+
+No peer may take all of the time or memory. In a turn of the loop a limited amount is read from each connection, and
+rejected ones are closed for a limited time. A connection may send MAX_BYTES_BEFORE_JOIN before it joins; incomplete
+messages of all collectors together may have `max_buffered_bytes`, and each has to be complete within MAX_PARTIAL_US.
 """
 
+from collections import deque
+
 from ..naming import Malformed
 from . import frames
 from .frames import FrameReader, UnreadableMessage
@@ -17,6 +23,11 @@
 JOIN_TIMEOUT_US = 900_000
 SWEEP_INTERVAL_US = 100_000  # between two searches for connections that did not join in time
 MAX_FRAME_BEFORE_JOIN = 1024  # bytes
+MAX_BYTES_BEFORE_JOIN = 16 << 10  # more PINGs than a caller sends until it has to have joined
+READ_SIZE = 16 << 10  # bytes that one connection may deliver in a turn of the loop
+MAX_FINAL_BYTES = 64 << 10  # read at most from a rejected connection, for PINGs that arrived before its close
+CLOSING_SLICE_US = 20_000  # time in a turn of the loop for closing rejected connections
+MAX_PARTIAL_US = 15_000_000  # from the beginning of a collector's message to its end
 DRAIN_QUIET_US = 40_000  # draining ends when no PING has arrived for this time
 MAX_DRAIN_US = 400_000  # in any case it ends then: the platform kills no sooner than 0.7 s after SIGTERM
 MAX_UNREAD = 128 << 10  # bytes that a peer may leave unread
@@ -26,15 +37,20 @@
 class Caller:
     """A connection to the manager's address.
 
-    `zone` is the index of the zone of a collector, None before it has joined. Times are microseconds on the loop's
-    clock.
+    `zone` is the index of the zone of a collector, None before it has joined. `partial_since_us`: when the incomplete
+    message began, None if there is none. Times are microseconds on the loop's clock.
     """
 
-    __slots__ = ("stream", "reader", "connected_us", "zone", "last_data_us")
+    __slots__ = ("stream", "reader", "connected_us", "zone", "last_data_us", "partial_since_us")
 
     def __init__(self, stream, connected_us):
         self.stream, self.reader, self.connected_us = stream, FrameReader(), connected_us
-        self.zone, self.last_data_us = None, connected_us
+        self.zone, self.last_data_us, self.partial_since_us = None, connected_us, None
+
+    @property
+    def partial_bytes(self):
+        """Number of bytes of the incomplete message."""
+        return len(self.reader.partial)
 
 
 class Collectors:
@@ -44,7 +60,7 @@
     order of connecting and joining.
     """
 
-    def __init__(self, loop, address, name_index, counts, on_events, max_unidentified):
+    def __init__(self, loop, address, name_index, counts, on_events, max_unidentified, max_buffered_bytes):
         self.loop, self.name_index, self.counts, self.on_events, self.max_unidentified = (
             loop,
             name_index,
@@ -52,8 +68,10 @@
             on_events,
             max_unidentified,
         )
+        self.max_buffered_bytes = max_buffered_bytes
         self.unidentified, self.collectors = {}, {}
-        self.closing_caller = None  # the caller that is just being rejected
+        self.rejected = deque()  # callers that are still to be closed
+        self.closing_caller = None  # the caller that is just being closed
         self.last_ping_us = 0
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
@@ -66,7 +84,7 @@
 
     def _accepted(self, stream):
         caller = Caller(stream, self.loop.now())
-        stream.max_unsent = MAX_UNREAD
+        stream.max_unsent, stream.read_size = MAX_UNREAD, READ_SIZE
         self.unidentified[caller] = None
         stream.start(lambda data: self._data_received(caller, data), lambda reason: self._closed(caller))
         self.counts["callers"] += 1
@@ -83,24 +101,52 @@
 
         Data may have arrived unnoticed because this process was stopped.
         """
-        caller.stream.read_now()
+        caller.stream.read_now(MAX_FINAL_BYTES)
         if caller in self.unidentified:
             self._reject(caller, reason)
 
     def _reject(self, caller, reason):
-        """Send NACK and close."""
+        """Send NACK and close, in this turn of the loop or a later one."""
         self.counts[f"shown out: {reason}"] += 1
         self.unidentified.pop(caller, None)
+        caller.stream.pause()
+        self.rejected.append(caller)
+        if len(self.rejected) == 1:
+            self.loop.soon(self._close_rejected)
+
+    def _close_rejected(self):
+        """Close rejected callers for CLOSING_SLICE_US; the rest follows in the next turn."""
+        deadline_us = self.loop.now() + CLOSING_SLICE_US
+        while self.rejected:
+            self._close_with_nack(self.rejected.popleft())
+            if self.rejected and self.loop.now() > deadline_us:
+                self.loop.soon(self._close_rejected)
+                return
+
+    def _close_with_nack(self, caller):
         self.closing_caller = caller
-        caller.stream.write(frames.NACK)
-        caller.stream.flush_and_close()
+        caller.stream.resume()
+        caller.stream.read_now(MAX_FINAL_BYTES)
         self.closing_caller = None
+        caller.stream.write(frames.NACK)
+        caller.stream.flush_and_close(0)
 
     def _sweep(self):
         self.loop.after(SWEEP_INTERVAL_US, self._sweep)
-        latest = self.loop.now() - JOIN_TIMEOUT_US
+        self._reject_late()
+        latest = self.loop.now() - MAX_PARTIAL_US
+        for caller in list(self.collectors):
+            if caller.partial_since_us is not None and caller.partial_since_us < latest:
+                self._close_collector(caller, "message without end")
+
+    def _reject_late(self):
+        """Reject callers that have not joined in time, for CLOSING_SLICE_US; the rest follows in the next turn."""
+        now = self.loop.now()
         for caller in list(self.unidentified):  # in the order of connecting
-            if caller.connected_us > latest:
+            if caller.connected_us > now - JOIN_TIMEOUT_US:
+                break
+            if self.loop.now() > now + CLOSING_SLICE_US:
+                self.loop.soon(self._reject_late)
                 break
             self._reject_unless_joining(caller, "did not join")
 
@@ -133,9 +179,12 @@
             if caller in self.unidentified:
                 self._reject(caller, f"unreadable: {error}")
             elif caller in self.collectors:
-                self._close_unreadable(caller, error)
+                self._close_collector(caller, f"unreadable: {error}")
         else:
             self._handle_before_join(caller, messages)
+            self._note_partial(caller)
+            if caller in self.unidentified and caller.stream.bytes_in > MAX_BYTES_BEFORE_JOIN:
+                self._reject(caller, "too much before joining")
 
     def _handle_before_join(self, caller, messages):
         for index, message in enumerate(messages):
@@ -177,13 +226,27 @@
             messages = caller.reader.feed(data)
         except UnreadableMessage as error:
             self._handle_messages(caller, error.before)
-            self._close_unreadable(caller, error)
+            self._close_collector(caller, f"unreadable: {error}")
             return
         self._handle_messages(caller, messages)
+        self._note_partial(caller)
 
-    def _close_unreadable(self, caller, error):
-        """Close a collector whose stream cannot be parsed any further; earlier messages have been handled."""
-        self.counts[f"collector unreadable: {error}"] += 1
+    def _note_partial(self, caller):
+        """Note since when a message is incomplete; close the caller if all such messages together are too large."""
+        if not caller.partial_bytes:
+            caller.partial_since_us = None
+            return
+        if caller.partial_since_us is None:
+            caller.partial_since_us = self.loop.now()
+        if (
+            caller in self.collectors
+            and sum(other.partial_bytes for other in self.collectors) > self.max_buffered_bytes
+        ):
+            self._close_collector(caller, "no room for its message")
+
+    def _close_collector(self, caller, reason):
+        """Close a collector whose stream cannot be read any further; earlier messages have been handled."""
+        self.counts[f"collector {reason}"] += 1
         del self.collectors[caller]
         caller.stream.close()
 
@@ -229,5 +292,7 @@
         """
         self.listener.accept_all()
         self.listener.close()
+        while self.rejected:
+            self._close_with_nack(self.rejected.popleft())
         for caller in [*self.unidentified, *self.collectors]:
             caller.stream.flush_and_close()
--- a/ospreyrouter/node/frames.py
+++ b/ospreyrouter/node/frames.py
@@ -29,12 +29,15 @@
 
 
 class FrameReader:
-    """Splits a stream of bytes into frames; `partial` holds the beginning of an incomplete one."""
+    """Splits a stream of bytes into frames; `partial` holds the beginning of an incomplete one.
 
-    __slots__ = ("partial",)
+    `missing` is the number of bytes without which no frame can be complete.
+    """
+
+    __slots__ = ("partial", "missing")
 
     def __init__(self):
-        self.partial = b""
+        self.partial, self.missing = bytearray(), 0
 
     def feed(self, data, max_length=MAX_FRAME, lifts_limit=lambda message: False):
         """The JSON values of the frames that `data` completes, as a list.
@@ -42,12 +45,19 @@
         A frame may have up to `max_length` bytes, or up to MAX_FRAME after a message for which `lifts_limit(message)`
         is true. Raises UnreadableMessage.
         """
-        data, position, messages = self.partial + data if self.partial else data, 0, []
+        self.missing -= len(data)
+        if self.partial:
+            self.partial += data
+            if self.missing > 0:  # a large frame may come in very many pieces
+                return []
+            data = bytes(self.partial)
+        position, messages, self.partial, self.missing = 0, [], bytearray(), 0
         while len(data) - position >= 4:
             size = int.from_bytes(data[position : position + 4], "big")
             if not 1 <= size <= max_length:
                 raise UnreadableMessage("length", messages)
             if len(data) - position - 4 < size:
+                self.missing = size + 4 - (len(data) - position)
                 break
             try:
                 messages.append(orjson.loads(data[position + 4 : position + 4 + size]))
@@ -55,7 +65,7 @@
                 raise UnreadableMessage("not JSON", messages) from None
             position += 4 + size
             max_length = MAX_FRAME if lifts_limit(messages[-1]) else max_length
-        self.partial = data[position:]
+        self.partial = bytearray(data[position:])
         return messages
 
 
--- a/ospreyrouter/node/service.py
+++ b/ospreyrouter/node/service.py
@@ -25,6 +25,7 @@
 
 ROUND_DELAY_US = 5_000  # from the first event to the round that handles it
 MAX_ROUND_DELAY_US = 150_000  # a round waits no longer than this for the rest of a batch of news
+MIB, BUFFERED_SHARE = 1 << 20, 0.1  # part of the memory that incomplete messages of collectors may fill
 COUNTS_INTERVAL_US = 10_000_000  # between two "counts" lines of the log
 FORGET_INTERVAL_US = 10_000_000  # between two removals of unused worker names
 RESERVED_SOCKETS = 24  # descriptors for standard streams, the loop, the listener and the links
@@ -52,7 +53,13 @@
         rng = Random(parameters.seed ^ 1)  # for the links; separate from the manager's own generator
         max_unidentified = max(8, parameters.sockets - RESERVED_SOCKETS - MAX_PROBES) * 2 // 3
         self.collectors = Collectors(
-            loop, parameters.listen, name_index, self.counts, self.handle_events, max_unidentified
+            loop,
+            parameters.listen,
+            name_index,
+            self.counts,
+            self.handle_events,
+            max_unidentified,
+            int(parameters.memory_mb * MIB * BUFFERED_SHARE),
         )
         self.watch = Watch(loop, parameters.discovery, name_index, self.counts, self.handle_events, rng, log)
         self.probes = Probes(loop, MAX_PROBES, self.counts, name_index.workers_report_load, self.watch.incarnation)
--- a/ospreyrouter/node/start.py
+++ b/ospreyrouter/node/start.py
@@ -15,6 +15,7 @@
 
 # For the program itself, its links, some probes, a collector of each zone and connections that are being rejected.
 MIN_SOCKETS = 64
+DEFAULT_MEMORY_MB = 64
 
 
 class InvalidStartParameters(Exception):
@@ -37,6 +38,7 @@
     sockets: int
     known: tuple | None
     settings: dict
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 def _require_address(text, source):
@@ -86,7 +88,11 @@
         known = parse_list(known) if known is not None else None
     except UnreadableMessage as error:
         raise InvalidStartParameters(f"{path}: known: {error}") from None
-    sockets = _require(_require(data, "limits", dict, path), "sockets", int, f"{path}: limits")
+    limits = _require(data, "limits", dict, path)
+    sockets = _require(limits, "sockets", int, f"{path}: limits")
+    memory_mb = _require({"memory_mb": DEFAULT_MEMORY_MB} | limits, "memory_mb", (int, float), f"{path}: limits")
+    if not memory_mb > 0:
+        raise InvalidStartParameters(f"{path}: limits.memory_mb: {memory_mb} is not above 0")
     if sockets < MIN_SOCKETS:
         raise InvalidStartParameters(f"{path}: limits.sockets: {sockets} is less than the minimum of {MIN_SOCKETS}")
     seed = _require(data, "seed", str, path)
@@ -95,7 +101,15 @@
     except ValueError:
         raise InvalidStartParameters(f"{path}: seed: not a hexadecimal number: {seed!r:.40}") from None
     return StartParameters(
-        environment["LB_NAME"], listen, discovery, relay, seed, sockets, known, _require(data, "settings", dict, path)
+        environment["LB_NAME"],
+        listen,
+        discovery,
+        relay,
+        seed,
+        sockets,
+        known,
+        _require(data, "settings", dict, path),
+        memory_mb,
     )
 
 
