HTTP clients take turns, and what they send half has a common limit and deadlines

Clients of a manager waited 2.1 to 3.1 s while eight others sent small requests, tiny chunks or heads of many fields, and memory grew with the number of clients that sent half a body (40 MB by 100) or requests behind a pending one (94 MB). All that a read had brought was handled at once, limits held for each connection alone, and nothing had a deadline.

Connections take turns of 1 ms, 10 ms in a turn of the loop. A refused client is read on for 0.5 s, so that no reset overtakes its answer.

--- a/ospreyrouter/deployment/model.py
+++ b/ospreyrouter/deployment/model.py
@@ -86,6 +86,14 @@
         description="HTTP address that proxies connect to, for joins, acknowledged marks and load reports"
     )
     sasp: Address | None = Field(None, description="address for balancers that speak SASP; none: SASP is not served")
+    memory_mb: float = Field(
+        512.0, ge=64, le=1e6, description="MiB of memory for the process; a quarter of it may hold unanswered requests"
+    )
+
+    @property
+    def request_bytes(self):
+        """Bytes that all requests without a response may have together."""
+        return int(self.memory_mb * (1 << 20) / 4)
 
 
 class Channel(Strict):
--- a/ospreyrouter/loop/sockets.py
+++ b/ospreyrouter/loop/sockets.py
@@ -40,6 +40,7 @@
         super().__init__(peer)
         self.loop, self.sock, self.write_buffer, self.unsent_bytes = loop, sock, [], 0
         self.closing, self.flush_scheduled, self.read_size = False, False, READ_SIZE
+        self.lingering = False  # the sending side is closed once all is sent; what arrives is discarded
         if sock.family != socket.AF_UNIX:
             try:
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -161,10 +162,35 @@
             self.bytes_out += sent
             self.write_buffer = [data[sent:]] if sent < len(data) else []
         if self.closing and not self.write_buffer:
-            self._finish("closed here")
+            self._all_sent()
         else:
             self._update_events()
 
+    def _all_sent(self):
+        """All that was written before the close has been sent."""
+        if not self.lingering:
+            self._finish("closed here")
+            return
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:  # the peer is gone already
+            self._finish("closed here")
+            return
+        self._update_events()
+
+    def linger_and_close(self, us):
+        """Send what was written, then discard what arrives until the peer closes, for `us` microseconds at most.
+
+        Closing at once while the peer still sends would reset the connection, and the peer might miss the answer.
+        """
+        if not self.open or self.closing:
+            return
+        self.on_data, self.closing, self.lingering = None, True, True
+        self.loop.after(us, lambda: self._finish("closed here"))
+        self.resume()
+        if not self.write_buffer:
+            self._all_sent()
+
     def close(self):
         """Close once the write buffer has been sent."""
         if self.open and not self.closing:
--- a/ospreyrouter/loop/streams.py
+++ b/ospreyrouter/loop/streams.py
@@ -50,6 +50,10 @@
         """Deliver what has arrived by now, at most `max_bytes`, send the answers to it, and close at once."""
         raise NotImplementedError
 
+    def linger_and_close(self, us):
+        """Send what was written, then discard what arrives until the peer closes, for `us` microseconds at most."""
+        raise NotImplementedError
+
     def abort(self, reason="aborted"):
         """Close at once and drop what was not sent; the peer sees a reset."""
         raise NotImplementedError
--- a/ospreyrouter/loop/virtual.py
+++ b/ospreyrouter/loop/virtual.py
@@ -91,6 +91,10 @@
         self.read_now()
         self.close()
 
+    def linger_and_close(self, us):
+        """Close; here that loses nothing that was written."""
+        self.close()
+
     def abort(self, reason="aborted"):
         """Close at once; the peer sees a reset."""
         if self.open:
--- a/ospreyrouter/manager/service.py
+++ b/ospreyrouter/manager/service.py
@@ -103,7 +103,10 @@
         cached = read_worker_list(folder, name)
         if cached is not None:
             self.worker_list.use(cached, cached=True)
-        self.server = Server(loop, setup.managers[self.manager_index].listen.pair, self._handle_request, self.counts)
+        place = setup.managers[self.manager_index]
+        self.server = Server(
+            loop, place.listen.pair, self._handle_request, self.counts, max_buffered=place.request_bytes
+        )
         self.address = self.server.address
         self._maintain_custody()
         self._monitor_sites()
--- a/ospreyrouter/web/server.py
+++ b/ospreyrouter/web/server.py
@@ -6,15 +6,24 @@
 
 A request that is malformed or too large is counted in `counts` and refused, and its connection is closed. To respond
 again, or to a peer that is gone, has no effect.
-"""
 
-from collections import Counter
+No client may take all of the time or memory. Connections with unhandled input take turns, each for
+CONNECTION_SLICE_US, all together for TURN_SLICE_US in a turn of the loop. All requests without a response together may
+have `max_buffered` bytes; beyond that the connection with most of what is not handled yet is refused. Incomplete
+requests and idle connections have deadlines.
+"""
 
-import h11
+from collections import Counter, deque
 
 from ..loop import AddressUnavailable
-
-MAX_HEAD = 32 << 10  # bytes of a request head
+from .connection import Connection, Request
+
+TURN_SLICE_US, CONNECTION_SLICE_US = 10_000, 1_000
+MAX_BUFFERED = 64 << 20  # bytes
+SWEEP_INTERVAL_US = 1_000_000
+MAX_REQUEST_US = 30_000_000  # from the first byte of a request to its last
+MAX_IDLE_US = 300_000_000  # without a request
+MIN_IDLE_US = 1_000_000  # after which an idle connection may be closed for a new one, where there are too many
 REFUSED_TIMEOUT_US = 500_000  # for the first request of a connection beyond the limit
 DRAIN_QUIET_US = 50_000  # when draining: time for requests that are on their way to arrive
 MAX_DRAIN_US = 1_000_000  # when draining: requests without a response after this time get 503
@@ -22,173 +31,107 @@
 OVERLOADED = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\nretry-after: 1\r\n\r\n"
 
 
-class Request:
-    """A request. `headers` is a dictionary by lower-case name, `body` is bytes.
-
-    Handlers may keep state in `connection.context` for as long as the connection lasts.
-    """
-
-    __slots__ = ("method", "path", "headers", "body", "connection", "responded")
-
-    def __init__(self, method, path, headers, body, connection):
-        self.method, self.path, self.headers, self.body = method, path, headers, body
-        self.connection, self.responded = connection, False
-
-    def respond(self, status, headers=(), body=b""):
-        """Send the response; only the first call has an effect. `headers`: (name, value) pairs."""
-        if not self.responded:
-            self.responded = True
-            self.connection._respond(status, headers, body)
-
-
-class Connection:
-    """A connection of a client; `on_closed(reason)`, if set, is called when it ends."""
-
-    def __init__(self, server, stream):
-        self.server, self.stream, self.http = server, stream, h11.Connection(h11.SERVER, MAX_HEAD)
-        self.context, self.on_closed, self.head, self.body, self.body_size = None, None, None, [], 0
-        self.pending_request = None  # the request that has no response yet
-        stream.start(self._received, self._closed)
-
-    @property
-    def open(self):
-        """Whether the stream is still open."""
-        return self.stream.open
-
-    def _closed(self, reason):
-        self.server.remove(self)
-        if self.on_closed is not None:
-            self.on_closed(reason)
-
-    def close(self):
-        """Close once all that was written has been sent."""
-        self.stream.close()
-
-    def abort(self, reason):
-        """Reset the connection."""
-        self.stream.abort(reason)
-        if self.on_closed is None:
-            self.server.remove(self)
-
-    def end_if_idle(self):
-        """Close the connection unless a request is pending or incomplete; for the end of the server.
-
-        What has arrived by now is read first: closing a socket with unread data would send a reset.
-        """
-        self.stream.read_now()
-        incomplete = self.head is not None or self.http.trailing_data[0]
-        if self.pending_request is None and not incomplete:
-            self.stream.close()
-
-    def give_up(self):
-        """Refuse the pending or incomplete request, which could not be served in time; for the end of the server."""
-        if self.pending_request is not None:
-            self.pending_request.respond(503, [("connection", "close"), ("retry-after", "1")])
-        elif self.stream.open:
-            self._refuse(503, "incomplete at the end")
-
-    def _refuse(self, status, reason):
-        self.server.counts[reason] += 1
-        try:
-            head = h11.Response(status_code=status, headers=[("connection", "close"), ("content-length", "0")])
-            self.stream.write(self.http.send(head) + self.http.send(h11.EndOfMessage()))
-        except h11.LocalProtocolError:
-            pass  # within a response: only closing is possible
-        self.stream.close()
-
-    def _received(self, data):
-        try:
-            self.http.receive_data(data)
-            self._process_events()
-        except h11.RemoteProtocolError as error:
-            self._refuse(getattr(error, "error_status_hint", 400) or 400, "malformed")
-
-    def _process_events(self):
-        while self.stream.open and self.pending_request is None:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                if self.http.they_are_waiting_for_100_continue:
-                    self.stream.write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
-                return
-            if event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
-                self.head, self.body, self.body_size = event, [], 0
-                length = dict(event.headers).get(b"content-length", b"0")
-                if int(length) > self.server.max_body:
-                    self._refuse(413, "too large")
-                    return
-            elif isinstance(event, h11.Data):
-                self.body_size += len(event.data)
-                if self.body_size > self.server.max_body:
-                    self._refuse(413, "too large")
-                    return
-                self.body.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                head, body = self.head, b"".join(self.body)
-                self.head, self.body = None, []
-                headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-                request = Request(head.method.decode(), head.target.decode("latin-1"), headers, body, self)
-                self.pending_request = request
-                self.server.counts["requests"] += 1
-                self.server.handle(request)
-            elif isinstance(event, h11.ConnectionClosed):
-                self.stream.close()
-                return
-
-    def _respond(self, status, headers, body):
-        if not self.stream.open:
-            return
-        head = [*headers, ("content-length", str(len(body)))] if status not in (204, 304) else list(headers)
-        data = self.http.send(h11.Response(status_code=status, headers=head))
-        if body and status not in (204, 304):
-            data += self.http.send(h11.Data(data=body))
-        data += self.http.send(h11.EndOfMessage())
-        self.stream.write(data)
-        self.pending_request = None
-        if self.http.our_state is h11.MUST_CLOSE:
-            self.stream.close()
-        elif self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
-            self.http.start_next_cycle()
-            self.server.loop.soon(self._process_buffered)
-
-    def _process_buffered(self):
-        try:
-            self._process_events()
-        except h11.RemoteProtocolError:
-            self._refuse(400, "malformed")
-        if self.server.draining:
-            self.end_if_idle()
-
-
 class Server:
     """See the top of this module. Raises AddressUnavailable.
 
-    `max_body` is in bytes; connections beyond `max_connections` get 503.
+    `max_body` and `max_buffered` are in bytes; connections beyond `max_connections` get 503. `buffered` is the number
+    of bytes that are kept of requests without a response.
     """
 
-    def __init__(self, loop, address, handle, counts=None, max_body=8 << 20, max_connections=4096):
-        self.loop, self.handle, self.max_body = loop, handle, max_body
+    def __init__(
+        self, loop, address, handle, counts=None, max_body=8 << 20, max_connections=4096, max_buffered=MAX_BUFFERED
+    ):
+        self.loop, self.handle, self.max_body, self.max_buffered = loop, handle, max_body, max_buffered
+        self.buffered, self.runnable, self.run_scheduled = 0, deque(), False
         self.counts = Counter() if counts is None else counts
         # A dictionary in place of a set, for its order: simulated runs then end connections in the same order.
         self.connections, self.max_connections = {}, max_connections
         self.listener = loop.listen(address, self._accepted)
         self.address = self.listener.address
-        self.draining, self.on_drained = False, None
+        self.draining, self.closed, self.on_drained = False, False, None
+        self._sweep()
+
+    def schedule(self, connection):
+        """Give a connection time to handle its input."""
+        if not connection.scheduled:
+            connection.scheduled = True
+            self.runnable.append(connection)
+        if not self.run_scheduled:
+            self.run_scheduled = True
+            self.loop.soon(self._run)
+
+    def _run(self):
+        """Let connections handle their input in turn, for TURN_SLICE_US."""
+        self.run_scheduled, deadline_us = False, self.loop.now() + TURN_SLICE_US
+        try:
+            while self.runnable:
+                self._run_next()
+                if self.loop.now() >= deadline_us:
+                    break
+        finally:  # an error at one connection does not stop the others
+            if self.runnable and not self.run_scheduled:
+                self.run_scheduled = True
+                self.loop.soon(self._run)
+
+    def _run_next(self):
+        connection = self.runnable.popleft()
+        connection.scheduled = False
+        if connection.process(self.loop.now() + CONNECTION_SLICE_US):
+            self.schedule(connection)
+        if self.draining and connection.open:
+            connection.end_if_idle()
+
+    def count_buffered(self, connection):
+        """Update `buffered` for a connection; if it is beyond the limit, the largest incomplete request is refused."""
+        size = connection.buffered_bytes if connection in self.connections else 0
+        self.buffered += size - connection.counted_bytes
+        connection.counted_bytes = size
+        if self.buffered > self.max_buffered:
+            largest = max(self.connections, key=lambda other: other.unhandled_bytes, default=None)
+            if largest is not None and largest.unhandled_bytes:
+                largest.refuse_for_room()
+
+    def _sweep(self):
+        """Refuse requests that do not become complete, and close connections without any."""
+        if self.closed:
+            return
+        self.loop.after(SWEEP_INTERVAL_US, self._sweep)
+        now = self.loop.now()
+        for connection in list(self.connections):
+            if connection.pending_request is not None:
+                continue
+            if connection.began_us is not None and now - connection.began_us > MAX_REQUEST_US:
+                connection.refuse(408, "incomplete for too long")
+            elif connection.began_us is None and now - connection.idle_since_us > MAX_IDLE_US:
+                self.counts["idle for too long"] += 1
+                connection.close()
 
     def remove(self, connection):
         """Called by a connection that has ended."""
         self.connections.pop(connection, None)
+        self.count_buffered(connection)
         if self.draining and not self.connections:
             self._drained()
 
     def _accepted(self, stream):
-        if len(self.connections) >= self.max_connections:
+        if len(self.connections) >= self.max_connections and not self._close_longest_idle():
             self.counts["too many connections"] += 1
             self._refuse_connection(stream)
             return
         self.connections[Connection(self, stream)] = None
 
+    def _close_longest_idle(self):
+        """Close the connection that has been idle for longest; returns whether there was one."""
+        now = self.loop.now()
+        for connection in self.connections:
+            is_idle = connection.pending_request is None and connection.began_us is None and not connection.refused
+            if is_idle and now - connection.idle_since_us >= MIN_IDLE_US:
+                self.counts["idle beyond the limit"] += 1
+                connection.close()
+                self.remove(connection)
+                return True
+        return False
+
     def _refuse_connection(self, stream):
         """Send 503 after the first request; reset the connection if none arrives within REFUSED_TIMEOUT_US."""
 
@@ -223,12 +166,14 @@
         self._drained()
 
     def _drained(self):
+        self.closed = True
         on_drained, self.on_drained = self.on_drained, None
         if on_drained is not None:
             on_drained()
 
     def close(self):
         """Close the listener and all connections without waiting for responses."""
+        self.closed = True
         self.listener.close()
         for connection in list(self.connections):
             connection.close()
--- a/tests/test_endless_clients.py
+++ b/tests/test_endless_clients.py
@@ -4,16 +4,21 @@
 import socket
 import threading
 import time
+import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from ospreyrouter.node import frames
+from ospreyrouter.web import Server, connection
+from ospreyrouter.web import server as web_server
 
-from .peers import StandInDiscovery, StandInRelay
+from .peers import LOOPBACK, SECOND, LiveCase, StandInDiscovery, StandInRelay
 from .program_case import ProgramCase
 
 PING = frames.encode_frame({"msg": "PING"})
 JOIN = frames.encode_frame({"msg": "SOURCE", "az": "a"})
 REPORT = frames.encode_frame({"msg": "SHARD", "partition": 1, "kind": "read", "n": 40, "bad": 1, "window": 1000.0})
+GET = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 FLOOD_S = 3.0
 MAX_WAIT_S = 0.5  # of another client for its answer
 MEMORY_MB = 192  # limit of the settings
@@ -120,3 +125,93 @@
                 caller.sendall(half_message)
         self.assertLess(longest_wait(self.listen_address, PING, lambda data: data == frames.PONG, 0.5), MAX_WAIT_S)
         self.assertLess(memory_mb(self.process), MEMORY_MB)
+
+
+class HttpServerTest(LiveCase):
+    """`web.Server`, run in a thread of its own."""
+
+    LIMIT = 8 << 20  # of what the server buffers
+
+    def serve(self, answer_after_us=0):
+        """Start a server that answers each request after that time."""
+
+        def handle(request):
+            if answer_after_us:
+                self.loop.after(answer_after_us, lambda: request.respond(200))
+            else:
+                request.respond(200)
+
+        self.server = Server(self.loop, LOOPBACK, handle, max_buffered=self.LIMIT)
+        self.addCleanup(self.server.close)
+        thread = threading.Thread(target=self.loop.run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 5)
+        self.addCleanup(self.loop.stop)
+
+    def longest_wait(self):
+        """The longest wait of another client for its answer while FLOOD_S pass."""
+        return longest_wait(self.server.address, GET, lambda data: data.startswith(b"HTTP/1.1 200"), FLOOD_S / 2)
+
+    def test_a_client_that_sends_without_end_keeps_no_other_from_its_answer(self):
+        self.serve()
+        chunked = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+        cases = {
+            "small requests": {"repeated": GET * 2000},
+            "tiny chunks": {"repeated": chunked + b"1\r\nx\r\n" * 100_000 + b"0\r\n\r\n"},
+            "heads of many fields": {"repeated": b"GET / HTTP/1.1\r\nhost: a\r\n" + b"a:\r\n" * 190 + b"\r\n"},
+            "a head without end": {"first": GET[:-2], "repeated": b"a:\r\n" * 5000},
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                senders = [EndlessSender(self.server.address, **data) for _ in range(8)]
+                wait_s = self.longest_wait()
+                for sender in senders:
+                    sender.stop()
+                self.assertLess(wait_s, MAX_WAIT_S)
+
+    def test_what_hundreds_of_clients_left_half_sent_has_a_common_limit(self):
+        self.serve(answer_after_us=SECOND)
+        half_body = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n" + b"x" * 400_000
+        for name, data in {"half bodies": half_body, "requests behind one": GET * 20_000}.items():
+            with self.subTest(name):
+                callers = [socket.create_connection(self.server.address, 10) for _ in range(100)]
+                for caller in callers:
+                    caller.setblocking(False)
+                    self.addCleanup(caller.close)
+                unsent, most, end_s = dict.fromkeys(callers, data), 0, time.monotonic() + 2
+                while time.monotonic() < end_s:
+                    for caller in list(unsent):
+                        try:
+                            unsent[caller] = unsent[caller][caller.send(unsent[caller][:50_000]) :]
+                        except BlockingIOError:
+                            continue
+                        except OSError:
+                            del unsent[caller]
+                    most = max(most, self.server.buffered)
+                self.assertLessEqual(most, self.LIMIT + 200 * connection.READ_SIZE)
+                self.assertLess(self.longest_wait(), 1 + MAX_WAIT_S)
+                for caller in callers:
+                    caller.close()
+
+    def test_a_client_over_a_limit_gets_the_answer_of_the_protocol(self):
+        self.serve()
+        for status, data in (
+            (431, GET[:-2] + b"a:\r\n" * 5000 + b"\r\n"),
+            (431, GET[:-2] + b"a" * (40 << 10)),
+            (413, b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 90000000\r\n\r\n" + b"x" * 1_000_000),
+        ):
+            with self.subTest(status=status), socket.create_connection(self.server.address, 5) as caller:
+                caller.sendall(data)
+                self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 %d" % status))
+
+    def test_half_a_request_is_refused_after_its_deadline(self):
+        with patch.object(web_server, "MAX_REQUEST_US", SECOND // 2):
+            self.serve()
+            for data in (GET[:10], b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nx"):
+                with self.subTest(data=data), socket.create_connection(self.server.address, 5) as caller:
+                    caller.sendall(data)
+                    self.assertTrue(caller.recv(4096).startswith(b"HTTP/1.1 408"))
+
+
+if __name__ == "__main__":
+    unittest.main()
