Cold servers get no slices whose demand is not known yet

Unknown demand counted as the mean of the others and passed both limits of cold servers, and the hash that places a slice without a server went over all servers.

For 8 s from a start or a grant a slice without a sufficient report may have any part of the traffic: a cold server gets nothing more of it while a warm one is there, by placing, exchange of bins or readmission. Once its demand is known, the servers that took it are held to their bins in the next layout, so that cold ones carry their part.

--- a/ospreyrouter/packing.py
+++ b/ospreyrouter/packing.py
@@ -12,14 +12,15 @@
 MIN_PART = 0.25  # of the rest of a slice: a smaller part is not worth a line at every proxy
 
 
-def pack_slices(popularity, bins, held, limits=None, max_popularity=None, max_loads=None):
+def pack_slices(popularity, bins, held, limits=None, max_popularity=None, max_loads=None, unknown=frozenset()):
     """Packs slices by ModifiedBestFit into bins that may hold parts of slices already; returns {slice: {server: part}}.
 
     `popularity`: {slice: requests per window}. `bins`: {server: size}; ties go to the first server in it.
     `held`: {slice: {server: fraction}}. `limits`: {server: size up to which it keeps what it holds}, the most popular
     slice first; None: it keeps all. `max_popularity`: {server: popularity of the largest slice it may get a part of},
     because a server also gets the tries that other servers refuse. `max_loads`: {server: load that it gets at most, as
-    long as any other server is allowed}, beyond its bin where all bins are full.
+    long as any other server is allowed}, beyond its bin where all bins are full. `unknown`: slices whose popularity is
+    only assumed; a server with a `max_popularity` gets nothing more of them if any other server is there.
 
     The rest of a slice goes to the server that has least room left after it. If it fits nowhere, the server with the
     most room is filled, and what remains is queued again.
@@ -45,9 +46,8 @@
     while heap and room:
         remaining, slice_index = heapq.heappop(heap)
         remaining = -remaining
-        allowed = [each for each in room if popularity[slice_index] <= max_popularity.get(each, float("inf"))] or list(
-            room
-        )
+        size = float("inf") if slice_index in unknown else popularity[slice_index]
+        allowed = [each for each in room if each not in max_popularity or size <= max_popularity[each]] or list(room)
         fitting = [each for each in allowed if room[each] >= remaining]
         server = min(fitting, key=room.get) if fitting else max(allowed, key=room.get)
         part = remaining if fitting else room[server]
@@ -64,14 +64,16 @@
     return placed
 
 
-def match_bins(placed, bins, held):
+def match_bins(placed, bins, held, limited=frozenset()):
     """Exchanges bins of equal size between servers so that the fewest slices have to be loaded.
 
+    `limited`: servers with further limits than their bin, which exchange bins only with each other.
+
     Arguments and result are as for `pack_slices`; `placed` is its result.
     """
     groups, targets = {}, {}
     for server in bins:
-        groups.setdefault(bins[server], []).append(server)
+        groups.setdefault((bins[server], server in limited), []).append(server)
     content = {server: [] for server in bins}
     for slice_index, parts in placed.items():
         for server in parts:
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -99,6 +99,8 @@
         # By slice: the lingering replica, the demand the layout was made for, the start of ownership and the last
         # report. Then the mean load of a server in that layout, in tries per window, as far as it is believed.
         self.lingering, self.planned_demand, self.owned_since, self.last_report_at, self.mean_load = {}, {}, {}, {}, 0.0
+        # Slices whose planned demand is only assumed; those that were placed anew by such a plan.
+        self.unknown_demand, self.placed_by_assumption = set(), set()
         self.demand = {slice_index: BucketRing(WINDOW_US, WINDOW_COUNT + 1, 1) for slice_index in self.slices}
         # Whether the layout has to be updated in this round; when the next window and the next tick begin; when health
         # was updated last; workers that may not exceed the load that their capacity allows.
@@ -534,6 +536,21 @@
         mean = sum(reported.values()) / len(reported) if reported else 1.0
         return reported | dict.fromkeys(unreported, mean), set(unreported)
 
+    def slices_of_unknown_demand(self, unreported):
+        """Those of the slices without a sufficient report that may have any demand.
+
+        A report that covers a window would have arrived NO_REPORT_US after it: from then on there is none to wait for.
+        """
+        since = self.now - WINDOW_US - NO_REPORT_US
+        return {slice_index for slice_index in unreported if self.owned_since.get(slice_index, 0) > since}
+
+    def demand_at_cold_servers(self):
+        """{slice: demand in tries per window that a cold server has to expect}, by the plan.
+
+        Where the demand is not known, after a start or a hand-over, one slice may have all of the traffic.
+        """
+        return self.planned_demand | dict.fromkeys(self.unknown_demand, sum(self.planned_demand.values()))
+
     def fleet_load(self, demand, servers):
         """What these servers have to carry for `demand`, in tries per window, and what they can, as a FleetLoad."""
         usual, measured = (
@@ -636,6 +653,7 @@
         total, total_capacity = sum(popularity.values()), sum(capacity.values())
         fleet = self.fleet_load(total, capacity)
         self.planned_demand, self.mean_load = popularity, fleet.believed_demand / len(capacity)
+        unknown = self.unknown_demand = self.slices_of_unknown_demand(unreported)
         self.surge_threshold = self.mean_load * self.setup.overload_multiple
         slot, cold_slot = total / len(capacity) / SLOTS_PER_BIN, self.mean_load / SLOTS_PER_BIN
         # Each manager uses an order of its own, or all would choose the same few of the servers that have just started.
@@ -660,7 +678,9 @@
                 server: weight / total_weight for server, weight in lines.items() if server in capacity
             }
             if not held[slice_index] and slice_index in unreported:
-                held[slice_index] = {rendezvous_server(slice_index, capacity): 1.0}
+                # Its demand may be any part of the traffic, which a cold server might not carry.
+                self.placed_by_assumption.add(slice_index)
+                held[slice_index] = {rendezvous_server(slice_index, capacity.keys() - max_popularity or capacity): 1.0}
 
         def loads(placed):
             """{server: load} of {slice: {server: load}}."""
@@ -676,18 +696,24 @@
         retained = (
             None if settled else {server: bins[server] if server in max_popularity else float("inf") for server in bins}
         )
-        present, limits = pack_slices(popularity, bins, held, retained, max_popularity, max_loads), dict(bins)
+        now_known = self.placed_by_assumption - unknown
+        self.placed_by_assumption &= unknown
+        overfilled = {server for slice_index in now_known for server in held.get(slice_index, ())}
+        present = pack_slices(popularity, bins, held, retained, max_popularity, max_loads, unknown)
+        limits = dict(bins)
         for server, load in loads(present).items():
-            # A server that answers well within the quoted time is not overloaded, whatever its load by count.
+            # A server that answers well within the quoted time is not overloaded, whatever its load by count. Where it
+            # was given slices of unknown demand in place of cold servers, its bin decides once the demand is known.
             record = self.workers[server]
             if (
                 not record.overloaded
                 and record.health > 0.9
                 and self.warmth(server) == 1.0
-                and server not in self.capped_workers
+                and server not in self.capped_workers | overfilled
             ):
                 limits[server] = max(bins[server], load)
-        fresh = match_bins(pack_slices(popularity, bins, held, limits, max_popularity, max_loads), bins, held)
+        fresh = pack_slices(popularity, bins, held, limits, max_popularity, max_loads, unknown)
+        fresh = match_bins(fresh, bins, held, max_popularity.keys())
         present_peak, fresh_peak = (
             max(load / limits[server] for server, load in loads(candidate).items()) for candidate in (present, fresh)
         )
--- a/ospreyrouter/table_updates.py
+++ b/ospreyrouter/table_updates.py
@@ -50,7 +50,8 @@
         load, half_left = self.planned_demand.get(slice_index, 1.0), left >= 0.5 * sum(table.values())
         # A slice of which mostly cold servers are left, which were planned for a small part of it, is as urgent as one
         # without servers.
-        enough_left = bool(table.keys() & usable) and (half_left or cold <= 0.5 * left or load <= self.mean_load)
+        is_small = load <= self.mean_load and slice_index not in self.unknown_demand
+        enough_left = bool(table.keys() & usable) and (half_left or cold <= 0.5 * left or is_small)
         if not usable:  # no change of a table gives its slice a server; readmissions do
             enough_left = half_left = True
         return TableChange(slice_index, difference * load, enough_left, half_left)
@@ -101,6 +102,8 @@
             for server in self.tables[slice_index].keys() & slices_by_server.keys():
                 slices_by_server[server].append(slice_index)
 
+        demand = self.demand_at_cold_servers()
+
         def plan(server):
             tables = {slice_index: self.tables[slice_index] for slice_index in slices_by_server[server]}
             targets = {slice_index: self.next_target(slice_index, pending, {server}) for slice_index in tables}
@@ -109,7 +112,7 @@
             # has its load from all proxies but those that missed that.
             is_limited = usable and server not in self.withdrawals.readmitted
             max_load = self.max_readmitted_load(server) if is_limited else float("inf")
-            return plan_readmission(server, tables, targets, usable, self.planned_demand, max_load)
+            return plan_readmission(server, tables, targets, usable, demand, max_load)
 
         for server in sorted(
             slices_by_server.keys() - draft.readmitted, key=lambda server: (plan(server).cost, server)
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -382,6 +382,49 @@
             chosen |= {worker for parts in harness.manager.layout.values() for worker in parts if worker in new_servers}
         self.assertGreaterEqual(len(chosen), 9)  # each manager places five slices, two per server
 
+    def test_slices_in_demand_are_not_given_to_cold_servers_while_their_demand_is_unknown(self):
+        # After a restart two slices with a tenth of the traffic each were given to two servers that had just started.
+        cold, leaving = range(8, 12), range(4)
+        for known_from in ("start", "hand-over", "grant of two slices"):
+            with self.subTest(known_from=known_from):
+                harness = ManagerHarness(workers=8, slice_count=32, total_proxies=4)
+                demand = dict.fromkeys(range(32), 20)
+                if known_from != "start":
+                    harness.run(6, demand=demand)
+                    lost = range(32) if known_from == "hand-over" else (0, 8)
+                    harness.round(
+                        *(
+                            event
+                            for index in lost
+                            for event in (
+                                ("slice_ownership_changed", index, False),
+                                ("slice_ownership_changed", index, True),
+                                ("table_line_loaded", index, index % 8, 1.0),
+                            )
+                        ),
+                        after=0.1,
+                    )
+                started = harness.now
+                added = [entry(worker, started=started) for worker in cold]
+                harness.round(("worker_list_received", False, added), after=0.1)
+                harness.round(
+                    *(("probe_completed", worker, ProbeOutcome.PASSED, 1000, {}) for worker in cold), after=0.1
+                )
+                drained = [entry(worker, DRAINING) for worker in leaving]
+                harness.round(("worker_list_received", False, drained), after=0.1)
+                harness.run(1)
+                unknown = range(32) if known_from != "grant of two slices" else (0, 8)
+                given = {index for index in unknown for worker in cold if worker in harness.recorded.tables[index]}
+                self.assertEqual(given, set())
+                harness.run(12, demand=demand)  # where the demand is known they carry their part
+                carried = sum(
+                    weight
+                    for table in harness.recorded.tables.values()
+                    for worker, weight in table.items()
+                    if worker in cold
+                )
+                self.assertGreater(carried, 1.0)
+
     def test_slices_of_draining_servers_are_not_left_to_small_parts_at_cold_servers(self):
         """Forty servers on a slow channel. Twelve of them are cold and hold a seventh of some slices."""
         warm, cold, draining = range(28), range(28, 40), range(8)
