The next owner of a slice is named when no write can be in flight to the former one

InFlightMaxS and WriteLeaseS were read and used nowhere. A server dropped from a plan that had not been sent was also kept as a lingering replica, whose line could replace the owner's.

The owner is withdrawn and the level of its slices set to 0; the next one is named when all joined proxies have acknowledged that, the lease has passed for the others and for a grant, and then the longest time in flight.

test_with_single_owners_each_slice_stays_at_one_server expected the next owners in the same round, which the rule forbids; it expects exactly the same ones after the time in flight.

--- a/ospreyrouter/pending_updates.py
+++ b/ospreyrouter/pending_updates.py
@@ -44,6 +44,7 @@
     `table_changes`: TableChange objects, the most urgent first.
     `withdraw_now`, `withdraw_again`: workers to withdraw because the list demands it, or because some proxy may have
         missed it.
+    `slice_levels`: (slice, level) pairs to be ordered for slices with a single owner.
     """
 
     target_tables: dict
@@ -56,6 +57,7 @@
     table_changes: list = field(default_factory=list)
     withdraw_now: list = field(default_factory=list)
     withdraw_again: list = field(default_factory=list)
+    slice_levels: list = field(default_factory=list)
     levels_changed: bool = False
 
     @property
@@ -91,7 +93,9 @@
     @property
     def has_updates(self):
         """Whether anything apart from levels is due."""
-        return bool(self.table_changes or self.to_withdraw or self.readmit_now or self.readmit_later)
+        return bool(
+            self.table_changes or self.to_withdraw or self.readmit_now or self.readmit_later or self.slice_levels
+        )
 
     @property
     def urgency(self):
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -29,6 +29,7 @@
 from .channel_schedule import ChannelSchedule, Urgency
 from .cold_limits import FleetLoad
 from .interface import Deployment, Orders, ProbeOutcome, WorkerState
+from .owner_handover import OwnerHandovers
 from .packing import match_bins, pack_slices, rendezvous_server
 from .proxy_messages import MARK_COUNT, ProxyMessages
 from .proxy_traffic import ProxyTraffic
@@ -130,6 +131,7 @@
         # The number of urgent lines that wait for room in the channel, when the ordered wake-up is due, and when the
         # next message may go, which waits until the channel is about to be free (None: no message waits).
         self.withdrawals, self.deferred_lines, self.wakeup_at, self.send_at = Withdrawals(setup), 0, 0, None
+        self.handovers = OwnerHandovers(setup) if setup.single_owner else None
         # For the log: why the last message was sent, and the number of messages by reason.
         self.last_urgency, self.message_counts = Urgency.ORDINARY, Counter()
 
@@ -198,6 +200,8 @@
         self.proxy_traffic.record_rate(proxy, rate)
         # Every message carries the present levels, so a proxy that has acknowledged one since they were set has them.
         acknowledged = self.withdrawals.record_proxy_join(self.now, proxy, fresh)
+        if self.handovers is not None:
+            self.handovers.record_join(proxy, fresh, acknowledged)
         if acknowledged < self.levels_message:
             self.newcomers_since = self.now if self.newcomers_since is None else self.newcomers_since
         if not self.setup.slice_count:
@@ -206,6 +210,8 @@
     def proxy_left(self, proxy):
         """A proxy has left the channel."""
         self.proxies.discard(proxy)
+        if self.handovers is not None:
+            self.handovers.record_leave(self.now, proxy)
         if not self.proxies:
             self.schedule.sent_messages.expect_no_acknowledgements(self.now)
 
@@ -216,6 +222,8 @@
         self.tables[slice_index], self.layout[slice_index], self.lingering[slice_index] = {}, {}, None
         (self.owned_slices.add if owned else self.owned_slices.discard)(slice_index)
         self.owned_since[slice_index] = self.now
+        if self.handovers is not None:
+            self.handovers.forget(slice_index)
         self.demand[slice_index] = BucketRing(WINDOW_US, WINDOW_COUNT + 1, 1)
         self.layout_due = True
 
@@ -726,7 +734,7 @@
                 server: round(part / total_weight, 2) for server, part in parts.items() if part >= 0.02 * total_weight
             }
             dropped = [server for server in self.layout[slice_index] if server not in shares and server in capacity]
-            if dropped:
+            if dropped and not self.setup.single_owner:
                 self.lingering[slice_index] = max(
                     dropped, key=lambda server: (self.layout[slice_index][server], -server)
                 )
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -5,14 +5,11 @@
 """
 
 from .channel_schedule import UNCONFIRMED_FILL, Urgency
-from .interface import ALL_TABLES, RetryPolicy
+from .interface import ALL_TABLES
 from .pending_updates import MessageBudget, MessageDraft, PendingUpdates
-from .table_updates import TableUpdates
+from .table_updates import RETRY_POLICY, TableUpdates
 
 MARK_COUNT = 65536  # marks are numbered from 0 to MARK_COUNT - 1
-# Retry policy for every class: a try that may have run is never repeated. Repeating even idempotent tries would double
-# the load during an overload.
-RETRY_POLICY = RetryPolicy.IF_NOT_RUN
 
 
 class ProxyMessages(TableUpdates):
@@ -148,6 +145,11 @@
         readmit_now = sorted(capacity.keys() & (self.withdrawals.withdrawn | due_again & named))
         lost = named - capacity.keys()
         pending = PendingUpdates(targets, usable, warm, named, lost, readmit_now, sorted(due_again - named))
+        if self.handovers is not None:
+            former_owners = self.former_owners(lost)
+            states = [self.withdrawals.proxy_states[proxy] for proxy in sorted(self.proxies)]
+            self.handovers.update(self.now, former_owners, states, self.withdrawals.messages_by_worker)
+            pending.slice_levels = self.handovers.due_levels(sorted(self.owned_slices), former_owners)
         pending.table_changes = self.collect_table_changes(pending, capacity)
         return pending
 
@@ -158,6 +160,8 @@
         readmitted_later = pending.readmit_later[: int(budget.ordinary_room(len(to_withdraw)))]
         for worker in to_withdraw:
             self.orders.set_withheld(worker, True)
+        if self.handovers is not None:
+            self.handovers.repeat_levels(self.former_owners(set(to_withdraw)))
         draft = MessageDraft(len(to_withdraw) + len(readmitted_later))
         self.write_tables(pending, [change for change in pending.table_changes if not change.can_wait], budget, draft)
         full_before_readmissions = draft.full
@@ -171,6 +175,7 @@
         self.write_tables(pending, ordinary, budget, draft)
         if not full_before_readmissions:
             self.write_removals(pending, budget, draft, self.removal_room(budget, draft))
+        self.write_slice_levels(pending, budget, draft)
         lines, readmitted = draft.lines, readmitted_later + sorted(draft.readmitted)
         for worker in readmitted:
             self.orders.set_withheld(worker, False)
--- a/ospreyrouter/table_updates.py
+++ b/ospreyrouter/table_updates.py
@@ -6,9 +6,13 @@
 from dataclasses import replace
 
 from .coverage import EPSILON, differs, plan_readmission, plan_removals, safe_target, update_table
+from .interface import RetryPolicy
 from .packing import rendezvous_server
 from .pending_updates import TableChange
 
+# Retry policy for every class: a try that may have run is never repeated. Repeating even idempotent tries would double
+# the load during an overload.
+RETRY_POLICY = RetryPolicy.IF_NOT_RUN
 LINGER_WEIGHT = 0.01  # weight of a lingering replica: enough for retries, too small to count as load
 
 
@@ -36,6 +40,8 @@
     def table_change(self, slice_index, pending, capacity):
         """How a table differs from the one it is to be, as a TableChange; None if it does not."""
         table, usable = self.tables[slice_index], pending.usable
+        if slice_index in self.former_owners(pending.lost) and not self.may_name_owner(slice_index):
+            return None
         lines, cold_servers = self.next_target(slice_index, pending), usable - pending.warm
         left, cold = (sum(table[server] for server in sorted(table.keys() & group)) for group in (usable, cold_servers))
         # Lines of lost servers are withdrawn already and only have to be removed, so they count little. Slices that
@@ -56,6 +62,34 @@
             enough_left = half_left = True
         return TableChange(slice_index, difference * load, enough_left, half_left)
 
+    def former_owners(self, lost):
+        """{slice: owner} of the slices with a single owner that is among `lost` and must not be used."""
+        if self.handovers is None:
+            return {}
+        return {
+            slice_index: server
+            for slice_index in sorted(self.owned_slices)
+            for server in self.tables[slice_index]
+            if server in lost
+        }
+
+    def may_name_owner(self, slice_index):
+        """Whether a slice with a single owner, which is lost, may get the next one."""
+        return self.handovers.may_name_owner(self.now, slice_index, self.owned_since.get(slice_index, 0))
+
+    def write_slice_levels(self, pending, budget, draft):
+        """Order the levels of slices with a single owner: 0 from its withdrawal until the next one is named."""
+        if self.handovers is None:
+            return
+        message = self.withdrawals.message_count + 1
+        former_owners = self.former_owners(pending.lost)
+        for slice_index, level in self.handovers.due_levels(sorted(self.owned_slices), former_owners):
+            if not budget.fits(draft.lines, draft.lines + 1, urgent=not level):
+                return
+            draft.lines += 1
+            self.orders.set_level(slice_index, 0, level, RETRY_POLICY)
+            self.handovers.record_level(slice_index, level, message)
+
     def removals(self, pending):
         """The lines of lost servers that can be removed from the tables, as a list of TableLine."""
         if self.setup.single_owner:
--- a/tests/test_manager.py
+++ b/tests/test_manager.py
@@ -827,6 +827,7 @@
         harness = ManagerHarness(single_owner=True)
         harness.run(4, demand=EVEN_DEMAND | {0: 400}, tries=HEALTHY_TRIES | {0: (400, 300, 2.0)})
         harness.round(("worker_list_received", False, [entry(1, GONE)]))
+        harness.run(6)  # writes may be in flight for 4 s
         placed = [
             (slice_index, worker) for slice_index, worker, weight in harness.recorded.named("set_weight") if weight
         ]
