Rejected callers are closed in the same turn again, and PINGs have room before joining

A rejected caller was closed only in the next turn, which a caller of _reject outside the loop never saw (test_crossings). Every slice of a first start counted as placed in place of cold servers though there were none, so all were laid out anew once their demand was known (two tests of spill, two that compare tables before and after).

Closing has its slice of time within the turn; only slices placed while cold servers were there are laid out anew; before joining 64 KiB are accepted, 1 KiB a turn.

--- a/ospreyrouter/node/collectors.py
+++ b/ospreyrouter/node/collectors.py
@@ -23,8 +23,9 @@
 JOIN_TIMEOUT_US = 900_000
 SWEEP_INTERVAL_US = 100_000  # between two searches for connections that did not join in time
 MAX_FRAME_BEFORE_JOIN = 1024  # bytes
-MAX_BYTES_BEFORE_JOIN = 4 << 10  # more PINGs than a caller sends until it has to have joined
-READ_SIZE = 16 << 10  # bytes that a collector may deliver in a turn of the loop; others MAX_BYTES_BEFORE_JOIN
+MAX_BYTES_BEFORE_JOIN = 64 << 10  # more PINGs than a caller sends until it has to have joined
+READ_SIZE = 16 << 10  # bytes that a collector may deliver in a turn of the loop
+READ_SIZE_BEFORE_JOIN = 1 << 10  # the same for a caller that has not joined
 MAX_FINAL_BYTES = 16 << 10  # read at most from a rejected connection, for PINGs that arrived before its close
 CLOSING_SLICE_US = 20_000  # time in a turn of the loop for closing rejected connections
 MAX_PARTIAL_US = 15_000_000  # from the beginning of a collector's message to its end
@@ -71,6 +72,7 @@
         self.max_buffered_bytes = max_buffered_bytes
         self.unidentified, self.collectors = {}, {}
         self.rejected = deque()  # callers that are still to be closed
+        self.closing_until_us = None  # until then callers may be closed in this turn of the loop; None if none was
         self.closing_caller = None  # the caller that is just being closed
         self.last_ping_us = 0
         self.listener = loop.listen(address, self._accepted)
@@ -84,7 +86,7 @@
 
     def _accepted(self, stream):
         caller = Caller(stream, self.loop.now())
-        stream.max_unsent, stream.read_size = MAX_UNREAD, MAX_BYTES_BEFORE_JOIN
+        stream.max_unsent, stream.read_size = MAX_UNREAD, READ_SIZE_BEFORE_JOIN
         self.unidentified[caller] = None
         stream.start(lambda data: self._data_received(caller, data), lambda reason: self._closed(caller))
         self.counts["callers"] += 1
@@ -111,17 +113,22 @@
         self.unidentified.pop(caller, None)
         caller.stream.pause()
         self.rejected.append(caller)
-        if len(self.rejected) == 1:
-            self.loop.soon(self._close_rejected)
+        if self.closing_until_us is None:
+            self._close_rejected()
+        elif self.loop.now() < self.closing_until_us:
+            self._close_with_nack(self.rejected.pop())
 
     def _close_rejected(self):
         """Close rejected callers for CLOSING_SLICE_US; the rest follows in the next turn."""
-        deadline_us = self.loop.now() + CLOSING_SLICE_US
-        while self.rejected:
+        self.closing_until_us = self.loop.now() + CLOSING_SLICE_US
+        self.loop.soon(self._begin_slice)
+        while self.rejected and self.loop.now() <= self.closing_until_us:
             self._close_with_nack(self.rejected.popleft())
-            if self.rejected and self.loop.now() > deadline_us:
-                self.loop.soon(self._close_rejected)
-                return
+
+    def _begin_slice(self):
+        self.closing_until_us = None
+        if self.rejected:
+            self._close_rejected()
 
     def _close_with_nack(self, caller):
         self.closing_caller = caller
--- a/ospreyrouter/policy.py
+++ b/ospreyrouter/policy.py
@@ -687,7 +687,8 @@
             }
             if not held[slice_index] and slice_index in unreported:
                 # Its demand may be any part of the traffic, which a cold server might not carry.
-                self.placed_by_assumption.add(slice_index)
+                if max_popularity:
+                    self.placed_by_assumption.add(slice_index)
                 held[slice_index] = {rendezvous_server(slice_index, capacity.keys() - max_popularity or capacity): 1.0}
 
         def loads(placed):
