The reserve of the queue is for proxies that were never reported, not for those away

A proxy that has joined before is reported when it joins again, so only proxies never seen reduce the limit.

--- a/ospreyrouter/channel_schedule.py
+++ b/ospreyrouter/channel_schedule.py
@@ -20,7 +20,7 @@
 
 ORDINARY_FILL = 0.40  # part of the queue's limit that ordinary messages may fill
 # Parts of the queue's limit that unconfirmed lines may fill, so that no more wait however slow the channel is: where
-# all proxies are counted, and at least where more may have joined that were not reported yet.
+# all proxies have been reported, and at least where some never were.
 QUEUE_FILL, UNREPORTED_FILL = 0.97, 0.85
 # Part of the unconfirmed limit that ordinary messages may fill before any of their lines is proven to have left.
 UNCONFIRMED_FILL = 0.8
@@ -86,12 +86,12 @@
         self.send_times = []
         self.violations = Counter()
 
-    def state(self, now, joined, more_joins_expected, recent_us, stalled):
+    def state(self, now, joined, known, more_joins_expected, recent_us, stalled):
         """The present ChannelState.
 
-        `joined`: number of joined proxies. `recent_us`: a message no older than this may have gone to all proxies that
-        joined since. `stalled`: the channel accepts nothing now, and all proxies that join until it does get what is
-        queued.
+        `joined`: number of joined proxies; `known`: of those that have joined at any time. `recent_us`: a message no
+        older than this may have gone to all proxies that joined since. `stalled`: the channel accepts nothing now, and
+        all proxies that join until it does get what is queued.
         """
         setup = self.setup
         self.sent_messages.drop_expired(now)
@@ -109,7 +109,7 @@
         one_line = (head + 1) * receivers
         shortest = max(shortest, one_line if one_line <= setup.queue_lines else 0.0)
         all_proxies = max(1, joined, setup.proxy_count if setup.slice_count else 1)
-        fill = max(UNREPORTED_FILL, QUEUE_FILL * min(1.0, receivers / all_proxies))
+        fill = max(UNREPORTED_FILL, QUEUE_FILL * min(1.0, max(receivers, known) / all_proxies))
         limit = max(setup.queue_lines * fill, shortest)
         longest = max(limit / all_proxies, head + MIN_WORTHWHILE_LINES)
         return ChannelState(unconfirmed, queued, receivers, head, limit, longest)
--- a/ospreyrouter/proxy_messages.py
+++ b/ospreyrouter/proxy_messages.py
@@ -56,6 +56,7 @@
         return self.schedule.state(
             self.now,
             len(self.proxies),
+            len(self.withdrawals.proxy_states),
             self.withdrawals.more_joins_expected(self.now),
             self.withdrawals.batch_us,
             stalled=self.stalled_at == self.now,
